--- /dev/null
+++ b/bench/src/main/java/org/wasabimount/bench/cell/LocalCell.java
@@ -0,0 +1,292 @@
+package org.wasabimount.bench.cell;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.BooleanSupplier;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+
+import org.wasabimount.client.HttpClient;
+import org.wasabimount.client.HttpMessage;
+import org.wasabimount.daemon.cell.Directory;
+
+/**
+ * A cell of daemon processes on this machine, each with an address of 127.0.0.0/8 of its own.
+ *
+ * <p>For example:
+ *
+ * <pre>{@code
+ * try (LocalCell cell = LocalCell.of(top, folder, List.of("glasgow", "edinburgh", "aberdeen"), 1)) {
+ *     cell.start();
+ * }
+ * }</pre>
+ */
+public final class LocalCell implements AutoCloseable {
+
+    /** The secret of the platform's operator. */
+    public static final String ADMIN_SECRET = "demo-admin-secret";
+
+    /** The secret of workers and backend servers. */
+    public static final String PLATFORM_SECRET = "demo-platform-secret";
+
+    private static final int HTTP_PORT = 8100;
+    private static final int PEER_PORT = 7100;
+    private static final long POLL_MILLIS = 50;
+    private static final int BLOCK = 256;
+
+    private final Path top;
+    private final Path folder;
+    private final List<String> domains;
+    private final Map<String, LocalDaemon> daemons = new LinkedHashMap<>();
+    private final Map<String, String> domainByVm = new LinkedHashMap<>();
+    private final Map<String, String> peerAddresses = new LinkedHashMap<>();
+    private final Map<String, String> extraSettings = new LinkedHashMap<>();
+    private final String network;
+
+    private LocalCell(Path top, Path folder, List<String> domains) {
+        this.top = top;
+        this.folder = folder;
+        this.domains = domains;
+        long pid = ProcessHandle.current().pid();
+        this.network = "127." + (100 + pid / BLOCK % 100) + "." + pid % BLOCK + ".";
+    }
+
+    /**
+     * Describes a cell.
+     *
+     * @param top the project's folder, built
+     * @param folder the folder for settings, data and logs
+     * @param domains the failure domains
+     * @param vmsPerDomain entry VMs in each
+     * @return the cell, nothing of it started
+     */
+    public static LocalCell of(Path top, Path folder, List<String> domains, int vmsPerDomain) {
+        LocalCell cell = new LocalCell(top, folder, domains);
+        int host = 1;
+        for (int number = 1; number <= vmsPerDomain; number++) {
+            for (String domain : domains) {
+                String vm = domain + "-" + number;
+                String address = cell.network + host;
+                host++;
+                cell.domainByVm.put(vm, domain);
+                cell.peerAddresses.put(vm, address + ":" + PEER_PORT);
+                cell.daemons.put(vm, new LocalDaemon(top, folder.resolve(vm), vm, address + ":" + HTTP_PORT));
+            }
+        }
+        return cell;
+    }
+
+    /**
+     * Adds a line to every settings file.
+     *
+     * @param key the key
+     * @param value the value
+     * @return this
+     */
+    public LocalCell setting(String key, String value) {
+        extraSettings.put(key, value);
+        return this;
+    }
+
+    /**
+     * Writes the settings, makes the data folders and starts every daemon.
+     *
+     * @return this
+     * @throws IOException if a daemon can't be started
+     */
+    public LocalCell start() throws IOException {
+        deleteTree(folder);
+        for (LocalDaemon daemon : daemons.values()) {
+            Files.createDirectories(daemon.settingsFile().getParent());
+            Files.writeString(daemon.settingsFile(), settings(daemon, Map.of()));
+            daemon.format(true);
+        }
+        for (LocalDaemon daemon : daemons.values()) {
+            daemon.start();
+        }
+        return this;
+    }
+
+    /**
+     * Writes a daemon's settings anew, with other addresses for some peers.
+     *
+     * @param vm the daemon's VM
+     * @param addresses peer addresses by VM, for example of links that can be cut
+     * @throws IOException if the file can't be written
+     */
+    public void rewrite(String vm, Map<String, String> addresses) throws IOException {
+        LocalDaemon daemon = daemons.get(vm);
+        Files.writeString(daemon.settingsFile(), settings(daemon, addresses));
+    }
+
+    /**
+     * Returns a daemon.
+     *
+     * @param vm its VM
+     * @return the daemon
+     */
+    public LocalDaemon daemon(String vm) {
+        return daemons.get(vm);
+    }
+
+    /**
+     * Returns all daemons.
+     *
+     * @return the daemons in order of their VMs
+     */
+    public List<LocalDaemon> daemons() {
+        return new ArrayList<>(daemons.values());
+    }
+
+    /**
+     * Returns where a daemon listens for other daemons.
+     *
+     * @param vm its VM
+     * @return host and port
+     */
+    public String peerAddress(String vm) {
+        return peerAddresses.get(vm);
+    }
+
+    /**
+     * Returns a loopback address that no daemon of this cell uses.
+     *
+     * @param host the last part of the address, from 100 to 254
+     * @return the address
+     */
+    public String address(int host) {
+        return network + host;
+    }
+
+    /**
+     * Returns every daemon's HTTP address.
+     *
+     * @return the addresses
+     */
+    public List<String> httpAddresses() {
+        return daemons.values().stream().map(LocalDaemon::httpAddress).toList();
+    }
+
+    /**
+     * Waits until daemons are ready.
+     *
+     * @param client asks them
+     * @param vms the daemons' VMs
+     * @param timeoutMillis how long to wait
+     * @return whether all were ready in time
+     */
+    public boolean awaitReady(HttpClient client, List<String> vms, long timeoutMillis) {
+        HttpMessage probe = HttpMessage.of("GET", "/readyz", new byte[0]);
+        return await(
+                () -> vms.stream()
+                        .allMatch(vm -> client.call(daemons.get(vm).httpAddress(), probe, 1_000)
+                                .is(200)),
+                timeoutMillis);
+    }
+
+    /**
+     * Waits until something holds.
+     *
+     * @param condition what should hold
+     * @param timeoutMillis how long to wait
+     * @return whether it held in time
+     */
+    public static boolean await(BooleanSupplier condition, long timeoutMillis) {
+        long untilNanos = System.nanoTime() + timeoutMillis * 1_000_000;
+        while (!condition.getAsBoolean()) {
+            if (System.nanoTime() >= untilNanos) {
+                return false;
+            }
+            try {
+                Thread.sleep(POLL_MILLIS);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+                return false;
+            }
+        }
+        return true;
+    }
+
+    @Override
+    public void close() {
+        daemons.values().stream()
+                .filter(daemon -> daemon.process() != null && daemon.process().isAlive())
+                .forEach(LocalDaemon::kill);
+    }
+
+    static void deleteTree(Path path) throws IOException {
+        if (!Files.exists(path)) {
+            return;
+        }
+        try (Stream<Path> all = Files.walk(path)) {
+            all.sorted(Comparator.reverseOrder()).forEach(file -> {
+                try {
+                    Files.delete(file);
+                } catch (IOException e) {
+                    throw new UncheckedIOException(e);
+                }
+            });
+        }
+    }
+
+    private String settings(LocalDaemon daemon, Map<String, String> addresses) {
+        String voters = domains.stream().map(domain -> domain + "-1").collect(Collectors.joining(", "));
+        StringBuilder text = new StringBuilder();
+        text.append("vm: ").append(daemon.name()).append('\n');
+        text.append("domain: ").append(domainByVm.get(daemon.name())).append('\n');
+        text.append("httpAddress: ").append(daemon.httpAddress()).append('\n');
+        text.append("peerAddress: ").append(peerAddresses.get(daemon.name())).append('\n');
+        text.append("dataFolder: ").append(daemon.dataFolder()).append('\n');
+        text.append("domains: ").append(domains).append('\n');
+        text.append("cellVoters: [").append(voters).append("]\n");
+        text.append("ledgerVoters:\n");
+        domains.forEach(domain -> text.append("  ")
+                .append(domain)
+                .append(": ")
+                .append(ledgerVoters(domain))
+                .append('\n'));
+        text.append("peers:\n");
+        peerAddresses.forEach((vm, address) -> {
+            if (!vm.equals(daemon.name())) {
+                text.append("  - {vm: ").append(vm).append(", domain: ").append(domainByVm.get(vm));
+                text.append(", address: \"")
+                        .append(addresses.getOrDefault(vm, address))
+                        .append("\"}\n");
+            }
+        });
+        text.append("adminSecretHash: ").append(hex(ADMIN_SECRET)).append('\n');
+        text.append("platformSecretHash: ").append(hex(PLATFORM_SECRET)).append('\n');
+        extraSettings.forEach(
+                (key, value) -> text.append(key).append(": ").append(value).append('\n'));
+        return text.toString();
+    }
+
+    /** A ledger's voters are the domain's own VMs, filled up to three from the next domains. */
+    private List<String> ledgerVoters(String domain) {
+        List<String> own = domainByVm.keySet().stream()
+                .filter(vm -> domainByVm.get(vm).equals(domain))
+                .limit(3)
+                .collect(Collectors.toCollection(ArrayList::new));
+        int next = domains.indexOf(domain) + 1;
+        while (own.size() < 3 && own.size() < domainByVm.size()) {
+            own.add(domains.get(next % domains.size()) + "-1");
+            next++;
+        }
+        return own;
+    }
+
+    private static String hex(String secret) {
+        StringBuilder hex = new StringBuilder();
+        for (byte part : Directory.hash(secret).toByteArray()) {
+            hex.append(String.format("%02x", part));
+        }
+        return hex.toString();
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/wasabimount/bench/demo/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The demonstration of the whole path.
+ */
+package org.wasabimount.bench.demo;
--- /dev/null
+++ b/bench/src/main/java/org/wasabimount/bench/standin/StandInBackend.java
@@ -0,0 +1,222 @@
+package org.wasabimount.bench.standin;
+
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.Map;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+
+import org.xnio.XnioWorker;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+
+import io.undertow.Undertow;
+import io.undertow.UndertowOptions;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
+import io.undertow.util.SameThreadExecutor;
+
+/**
+ * A backend server with a number of slots, which announces itself and echoes each request after a service time.
+ *
+ * <p>It counts how often each idempotency key ran, so that a doubled request can be seen.
+ */
+public final class StandInBackend {
+
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final long ANNOUNCE_MILLIS = 1_000;
+    private static final long ANNOUNCE_TIMEOUT_MILLIS = 900;
+    private static final long SLOW_FACTOR = 10;
+    private static final int SERVER_ERROR = 500;
+
+    private final Settings settings;
+    private final Announcer announcer;
+    private final ScheduledExecutorService timers;
+    private final Undertow server;
+    private final Map<String, AtomicLong> runsByKey = new ConcurrentHashMap<>();
+    private final AtomicLong runs = new AtomicLong();
+    private final Queue<Runnable> waiting = new ArrayDeque<>();
+    private volatile Behaviour behaviour = Behaviour.SERVES;
+    private volatile boolean leaving;
+    private long sequence;
+    private int busySlots;
+
+    /** How a backend server treats requests. */
+    public enum Behaviour {
+        /** Answers after its service time. */
+        SERVES,
+        /** Takes ten times as long. */
+        SLOW,
+        /** Answers with an error at once. */
+        FAILS,
+        /** Takes requests, answers none and announces nothing. */
+        FROZEN
+    }
+
+    /**
+     * What a backend server announces and how long it works.
+     *
+     * @param name its id
+     * @param organisation the organisation that owns it
+     * @param service its service
+     * @param shared whether every organisation may call it
+     * @param domain its failure domain
+     * @param address where it listens
+     * @param slots how many requests it works on at once
+     * @param serviceMillis how long it works on one request
+     */
+    public record Settings(
+            String name,
+            String organisation,
+            String service,
+            boolean shared,
+            String domain,
+            InetSocketAddress address,
+            int slots,
+            long serviceMillis) {}
+
+    StandInBackend(Settings settings, Announcer announcer, XnioWorker ioThreads, ScheduledExecutorService timers) {
+        this.settings = settings;
+        this.announcer = announcer;
+        this.timers = timers;
+        this.sequence = System.currentTimeMillis();
+        this.server = Undertow.builder()
+                .addHttpListener(
+                        settings.address().getPort(), settings.address().getHostString(), this::handle)
+                .setWorker(ioThreads)
+                .setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
+                .build();
+    }
+
+    /** Opens the port and begins to announce. */
+    public void start() {
+        server.start();
+        timers.scheduleAtFixedRate(this::announce, 0, ANNOUNCE_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /**
+     * Changes how requests are treated.
+     *
+     * @param newBehaviour the behaviour from now on
+     */
+    public void behave(Behaviour newBehaviour) {
+        behaviour = newBehaviour;
+    }
+
+    /** Announces that the server leaves; it goes on answering. */
+    public void leave() {
+        leaving = true;
+        announce();
+    }
+
+    /** Closes the port. */
+    public void stop() {
+        server.stop();
+    }
+
+    /**
+     * Returns how many requests ran.
+     *
+     * @return the count
+     */
+    public long runs() {
+        return runs.get();
+    }
+
+    /**
+     * Returns how often each idempotency key ran.
+     *
+     * @return the counts by key
+     */
+    public Map<String, AtomicLong> runsByKey() {
+        return runsByKey;
+    }
+
+    private void announce() {
+        if (behaviour == Behaviour.FROZEN) {
+            return;
+        }
+        sequence++;
+        ObjectNode body = MAPPER.createObjectNode()
+                .put("server", settings.name())
+                .put("organisation", settings.organisation())
+                .put("service", settings.service())
+                .put("shared", settings.shared())
+                .put("domain", settings.domain())
+                .put(
+                        "address",
+                        settings.address().getHostString() + ":"
+                                + settings.address().getPort())
+                .put("slots", settings.slots())
+                .put("connections", settings.slots() * 8)
+                .put("leaving", leaving)
+                .put("sequence", sequence);
+        announcer.next();
+        announcer.post("/platform/backend", body, ANNOUNCE_TIMEOUT_MILLIS);
+    }
+
+    private void handle(HttpServerExchange exchange) {
+        exchange.getRequestReceiver()
+                .receiveFullBytes(
+                        (received, body) -> received.dispatch(SameThreadExecutor.INSTANCE, () -> take(received, body)));
+    }
+
+    private void take(HttpServerExchange exchange, byte[] body) {
+        if (behaviour == Behaviour.FAILS) {
+            answer(exchange, SERVER_ERROR, "failed");
+        } else if (behaviour != Behaviour.FROZEN) {
+            long factor = behaviour == Behaviour.SLOW ? SLOW_FACTOR : 1;
+            enqueue(exchange, body, factor * settings.serviceMillis());
+        }
+    }
+
+    private void enqueue(HttpServerExchange exchange, byte[] body, long workMillis) {
+        synchronized (waiting) {
+            if (busySlots >= settings.slots()) {
+                waiting.add(() -> work(exchange, body, workMillis));
+                return;
+            }
+            busySlots++;
+        }
+        work(exchange, body, workMillis);
+    }
+
+    private void work(HttpServerExchange exchange, byte[] body, long workMillis) {
+        runs.incrementAndGet();
+        String key = exchange.getRequestHeaders().getFirst("Idempotency-Key");
+        if (key != null) {
+            runsByKey.computeIfAbsent(key, absent -> new AtomicLong()).incrementAndGet();
+        }
+        timers.schedule(() -> finish(exchange, body), workMillis, TimeUnit.MILLISECONDS);
+    }
+
+    private void finish(HttpServerExchange exchange, byte[] body) {
+        ObjectNode echo = MAPPER.createObjectNode()
+                .put("server", settings.name())
+                .put("organisation", exchange.getRequestHeaders().getFirst("Wasabimount-Organisation"))
+                .put("path", exchange.getRequestURI())
+                .put("body", new String(body, StandardCharsets.UTF_8));
+        answer(exchange, 200, echo.toString());
+        Runnable next;
+        synchronized (waiting) {
+            next = waiting.poll();
+            if (next == null) {
+                busySlots--;
+            }
+        }
+        if (next != null) {
+            next.run();
+        }
+    }
+
+    private static void answer(HttpServerExchange exchange, int status, String text) {
+        exchange.setStatusCode(status);
+        exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
+        exchange.getResponseSender().send(text);
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/wasabimount/cli/ApiClient.java
@@ -0,0 +1,95 @@
+package org.wasabimount.cli;
+
+import java.io.IOException;
+import java.util.List;
+
+import org.wasabimount.client.HttpClient;
+import org.wasabimount.client.HttpMessage;
+import org.wasabimount.client.HttpOutcome;
+import org.wasabimount.client.HttpResult;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+
+/** Sends requests to the first entry VM that answers. Only requests that may be sent twice are sent to a second one. */
+final class ApiClient {
+
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final int FIRST_ERROR_STATUS = 400;
+    private static final int CODES_PER_EXIT_STATUS = 100;
+    private static final int ROUNDS = 3;
+
+    private final HttpClient client;
+    private final List<String> servers;
+    private final String credential;
+
+    ApiClient(HttpClient client, List<String> servers, String credential) {
+        this.client = client;
+        this.servers = servers;
+        this.credential = credential;
+    }
+
+    /** Sends a request that may be sent again, and returns the JSON of its answer. */
+    JsonNode repeatable(HttpMessage request, long timeoutMillis) throws CliException {
+        HttpResult result = null;
+        for (int round = 0; round < ROUNDS; round++) {
+            for (String server : servers) {
+                result = send(server, request, timeoutMillis);
+                if (result.outcome() == HttpOutcome.ANSWERED) {
+                    return json(result);
+                }
+            }
+        }
+        throw new CliException(CliException.UNREACHABLE, "no server answered: " + result.outcome());
+    }
+
+    /** Sends a call; another server is tried only if nothing was sent. */
+    HttpResult call(HttpMessage request, long timeoutMillis) throws CliException {
+        for (String server : servers) {
+            HttpResult result = send(server, request, timeoutMillis);
+            if (result.outcome() != HttpOutcome.NOT_SENT) {
+                return result;
+            }
+        }
+        throw new CliException(CliException.UNREACHABLE, "no server could be reached");
+    }
+
+    /** Turns an answer with an error status into an exception that names the numbered code. */
+    static void requireSuccess(HttpResult result) throws CliException {
+        if (result.outcome() != HttpOutcome.ANSWERED) {
+            throw new CliException(CliException.UNREACHABLE, "the answer was lost: " + result.outcome());
+        }
+        if (result.answer().status() < FIRST_ERROR_STATUS) {
+            return;
+        }
+        JsonNode problem = parse(result.answer().body());
+        int code = problem.path("code").asInt();
+        if (code == 0) {
+            throw new CliException(1, "HTTP status " + result.answer().status());
+        }
+        long retryAfterMillis = problem.path("retryAfterMillis").asLong();
+        String later = retryAfterMillis > 0 ? "; try again in " + retryAfterMillis + " ms" : "";
+        throw new CliException(
+                code / CODES_PER_EXIT_STATUS,
+                "error " + code + " " + problem.path("title").asText() + ": "
+                        + problem.path("detail").asText() + " (outcome: "
+                        + problem.path("outcome").asText() + ")" + later);
+    }
+
+    private HttpResult send(String server, HttpMessage request, long timeoutMillis) {
+        return client.call(server, request.with("Authorization", "Bearer " + credential), timeoutMillis);
+    }
+
+    private static JsonNode json(HttpResult result) throws CliException {
+        requireSuccess(result);
+        return parse(result.answer().body());
+    }
+
+    private static JsonNode parse(byte[] body) throws CliException {
+        try {
+            return MAPPER.readTree(body);
+        } catch (IOException e) {
+            throw new CliException(CliException.UNREACHABLE, "the server's answer is not JSON");
+        }
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/wasabimount/cli/CliException.java
@@ -0,0 +1,27 @@
+package org.wasabimount.cli;
+
+/** Ends a command with an exit status and one line for the user. */
+final class CliException extends Exception {
+
+    /** The command line can't be used. */
+    static final int USAGE = 64;
+
+    /** A file can't be read or used. */
+    static final int BAD_INPUT = 65;
+
+    /** No server could be reached, or none answered. */
+    static final int UNREACHABLE = 69;
+
+    private static final long serialVersionUID = 1L;
+
+    private final int status;
+
+    CliException(int status, String message) {
+        super(message);
+        this.status = status;
+    }
+
+    int status() {
+        return status;
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/wasabimount/cli/Command.java
@@ -0,0 +1,353 @@
+package org.wasabimount.cli;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.UUID;
+
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.wasabimount.client.HttpMessage;
+import org.wasabimount.client.HttpResult;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+
+/** The commands of the tool. */
+enum Command {
+    /** Declares the resources of a file. */
+    APPLY("apply -f FILE [--if-version N]", 0, "declares the services, batches and jobs of a YAML file") {
+        @Override
+        Options options() {
+            return new Options()
+                    .addOption(Option.builder("f").longOpt("file").hasArg().get())
+                    .addOption(Option.builder().longOpt("if-version").hasArg().get());
+        }
+
+        @Override
+        void run(Invocation invocation) throws CliException, IOException {
+            String file = invocation.required("f");
+            for (Manifest manifest : Manifest.read(Path.of(file))) {
+                HttpMessage put = json("PUT", path(manifest.kind(), manifest.name()), manifest.spec());
+                invocation.print(invocation.write(put));
+            }
+        }
+    },
+    /** Shows resources. */
+    GET("get [KIND NAME]", 2, "shows one resource, or all of the organisation") {
+        @Override
+        void run(Invocation invocation) throws CliException, IOException {
+            List<String> names = invocation.arguments();
+            String path = names.size() == 2 ? path(names.get(0), names.get(1)) : "/v1/resources";
+            invocation.print(invocation.read(path));
+        }
+    },
+    /** Shows changes as they come. */
+    WATCH("watch [--from REVISION] [--changes N]", 0, "prints changes of the organisation's resources as they come") {
+        @Override
+        Options options() {
+            return new Options()
+                    .addOption(Option.builder().longOpt("from").hasArg().get())
+                    .addOption(Option.builder().longOpt("changes").hasArg().get());
+        }
+
+        @Override
+        void run(Invocation invocation) throws CliException, IOException {
+            long revision = invocation.number("from", -1);
+            long left = invocation.number("changes", Long.MAX_VALUE);
+            if (revision < 0) {
+                revision = invocation.read("/v1/resources").path("revision").asLong();
+            }
+            while (left > 0) {
+                JsonNode changes =
+                        invocation.read("/v1/watch?fromRevision=" + revision + "&waitMillis=" + WATCH_WAIT_MILLIS);
+                revision = changes.path("revision").asLong();
+                for (JsonNode change : changes.path("resources")) {
+                    invocation.out().println(new ObjectMapper().writeValueAsString(change));
+                    left--;
+                }
+            }
+        }
+    },
+    /** Deletes a resource. */
+    DELETE("delete KIND NAME [--if-version N]", 2, "stops a resource's tasks and forgets it") {
+        @Override
+        Options options() {
+            return new Options()
+                    .addOption(Option.builder().longOpt("if-version").hasArg().get());
+        }
+
+        @Override
+        void run(Invocation invocation) throws CliException, IOException {
+            List<String> names = invocation.exactArguments(2);
+            invocation.print(invocation.write(HttpMessage.of("DELETE", path(names.get(0), names.get(1)), new byte[0])));
+        }
+    },
+    /** Says why tasks wait. */
+    EXPLAIN("explain KIND NAME", 2, "says why a resource's tasks wait") {
+        @Override
+        void run(Invocation invocation) throws CliException, IOException {
+            List<String> names = invocation.exactArguments(2);
+            JsonNode resource = invocation.read(path(names.get(0), names.get(1)));
+            String reason = resource.path("reason").asText();
+            invocation.out().println(reason.isEmpty() ? "no task waits" : reason);
+        }
+    },
+    /** Shows the cell. */
+    STATUS("status", 0, "shows workers, tasks, leaders and the asked VM (platform's secret)") {
+        @Override
+        void run(Invocation invocation) throws CliException, IOException {
+            invocation.print(invocation.read("/admin/status"));
+        }
+    },
+    /** Stops a daemon gracefully. */
+    DRAIN("drain", 0, "stops the asked daemon without cutting off a request (platform's secret)") {
+        @Override
+        void run(Invocation invocation) throws CliException, IOException {
+            invocation.write(HttpMessage.of("POST", "/admin/drain", new byte[0]));
+            invocation.out().println("draining");
+        }
+    },
+    /** Calls a service. */
+    CALL(
+            "call SERVICE [PATH] [-X METHOD] [-d BODY] [--once [--key KEY]] [--timeout-millis N]",
+            2,
+            "sends a request to a service; --once marks it as unrepeatable") {
+        @Override
+        Options options() {
+            return new Options()
+                    .addOption(Option.builder("X").longOpt("method").hasArg().get())
+                    .addOption(Option.builder("d").longOpt("data").hasArg().get())
+                    .addOption(Option.builder().longOpt("once").get())
+                    .addOption(Option.builder().longOpt("key").hasArg().get())
+                    .addOption(
+                            Option.builder().longOpt("timeout-millis").hasArg().get());
+        }
+
+        @Override
+        void run(Invocation invocation) throws CliException {
+            List<String> names = invocation.arguments();
+            if (names.isEmpty()) {
+                throw new CliException(CliException.USAGE, "call needs the name of a service");
+            }
+            CommandLine line = invocation.line();
+            String body = line.getOptionValue("d", "");
+            String method = line.getOptionValue("X", line.hasOption("d") ? "POST" : "GET");
+            String path = "/call/" + names.get(0) + (names.size() > 1 ? names.get(1) : "/");
+            long timeoutMillis = invocation.number("timeout-millis", CALL_TIMEOUT_MILLIS);
+            HttpMessage request = HttpMessage.of(method, path, body.getBytes(StandardCharsets.UTF_8))
+                    .with("Request-Timeout-Millis", Long.toString(timeoutMillis));
+            if (line.hasOption("once") || line.hasOption("key")) {
+                String key = line.getOptionValue(
+                        "key", Secrets.newKey(System.currentTimeMillis()).toString());
+                request = request.with("Idempotency-Key", key);
+            }
+            HttpResult result = invocation.api().call(request, timeoutMillis + ANSWER_GRACE_MILLIS);
+            ApiClient.requireSuccess(result);
+            invocation.out().println(result.answer().text());
+        }
+    },
+    /** Declares an organisation. */
+    ORGANISATION(
+            "organisation NAME [--weight N] [--cpu-millis N] [--memory-megabytes N] [--accelerators N]"
+                    + " [--secret SECRET]... [--keep-hash HASH]...",
+            1,
+            "declares an organisation and prints its new credential (platform's secret)") {
+        @Override
+        Options options() {
+            Options options = new Options();
+            for (String name :
+                    List.of("weight", "cpu-millis", "memory-megabytes", "accelerators", "keep-hash", "secret")) {
+                options.addOption(Option.builder().longOpt(name).hasArg().get());
+            }
+            return options;
+        }
+
+        @Override
+        void run(Invocation invocation) throws CliException {
+            String name = invocation.exactArguments(1).get(0);
+            CommandLine line = invocation.line();
+            ObjectNode body = new ObjectMapper().createObjectNode();
+            body.put("weight", invocation.number("weight", 1));
+            body.putObject("quota")
+                    .put("cpuMillis", invocation.number("cpu-millis", DEFAULT_QUOTA))
+                    .put("memoryMegabytes", invocation.number("memory-megabytes", DEFAULT_QUOTA))
+                    .put("accelerators", invocation.number("accelerators", DEFAULT_QUOTA));
+            String secret = line.getOptionValue("secret", Secrets.newSecret());
+            var hashes = body.putArray("secretHashes").add(Secrets.hash(secret));
+            Optional.ofNullable(line.getOptionValues("keep-hash"))
+                    .ifPresent(kept -> Arrays.stream(kept).forEach(hashes::add));
+            invocation.write(json("PUT", "/admin/organisations/" + name, body));
+            invocation.out().println("credential: " + name + ":" + secret);
+            invocation.out().println("hash: " + Secrets.hash(secret));
+        }
+    },
+    /** Shows or changes the configuration. */
+    CONFIGURATION(
+            "configuration [KEY=VALUE...] [--if-version N]",
+            Integer.MAX_VALUE,
+            "shows the cell's configuration, or replaces it (platform's secret)") {
+        @Override
+        Options options() {
+            return new Options()
+                    .addOption(Option.builder().longOpt("if-version").hasArg().get());
+        }
+
+        @Override
+        void run(Invocation invocation) throws CliException, IOException {
+            if (invocation.arguments().isEmpty()) {
+                invocation.print(invocation.read("/admin/configuration"));
+                return;
+            }
+            ObjectNode body = new ObjectMapper().createObjectNode();
+            ObjectNode values = body.putObject("values");
+            for (String argument : invocation.arguments()) {
+                int equals = argument.indexOf('=');
+                if (equals < 0) {
+                    throw new CliException(CliException.USAGE, "\"" + argument + "\" must have the form KEY=VALUE");
+                }
+                values.put(argument.substring(0, equals), argument.substring(equals + 1));
+            }
+            invocation.print(invocation.write(json("PUT", "/admin/configuration", body)));
+        }
+    },
+    /** Declares a worker's tasks as certainly gone. */
+    FENCE(
+            "fence WORKER INCARNATION",
+            2,
+            "says that a lost worker is certainly off, so that its kept tasks may start elsewhere (platform's secret)") {
+        @Override
+        void run(Invocation invocation) throws CliException, IOException {
+            List<String> names = invocation.exactArguments(2);
+            ObjectNode body = new ObjectMapper().createObjectNode().put("incarnation", names.get(1));
+            invocation.write(json("POST", "/admin/workers/" + names.get(0) + "/fence", body));
+            invocation.out().println("fenced");
+        }
+    },
+    /** Makes a secret. */
+    SECRET("secret", 0, "makes a secret and its hash for the settings files") {
+        @Override
+        void run(Invocation invocation) {
+            String secret = Secrets.newSecret();
+            invocation.out().println("secret: " + secret);
+            invocation.out().println("hash: " + Secrets.hash(secret));
+        }
+    };
+
+    private static final long WATCH_WAIT_MILLIS = 10_000;
+    private static final long CALL_TIMEOUT_MILLIS = 10_000;
+    private static final long ANSWER_GRACE_MILLIS = 1_000;
+    private static final long REQUEST_TIMEOUT_MILLIS = 16_000;
+    private static final long DEFAULT_QUOTA = 1_000_000_000L;
+
+    private final String usage;
+    private final int maxArguments;
+    private final String summary;
+
+    Command(String usage, int maxArguments, String summary) {
+        this.usage = usage;
+        this.maxArguments = maxArguments;
+        this.summary = summary;
+    }
+
+    abstract void run(Invocation invocation) throws CliException, IOException;
+
+    Options options() {
+        return new Options();
+    }
+
+    String usage() {
+        return usage;
+    }
+
+    String summary() {
+        return summary;
+    }
+
+    static Optional<Command> of(String name) {
+        return Arrays.stream(values())
+                .filter(command -> command.name().toLowerCase(Locale.ROOT).equals(name))
+                .findFirst();
+    }
+
+    private static String path(String kind, String name) {
+        return "/v1/" + kind + "/" + name;
+    }
+
+    private static HttpMessage json(String method, String path, JsonNode body) throws CliException {
+        try {
+            return HttpMessage.of(method, path, new ObjectMapper().writeValueAsBytes(body))
+                    .with("Content-Type", "application/json");
+        } catch (JsonProcessingException e) {
+            throw new CliException(CliException.BAD_INPUT, "the specification can't be written as JSON");
+        }
+    }
+
+    /**
+     * One run of a command.
+     *
+     * @param command the command
+     * @param line its options and arguments
+     * @param api the servers
+     * @param format how answers are printed
+     * @param out where answers are printed
+     */
+    record Invocation(Command command, CommandLine line, ApiClient api, OutputFormat format, PrintStream out) {
+
+        List<String> arguments() throws CliException {
+            if (line.getArgList().size() > command.maxArguments) {
+                throw new CliException(CliException.USAGE, "usage: wasabimount " + command.usage);
+            }
+            return line.getArgList();
+        }
+
+        List<String> exactArguments(int count) throws CliException {
+            if (line.getArgList().size() != count) {
+                throw new CliException(CliException.USAGE, "usage: wasabimount " + command.usage);
+            }
+            return line.getArgList();
+        }
+
+        String required(String option) throws CliException {
+            String value = line.getOptionValue(option);
+            if (value == null) {
+                throw new CliException(CliException.USAGE, "usage: wasabimount " + command.usage);
+            }
+            return value;
+        }
+
+        long number(String option, long defaultValue) throws CliException {
+            String value = line.getOptionValue(option);
+            try {
+                return value == null ? defaultValue : Long.parseLong(value);
+            } catch (NumberFormatException e) {
+                throw new CliException(CliException.USAGE, "--" + option + " must be a whole number");
+            }
+        }
+
+        JsonNode read(String path) throws CliException {
+            return api.repeatable(HttpMessage.of("GET", path, new byte[0]), REQUEST_TIMEOUT_MILLIS);
+        }
+
+        /** Sends a write; its id makes a repeat after a lost answer give the first result. */
+        JsonNode write(HttpMessage message) throws CliException {
+            HttpMessage identified =
+                    message.with("Request-Id", UUID.randomUUID().toString());
+            String version = line.getOptionValue("if-version");
+            return api.repeatable(
+                    version == null ? identified : identified.with("If-Match", version), REQUEST_TIMEOUT_MILLIS);
+        }
+
+        void print(JsonNode node) throws JsonProcessingException {
+            out.println(format.write(node));
+        }
+    }
+}
--- /dev/null
+++ b/client/src/main/java/org/wasabimount/client/HttpExchange.java
@@ -0,0 +1,203 @@
+package org.wasabimount.client;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+
+import org.xnio.IoUtils;
+import org.xnio.XnioExecutor;
+import org.xnio.channels.StreamSinkChannel;
+import org.xnio.channels.StreamSourceChannel;
+
+import io.undertow.client.ClientCallback;
+import io.undertow.client.ClientConnection;
+import io.undertow.client.ClientExchange;
+import io.undertow.client.ClientRequest;
+import io.undertow.util.HeaderValues;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+
+/** One request on its way. Runs on one I/O thread. */
+final class HttpExchange {
+
+    private static final int READ_BYTES = 8 << 10;
+    private static final Set<HttpString> HOP_BY_HOP = Set.of(
+            Headers.CONNECTION,
+            Headers.TRANSFER_ENCODING,
+            Headers.CONTENT_LENGTH,
+            Headers.KEEP_ALIVE,
+            Headers.UPGRADE,
+            Headers.TRAILER,
+            Headers.DATE,
+            new HttpString("Proxy-Connection"));
+
+    private final HttpClient client;
+    private final String address;
+    private final HttpMessage request;
+    private final CompletableFuture<HttpResult> result = new CompletableFuture<>();
+    private final int maxAnswerBytes;
+    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private ClientConnection connection;
+    private XnioExecutor.Key timeout;
+    private boolean sent;
+    private boolean ended;
+
+    HttpExchange(HttpClient client, String address, HttpMessage request, int maxAnswerBytes) {
+        this.client = client;
+        this.address = address;
+        this.request = request;
+        this.maxAnswerBytes = maxAnswerBytes;
+    }
+
+    CompletableFuture<HttpResult> result() {
+        return result;
+    }
+
+    void timeoutAfter(XnioExecutor.Key key) {
+        timeout = key;
+    }
+
+    void timedOut() {
+        end(sent ? HttpOutcome.TIMED_OUT : HttpOutcome.NOT_SENT, null);
+    }
+
+    void connected(ClientConnection opened) {
+        if (ended) {
+            close(opened);
+            return;
+        }
+        connection = opened;
+        sent = true;
+        ClientRequest message = new ClientRequest().setMethod(request.method()).setPath(request.path());
+        message.getRequestHeaders().put(Headers.HOST, address);
+        message.getRequestHeaders().put(Headers.CONTENT_LENGTH, Integer.toString(request.body().length));
+        request.headers().forEach(header -> message.getRequestHeaders().add(header.name(), header.value()));
+        connection.sendRequest(message, callback(this::writeBody));
+    }
+
+    private void writeBody(ClientExchange exchange) {
+        exchange.setResponseListener(callback(this::readHeaders));
+        StreamSinkChannel sink = exchange.getRequestChannel();
+        ByteBuffer remaining = ByteBuffer.wrap(request.body());
+        sink.getWriteSetter().set(channel -> write(sink, remaining));
+        write(sink, remaining);
+    }
+
+    private void write(StreamSinkChannel sink, ByteBuffer remaining) {
+        try {
+            while (remaining.hasRemaining()) {
+                if (sink.write(remaining) == 0) {
+                    sink.resumeWrites();
+                    return;
+                }
+            }
+            sink.shutdownWrites();
+            if (!sink.flush()) {
+                sink.getWriteSetter().set(channel -> flush(sink));
+                sink.resumeWrites();
+            }
+        } catch (IOException e) {
+            end(HttpOutcome.CUT_SHORT, null);
+        }
+    }
+
+    private void flush(StreamSinkChannel sink) {
+        try {
+            if (sink.flush()) {
+                sink.suspendWrites();
+            }
+        } catch (IOException e) {
+            end(HttpOutcome.CUT_SHORT, null);
+        }
+    }
+
+    private void readHeaders(ClientExchange exchange) {
+        StreamSourceChannel source = exchange.getResponseChannel();
+        source.getReadSetter().set(channel -> read(exchange, source));
+        read(exchange, source);
+    }
+
+    private void read(ClientExchange exchange, StreamSourceChannel source) {
+        if (ended) {
+            return;
+        }
+        ByteBuffer buffer = ByteBuffer.allocate(READ_BYTES);
+        try {
+            while (true) {
+                buffer.clear();
+                int count = source.read(buffer);
+                if (count == 0) {
+                    source.resumeReads();
+                    return;
+                }
+                if (count < 0) {
+                    answered(exchange);
+                    return;
+                }
+                body.write(buffer.array(), 0, count);
+                if (body.size() > maxAnswerBytes) {
+                    end(HttpOutcome.CUT_SHORT, null);
+                    return;
+                }
+            }
+        } catch (IOException e) {
+            end(HttpOutcome.CUT_SHORT, null);
+        }
+    }
+
+    private void answered(ClientExchange exchange) {
+        int status = exchange.getResponse().getResponseCode();
+        List<HttpHeader> headers = new ArrayList<>();
+        for (HeaderValues values : exchange.getResponse().getResponseHeaders()) {
+            if (!HOP_BY_HOP.contains(values.getHeaderName())) {
+                values.forEach(value -> headers.add(new HttpHeader(values.getHeaderName(), value)));
+            }
+        }
+        boolean keepAlive = !"close"
+                .equalsIgnoreCase(exchange.getResponse().getResponseHeaders().getFirst(Headers.CONNECTION));
+        if (keepAlive && !ended) {
+            client.keep(address, connection);
+            connection = null;
+        }
+        end(HttpOutcome.ANSWERED, new HttpAnswer(status, headers, body.toByteArray()));
+    }
+
+    /** Ends the exchange once; a connection that is not kept is closed, so that no late answer can be taken. */
+    void end(HttpOutcome outcome, HttpAnswer answer) {
+        if (ended) {
+            return;
+        }
+        ended = true;
+        timeout.remove();
+        if (connection != null) {
+            close(connection);
+        }
+        result.complete(new HttpResult(outcome, answer));
+    }
+
+    static void close(ClientConnection connection) {
+        IoUtils.safeClose(connection);
+    }
+
+    private interface Step {
+        void take(ClientExchange exchange);
+    }
+
+    private ClientCallback<ClientExchange> callback(Step step) {
+        return new ClientCallback<>() {
+            @Override
+            public void completed(ClientExchange exchange) {
+                step.take(exchange);
+            }
+
+            @Override
+            public void failed(IOException e) {
+                end(HttpOutcome.CUT_SHORT, null);
+            }
+        };
+    }
+}
--- /dev/null
+++ b/client/src/main/java/org/wasabimount/client/HttpMessage.java
@@ -0,0 +1,42 @@
+package org.wasabimount.client;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import io.undertow.util.HttpString;
+
+/**
+ * A request with its whole body.
+ *
+ * @param method the method
+ * @param path the path and query
+ * @param headers the headers, without Host and Content-Length
+ * @param body the whole body
+ */
+public record HttpMessage(HttpString method, String path, List<HttpHeader> headers, byte[] body) {
+
+    /**
+     * Creates a request without headers.
+     *
+     * @param method the method's name
+     * @param path the path and query
+     * @param body the whole body
+     * @return the request
+     */
+    public static HttpMessage of(String method, String path, byte[] body) {
+        return new HttpMessage(new HttpString(method), path, List.of(), body);
+    }
+
+    /**
+     * Adds a header.
+     *
+     * @param name the header's name
+     * @param value the header's value
+     * @return a request with the header
+     */
+    public HttpMessage with(String name, String value) {
+        List<HttpHeader> more = new ArrayList<>(headers);
+        more.add(HttpHeader.of(name, value));
+        return new HttpMessage(method, path, more, body);
+    }
+}
--- /dev/null
+++ b/client/src/main/java/org/wasabimount/client/package-info.java
@@ -0,0 +1,5 @@
+/**
+ * A small HTTP client over Undertow's that takes whole answers or none, used by the daemon, the command-line tool and
+ * the bench.
+ */
+package org.wasabimount.client;
--- /dev/null
+++ b/core/src/main/java/org/wasabimount/core/BackendServerId.java
@@ -0,0 +1,28 @@
+package org.wasabimount.core;
+
+/**
+ * Identifies a backend server.
+ *
+ * @param name the name given in the settings or announced
+ */
+public record BackendServerId(String name) implements Comparable<BackendServerId> {
+
+    /**
+     * Creates the id.
+     *
+     * @throws IllegalArgumentException if the name is empty
+     */
+    public BackendServerId {
+        Validate.notEmpty(name, "name");
+    }
+
+    @Override
+    public int compareTo(BackendServerId other) {
+        return name.compareTo(other.name);
+    }
+
+    @Override
+    public String toString() {
+        return name;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/wasabimount/core/WorkerId.java
@@ -0,0 +1,28 @@
+package org.wasabimount.core;
+
+/**
+ * Identifies a worker.
+ *
+ * @param name the name given in the settings or announced
+ */
+public record WorkerId(String name) implements Comparable<WorkerId> {
+
+    /**
+     * Creates the id.
+     *
+     * @throws IllegalArgumentException if the name is empty
+     */
+    public WorkerId {
+        Validate.notEmpty(name, "name");
+    }
+
+    @Override
+    public int compareTo(WorkerId other) {
+        return name.compareTo(other.name);
+    }
+
+    @Override
+    public String toString() {
+        return name;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/wasabimount/core/cell/Capacity.java
@@ -0,0 +1,100 @@
+package org.wasabimount.core.cell;
+
+import org.wasabimount.protocol.cell.Quantity;
+
+/**
+ * An amount of processors, memory and accelerators.
+ *
+ * @param cpuMillis thousandths of a processor
+ * @param memoryMegabytes megabytes of memory
+ * @param accelerators whole accelerators
+ */
+public record Capacity(long cpuMillis, long memoryMegabytes, long accelerators) {
+
+    /** Nothing at all. */
+    public static final Capacity NONE = new Capacity(0, 0, 0);
+
+    /**
+     * Reads a capacity from its message.
+     *
+     * @param quantity the message
+     * @return the capacity
+     */
+    public static Capacity of(Quantity quantity) {
+        return new Capacity(quantity.getCpuMillis(), quantity.getMemoryMegabytes(), quantity.getAccelerators());
+    }
+
+    /**
+     * Writes the capacity as a message.
+     *
+     * @return the message
+     */
+    public Quantity toQuantity() {
+        return Quantity.newBuilder()
+                .setCpuMillis(cpuMillis)
+                .setMemoryMegabytes(memoryMegabytes)
+                .setAccelerators(accelerators)
+                .build();
+    }
+
+    /**
+     * Adds another capacity.
+     *
+     * @param other the other capacity
+     * @return the sum
+     */
+    public Capacity plus(Capacity other) {
+        return new Capacity(
+                cpuMillis + other.cpuMillis,
+                memoryMegabytes + other.memoryMegabytes,
+                accelerators + other.accelerators);
+    }
+
+    /**
+     * Takes another capacity away.
+     *
+     * @param other the other capacity
+     * @return the difference, which may be negative
+     */
+    public Capacity minus(Capacity other) {
+        return plus(other.times(-1));
+    }
+
+    /**
+     * Multiplies each dimension.
+     *
+     * @param factor the factor
+     * @return the product
+     */
+    public Capacity times(long factor) {
+        return new Capacity(cpuMillis * factor, memoryMegabytes * factor, accelerators * factor);
+    }
+
+    /**
+     * Tells whether this fits into another capacity in every dimension.
+     *
+     * @param room the other capacity
+     * @return true if it fits
+     */
+    public boolean fitsIn(Capacity room) {
+        return cpuMillis <= room.cpuMillis
+                && memoryMegabytes <= room.memoryMegabytes
+                && accelerators <= room.accelerators;
+    }
+
+    /**
+     * Returns the largest share that this takes of a whole, over the dimensions that the whole has.
+     *
+     * @param whole the whole
+     * @return the dominant share, 1.0 for all of it
+     */
+    public double dominantShare(Capacity whole) {
+        double share = share(cpuMillis, whole.cpuMillis);
+        share = Math.max(share, share(memoryMegabytes, whole.memoryMegabytes));
+        return Math.max(share, share(accelerators, whole.accelerators));
+    }
+
+    private static double share(long part, long whole) {
+        return whole == 0 ? 0 : (double) part / whole;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/wasabimount/core/cell/CellState.java
@@ -0,0 +1,586 @@
+package org.wasabimount.core.cell;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import org.wasabimount.core.Names;
+import org.wasabimount.core.Refusal;
+import org.wasabimount.core.ResultCode;
+import org.wasabimount.protocol.cell.Binding;
+import org.wasabimount.protocol.cell.CellCommand;
+import org.wasabimount.protocol.cell.CellQuery;
+import org.wasabimount.protocol.cell.CellSnapshot;
+import org.wasabimount.protocol.cell.CellStatus;
+import org.wasabimount.protocol.cell.Configuration;
+import org.wasabimount.protocol.cell.DeleteResource;
+import org.wasabimount.protocol.cell.GetResource;
+import org.wasabimount.protocol.cell.LoseWorker;
+import org.wasabimount.protocol.cell.Organisation;
+import org.wasabimount.protocol.cell.PutConfiguration;
+import org.wasabimount.protocol.cell.PutResource;
+import org.wasabimount.protocol.cell.RecordedReply;
+import org.wasabimount.protocol.cell.Reply;
+import org.wasabimount.protocol.cell.Resource;
+import org.wasabimount.protocol.cell.ResourceList;
+import org.wasabimount.protocol.cell.ResourceSpec;
+import org.wasabimount.protocol.cell.WatchResources;
+import org.wasabimount.protocol.cell.WorkerState;
+
+/** The state machine of the cell log. */
+public final class CellState {
+
+    /** Namespace of the writes that the platform's operator sends. */
+    private static final String PLATFORM = "";
+
+    private static final int MAX_WATCH_EVENTS = 500;
+
+    private final Map<String, OrganisationAccount> organisations = new LinkedHashMap<>();
+    private final Map<String, DeclaredResource> resources = new LinkedHashMap<>();
+    private final Map<String, Worker> workers = new LinkedHashMap<>();
+    private final Set<DeclaredResource> waiting = new LinkedHashSet<>();
+    private final History history = new History();
+    private final RecordedReplies replies = new RecordedReplies();
+    private final TaskTransitions transitions = new TaskTransitions(this::touch);
+    private Configuration configuration = Configuration.getDefaultInstance();
+    private long revision;
+    private long nextEpoch = 1;
+
+    /**
+     * Applies one command of the log.
+     *
+     * @param command the command
+     * @return the reply for its sender; the same on every replica
+     */
+    public Reply apply(CellCommand command) {
+        return switch (command.getBodyCase()) {
+            case PUT_ORGANISATION ->
+                once(
+                        PLATFORM,
+                        command,
+                        () -> putOrganisation(command.getPutOrganisation().getOrganisation()));
+            case PUT_CONFIGURATION -> once(PLATFORM, command, () -> putConfiguration(command.getPutConfiguration()));
+            case PUT_RESOURCE ->
+                once(
+                        command.getPutResource().getOrganisation(),
+                        command,
+                        () -> putResource(command.getPutResource(), command.getTimeMillis()));
+            case DELETE_RESOURCE ->
+                once(
+                        command.getDeleteResource().getOrganisation(),
+                        command,
+                        () -> deleteResource(command.getDeleteResource()));
+            case REGISTER_WORKER -> registerWorker(command.getRegisterWorker().getWorker(), command.getTimeMillis());
+            case LOSE_WORKER -> loseWorker(command.getLoseWorker(), command.getTimeMillis());
+            case BIND_TASKS -> bindTasks(command.getBindTasks().getBindingsList(), command.getTimeMillis());
+            case REPORT_TASKS -> {
+                command.getReportTasks()
+                        .getReportsList()
+                        .forEach(report -> task(report.getTask())
+                                .ifPresent(task -> transitions.report(task, report, command.getTimeMillis())));
+                sweep();
+                yield ok().build();
+            }
+            case BODY_NOT_SET -> refuse(ResultCode.MALFORMED, "the command has no body");
+        };
+    }
+
+    /**
+     * Answers a query from the current state.
+     *
+     * @param query the query
+     * @return the answer
+     */
+    public Reply query(CellQuery query) {
+        return switch (query.getBodyCase()) {
+            case GET -> get(query.getGet());
+            case LIST -> list(query.getList().getOrganisation());
+            case WATCH -> watch(query.getWatch());
+            case STATUS -> ok().setStatus(status()).build();
+            case CONFIGURATION -> ok().setConfiguration(configuration).build();
+            case BODY_NOT_SET -> refuse(ResultCode.MALFORMED, "the query has no body");
+        };
+    }
+
+    /**
+     * Returns the number of the last change.
+     *
+     * @return the revision
+     */
+    public long revision() {
+        return revision;
+    }
+
+    /**
+     * Returns the configuration in force.
+     *
+     * @return the configuration
+     */
+    public Configuration configuration() {
+        return configuration;
+    }
+
+    /**
+     * Returns all workers.
+     *
+     * @return an unmodifiable view
+     */
+    public Collection<Worker> workers() {
+        return Collections.unmodifiableCollection(workers.values());
+    }
+
+    /**
+     * Returns a worker.
+     *
+     * @param name the worker's name
+     * @return the worker, or nothing if it was never announced
+     */
+    public Optional<Worker> worker(String name) {
+        return Optional.ofNullable(workers.get(name));
+    }
+
+    /**
+     * Returns all organisations.
+     *
+     * @return an unmodifiable view
+     */
+    public Collection<OrganisationAccount> organisations() {
+        return Collections.unmodifiableCollection(organisations.values());
+    }
+
+    /**
+     * Returns the resources that have a pending task, in the order in which they began to wait.
+     *
+     * @return an unmodifiable view
+     */
+    public Set<DeclaredResource> waiting() {
+        return Collections.unmodifiableSet(waiting);
+    }
+
+    /**
+     * Returns all resources.
+     *
+     * @return an unmodifiable view
+     */
+    public Collection<DeclaredResource> resources() {
+        return Collections.unmodifiableCollection(resources.values());
+    }
+
+    /**
+     * Tells whether a heartbeat says something that the log does not hold yet.
+     *
+     * @param announced what the worker says of itself
+     * @return true if it has to be registered
+     */
+    public boolean needsRegistration(WorkerState announced) {
+        Worker known = workers.get(announced.getWorker());
+        return known == null || known.differsFrom(announced);
+    }
+
+    /**
+     * Finds a resource.
+     *
+     * @param get its organisation, kind and name
+     * @return the resource, or nothing if there is none
+     */
+    public Optional<DeclaredResource> find(GetResource get) {
+        return Optional.ofNullable(
+                resources.get(DeclaredResource.key(get.getOrganisation(), get.getKind(), get.getName())));
+    }
+
+    /**
+     * Finds a task.
+     *
+     * @param id the task's id
+     * @return the task, or nothing if there is none
+     */
+    public Optional<Task> task(String id) {
+        int slash = id.lastIndexOf('/');
+        DeclaredResource owner = slash < 0 ? null : resources.get(id.substring(0, slash));
+        if (owner == null) {
+            return Optional.empty();
+        }
+        int index = indexOf(id.substring(slash + 1));
+        return index >= 0 && index < owner.tasks().size()
+                ? Optional.of(owner.tasks().get(index))
+                : Optional.empty();
+    }
+
+    /**
+     * Writes the whole state.
+     *
+     * @return a message from which {@link #restore} makes an equal state
+     */
+    public CellSnapshot snapshot() {
+        return CellSnapshot.newBuilder()
+                .setRevision(revision)
+                .addAllResources(resources.values().stream()
+                        .map(DeclaredResource::toFull)
+                        .toList())
+                .addAllOrganisations(organisations.values().stream()
+                        .map(OrganisationAccount::toMessage)
+                        .toList())
+                .setConfiguration(configuration)
+                .addAllWorkers(workers.values().stream().map(Worker::toState).toList())
+                .addAllHistory(history.all())
+                .addAllReplies(replies.all())
+                .setNextEpoch(nextEpoch)
+                .setOldestRevision(history.oldest())
+                .build();
+    }
+
+    /**
+     * Makes a state from a snapshot.
+     *
+     * @param saved the snapshot
+     * @return the state
+     */
+    public static CellState restore(CellSnapshot saved) {
+        CellState state = new CellState();
+        saved.getOrganisationsList()
+                .forEach(organisation ->
+                        state.organisations.put(organisation.getName(), new OrganisationAccount(organisation)));
+        saved.getWorkersList().forEach(worker -> {
+            Worker restored = new Worker(worker);
+            restored.restore(worker);
+            state.workers.put(worker.getWorker(), restored);
+        });
+        saved.getResourcesList().forEach(state::restoreResource);
+        saved.getWorkersList()
+                .forEach(worker -> state.workers.get(worker.getWorker()).restoreFailures(worker, state.resources::get));
+        saved.getRepliesList().forEach(state::restoreReply);
+        state.history.restore(saved.getOldestRevision(), saved.getRevision(), saved.getHistoryList());
+        state.configuration = saved.getConfiguration();
+        state.revision = saved.getRevision();
+        state.nextEpoch = Math.max(1, saved.getNextEpoch());
+        return state;
+    }
+
+    private void restoreResource(Resource saved) {
+        DeclaredResource resource =
+                DeclaredResource.restore(saved, organisations.get(saved.getOrganisation()), workers::get);
+        resources.put(resource.id(), resource);
+        noteWaiting(resource);
+    }
+
+    private void restoreReply(RecordedReply saved) {
+        replies.record(saved.getOrganisation(), saved.getRequestId(), saved.getReply());
+    }
+
+    private Reply once(String organisation, CellCommand command, java.util.function.Supplier<Reply> write) {
+        Optional<Reply> earlier = replies.find(organisation, command.getRequestId());
+        if (earlier.isPresent()) {
+            return earlier.get();
+        }
+        Reply reply = write.get();
+        replies.record(organisation, command.getRequestId(), reply);
+        return reply;
+    }
+
+    private Reply putOrganisation(Organisation declared) {
+        if (!Names.valid(declared.getName())) {
+            return refuse(ResultCode.INVALID_VALUE, "the organisation's name is not valid");
+        }
+        OrganisationAccount account = organisations.get(declared.getName());
+        if (account == null) {
+            organisations.put(declared.getName(), new OrganisationAccount(declared));
+        } else {
+            account.update(declared);
+        }
+        return ok().build();
+    }
+
+    private Reply putConfiguration(PutConfiguration change) {
+        if (change.getExpectedVersion() >= 0 && change.getExpectedVersion() != configuration.getVersion()) {
+            return conflict(configuration.getVersion());
+        }
+        for (Map.Entry<String, String> value : change.getValuesMap().entrySet()) {
+            Optional<String> wrong = ConfigurationKey.of(value.getKey())
+                    .map(key -> key.check(value.getValue()))
+                    .orElse(Optional.of("there is no configuration key \"" + value.getKey() + "\""));
+            if (wrong.isPresent()) {
+                return refuse(ResultCode.INVALID_VALUE, wrong.get());
+            }
+        }
+        configuration = Configuration.newBuilder()
+                .setVersion(configuration.getVersion() + 1)
+                .putAllValues(change.getValuesMap())
+                .build();
+        return ok().setConfiguration(configuration).build();
+    }
+
+    private Reply putResource(PutResource put, long nowMillis) {
+        OrganisationAccount account = organisations.get(put.getOrganisation());
+        if (account == null) {
+            return refuse(ResultCode.UNAUTHENTICATED, "the organisation is not known");
+        }
+        WorkKind kind = WorkKind.of(put.getKind());
+        ResourceSpec spec = put.getSpec();
+        Optional<Refusal> wrong = SpecCheck.check(put.getName(), spec)
+                .or(() -> SpecCheck.checkFeasible(kind, spec, account, workers.values()));
+        if (wrong.isPresent()) {
+            return refuse(wrong.get());
+        }
+        DeclaredResource current = resources.get(DeclaredResource.key(account.id(), kind, put.getName()));
+        if (!versionMatches(put.getExpectedVersion(), current)) {
+            return conflict(current == null ? 0 : current.version());
+        }
+        if (current != null) {
+            Optional<Refusal> unchangeable = checkChange(current, spec);
+            if (unchangeable.isPresent()) {
+                return refuse(unchangeable.get());
+            }
+        }
+        DeclaredResource resource =
+                current == null ? new DeclaredResource(account, kind, put.getName(), nowMillis) : current;
+        resources.put(resource.id(), resource);
+        resource.accept(spec, resource.version() + 1, nowMillis);
+        transitions.stopSurplus(resource);
+        touch(resource);
+        return ok().setResource(resource.toSummary()).build();
+    }
+
+    private static Optional<Refusal> checkChange(DeclaredResource current, ResourceSpec spec) {
+        if (current.deleting()) {
+            return Optional.of(new Refusal(ResultCode.VERSION_CONFLICT, "the resource is being deleted", 1_000));
+        }
+        boolean sameSize = current.spec().getTaskSize().equals(spec.getTaskSize());
+        boolean sameCount = current.spec().getTaskCount() == spec.getTaskCount();
+        return sameSize && (sameCount || !current.kind().allAtOnce())
+                ? Optional.empty()
+                : Optional.of(Refusal.of(
+                        ResultCode.INVALID_VALUE, "the size of tasks, and of a job, is changed by declaring it anew"));
+    }
+
+    private Reply deleteResource(DeleteResource delete) {
+        DeclaredResource current =
+                resources.get(DeclaredResource.key(delete.getOrganisation(), delete.getKind(), delete.getName()));
+        if (current == null) {
+            return refuse(ResultCode.NOT_FOUND, "there is no such resource");
+        }
+        if (!versionMatches(delete.getExpectedVersion(), current)) {
+            return conflict(current.version());
+        }
+        current.delete();
+        transitions.stopAll(current);
+        touch(current);
+        Resource summary = current.toSummary();
+        sweep();
+        return ok().setResource(summary).build();
+    }
+
+    private static boolean versionMatches(long expected, DeclaredResource current) {
+        long version = current == null ? 0 : current.version();
+        return expected < 0 || expected == version;
+    }
+
+    private Reply registerWorker(WorkerState announced, long nowMillis) {
+        Worker known = workers.get(announced.getWorker());
+        if (known == null) {
+            workers.put(announced.getWorker(), new Worker(announced));
+        } else {
+            if (!known.incarnation().equals(announced.getIncarnation())) {
+                transitions.releaseAll(known, nowMillis);
+            }
+            known.update(announced);
+        }
+        sweep();
+        return ok().build();
+    }
+
+    private Reply loseWorker(LoseWorker loss, long nowMillis) {
+        Worker worker = workers.get(loss.getWorker());
+        if (worker == null || !worker.incarnation().equals(loss.getIncarnation())) {
+            return refuse(ResultCode.NOT_FOUND, "there is no such worker");
+        }
+        worker.lose();
+        if (loss.getFenced()) {
+            transitions.releaseAll(worker, nowMillis);
+        } else {
+            transitions.releaseLapsed(worker, nowMillis);
+        }
+        sweep();
+        return ok().build();
+    }
+
+    private Reply bindTasks(List<Binding> bindings, long nowMillis) {
+        Optional<Refusal> wrong = checkBindings(bindings, nowMillis);
+        if (wrong.isPresent()) {
+            return refuse(wrong.get());
+        }
+        Set<DeclaredResource> changed = new LinkedHashSet<>();
+        bindings.forEach(binding -> {
+            Task task = task(binding.getTask()).orElseThrow();
+            task.bind(workers.get(binding.getWorker()), nextEpoch++);
+            changed.add(task.owner());
+        });
+        changed.forEach(this::touch);
+        return ok().build();
+    }
+
+    private Optional<Refusal> checkBindings(List<Binding> bindings, long nowMillis) {
+        Map<Worker, Capacity> demand = new HashMap<>();
+        Map<OrganisationAccount, Capacity> charge = new HashMap<>();
+        Map<DeclaredResource, Integer> together = new HashMap<>();
+        Set<Task> seen = new HashSet<>();
+        for (Binding binding : bindings) {
+            Worker worker = workers.get(binding.getWorker());
+            Task task = task(binding.getTask()).orElse(null);
+            if (task == null
+                    || task.state() != TaskState.PENDING
+                    || task.owner().deleting()
+                    || !seen.add(task)) {
+                return stale("task " + binding.getTask() + " does not wait");
+            }
+            if (worker == null
+                    || !worker.incarnation().equals(binding.getIncarnation())
+                    || worker.openStarts(nowMillis) == 0) {
+                return stale("worker " + binding.getWorker() + " takes no task");
+            }
+            Capacity size = task.owner().taskSize();
+            demand.merge(worker, size, Capacity::plus);
+            charge.merge(task.owner().account(), size, Capacity::plus);
+            together.merge(task.owner(), 1, Integer::sum);
+        }
+        if (demand.entrySet().stream()
+                .anyMatch(entry -> !entry.getValue().fitsIn(entry.getKey().free()))) {
+            return stale("a worker has too little room");
+        }
+        if (charge.entrySet().stream()
+                .anyMatch(entry -> !entry.getKey()
+                        .used()
+                        .plus(entry.getValue())
+                        .fitsIn(entry.getKey().quota()))) {
+            return Optional.of(Refusal.of(ResultCode.OVER_QUOTA, "the quota is used up"));
+        }
+        boolean halfStarted = together.entrySet().stream()
+                .anyMatch(entry -> entry.getKey().kind().allAtOnce()
+                        && entry.getValue() != entry.getKey().tasks().size());
+        return halfStarted ? stale("a job starts all its tasks at once") : Optional.empty();
+    }
+
+    private static Optional<Refusal> stale(String detail) {
+        return Optional.of(Refusal.of(ResultCode.VERSION_CONFLICT, detail));
+    }
+
+    private Reply get(GetResource get) {
+        return find(get)
+                .map(resource -> ok().setResource(resource.toFull()).build())
+                .orElse(refuse(ResultCode.NOT_FOUND, "there is no such resource"));
+    }
+
+    private Reply list(String organisation) {
+        List<Resource> own = resources.values().stream()
+                .filter(resource -> resource.organisation().name().equals(organisation))
+                .map(DeclaredResource::toSummary)
+                .toList();
+        return ok().setResources(ResourceList.newBuilder().setRevision(revision).addAllResources(own))
+                .build();
+    }
+
+    private Reply watch(WatchResources watch) {
+        if (!history.reachesBackTo(watch.getFromRevision())) {
+            return refuse(ResultCode.HISTORY_GONE, "changes before revision " + history.oldest() + " are gone: list");
+        }
+        if (watch.getFromRevision() > revision) {
+            return refuse(ResultCode.INVALID_VALUE, "revision " + watch.getFromRevision() + " is in the future");
+        }
+        List<Resource> changes = new ArrayList<>();
+        long seen = watch.getFromRevision();
+        while (seen < revision && changes.size() < MAX_WATCH_EVENTS) {
+            seen++;
+            Resource change = history.at(seen);
+            if (change.getOrganisation().equals(watch.getOrganisation())) {
+                changes.add(change);
+            }
+        }
+        return ok().setResources(ResourceList.newBuilder().setRevision(seen).addAllResources(changes))
+                .build();
+    }
+
+    private CellStatus status() {
+        Map<String, Long> byPhase = new LinkedHashMap<>();
+        for (TaskState state : TaskState.values()) {
+            long count = resources.values().stream()
+                    .mapToLong(resource -> resource.count(state))
+                    .sum();
+            byPhase.put(state.name(), count);
+        }
+        return CellStatus.newBuilder()
+                .setRevision(revision)
+                .putAllTasksByPhase(byPhase)
+                .addAllWorkers(workers.values().stream().map(Worker::toState).toList())
+                .addAllOrganisations(organisations.keySet())
+                .setConfigurationVersion(configuration.getVersion())
+                .build();
+    }
+
+    /** Records a change of a resource under the next revision. */
+    private void touch(DeclaredResource resource) {
+        resource.trim();
+        revision++;
+        resource.touch(revision);
+        history.add(resource.toSummary());
+        noteWaiting(resource);
+    }
+
+    private void noteWaiting(DeclaredResource resource) {
+        boolean waits = resource.count(TaskState.PENDING) > 0 && !resource.deleting() && !resource.broken();
+        if (waits) {
+            waiting.add(resource);
+        } else {
+            waiting.remove(resource);
+        }
+        if (resource.deleting() && !resource.holdsCapacity()) {
+            transitions.noteRemovable(resource);
+        }
+    }
+
+    /** Forgets deleted resources that hold no worker any more. */
+    private void sweep() {
+        for (DeclaredResource resource : transitions.takeRemovable()) {
+            if (resources.remove(resource.id()) != null) {
+                waiting.remove(resource);
+                resource.failedWorkers().forEach(name -> worker(name).ifPresent(worker -> worker.forget(resource)));
+                revision++;
+                history.add(resource.toDeleted(revision));
+            }
+        }
+    }
+
+    private static int indexOf(String text) {
+        try {
+            return Integer.parseInt(text);
+        } catch (NumberFormatException e) {
+            return -1;
+        }
+    }
+
+    private static Reply.Builder ok() {
+        return Reply.newBuilder().setResultCode(ResultCode.OK.number());
+    }
+
+    private static Reply conflict(long currentVersion) {
+        return refuse(ResultCode.VERSION_CONFLICT, "the current version is " + currentVersion);
+    }
+
+    private static Reply refuse(ResultCode code, String detail) {
+        return refuse(Refusal.of(code, detail));
+    }
+
+    private static Reply refuse(Refusal refusal) {
+        return Reply.newBuilder()
+                .setResultCode(refusal.code().number())
+                .setDetail(refusal.detail())
+                .setRetryAfterMillis(refusal.retryAfterMillis())
+                .build();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/wasabimount/core/cell/OrganisationAccount.java
@@ -0,0 +1,91 @@
+package org.wasabimount.core.cell;
+
+import java.util.List;
+
+import org.wasabimount.core.OrganisationId;
+import org.wasabimount.protocol.cell.Organisation;
+
+import com.google.protobuf.ByteString;
+
+/** An organisation with its weight, its quota and what its tasks hold. */
+public final class OrganisationAccount {
+
+    private final OrganisationId id;
+    private int weight;
+    private Capacity quota = Capacity.NONE;
+    private List<ByteString> secretHashes = List.of();
+    private Capacity used = Capacity.NONE;
+
+    OrganisationAccount(Organisation declared) {
+        this.id = new OrganisationId(declared.getName());
+        update(declared);
+    }
+
+    /**
+     * Returns the organisation.
+     *
+     * @return the id
+     */
+    public OrganisationId id() {
+        return id;
+    }
+
+    /**
+     * Returns the organisation's weight in fair shares.
+     *
+     * @return the weight, 1 or more
+     */
+    public int weight() {
+        return weight;
+    }
+
+    /**
+     * Returns the most that the organisation's tasks may hold together.
+     *
+     * @return the quota
+     */
+    public Capacity quota() {
+        return quota;
+    }
+
+    /**
+     * Returns what the organisation's tasks hold.
+     *
+     * @return the sum of their sizes
+     */
+    public Capacity used() {
+        return used;
+    }
+
+    /**
+     * Returns the hashes of the secrets in force.
+     *
+     * @return SHA-256 hashes
+     */
+    public List<ByteString> secretHashes() {
+        return secretHashes;
+    }
+
+    void update(Organisation declared) {
+        weight = Math.max(1, declared.getWeight());
+        quota = Capacity.of(declared.getQuota());
+        secretHashes = List.copyOf(declared.getSecretHashesList());
+    }
+
+    void charge(Capacity size) {
+        used = used.plus(size);
+    }
+
+    void refund(Capacity size) {
+        used = used.minus(size);
+    }
+
+    Organisation toMessage() {
+        return Organisation.newBuilder()
+                .setName(id.name())
+                .setWeight(weight)
+                .setQuota(quota.toQuantity())
+                .addAllSecretHashes(secretHashes)
+                .build();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/wasabimount/core/cell/Task.java
@@ -0,0 +1,159 @@
+package org.wasabimount.core.cell;
+
+import org.wasabimount.protocol.cell.TaskStatus;
+
+/** One task of a declared resource. */
+public final class Task {
+
+    private final DeclaredResource owner;
+    private final int index;
+    private final String id;
+    private TaskState state = TaskState.PENDING;
+    private Worker worker;
+    private long epoch;
+    private int failures;
+    private long pendingSinceMillis;
+    private long notBeforeMillis;
+
+    Task(DeclaredResource owner, int index, long nowMillis) {
+        this.owner = owner;
+        this.index = index;
+        this.id = owner.id() + "/" + index;
+        this.pendingSinceMillis = nowMillis;
+    }
+
+    /**
+     * Returns the task's id: that of its resource, a slash and its index.
+     *
+     * @return the id, unique in the cell
+     */
+    public String id() {
+        return id;
+    }
+
+    /**
+     * Returns the resource that the task belongs to.
+     *
+     * @return the resource
+     */
+    public DeclaredResource owner() {
+        return owner;
+    }
+
+    /**
+     * Returns the task's state.
+     *
+     * @return the state
+     */
+    public TaskState state() {
+        return state;
+    }
+
+    /**
+     * Returns the worker that the task is bound to.
+     *
+     * @return the worker, or null if the task holds none
+     */
+    public Worker worker() {
+        return worker;
+    }
+
+    /**
+     * Returns the number of the task's last binding, unique in the cell.
+     *
+     * @return the epoch, zero before the first binding
+     */
+    public long epoch() {
+        return epoch;
+    }
+
+    /**
+     * Returns how often the task failed.
+     *
+     * @return the count
+     */
+    public int failures() {
+        return failures;
+    }
+
+    /**
+     * Returns since when the task waits for a worker.
+     *
+     * @return wall time in milliseconds
+     */
+    public long pendingSinceMillis() {
+        return pendingSinceMillis;
+    }
+
+    /**
+     * Returns the earliest time of the next start.
+     *
+     * @return wall time in milliseconds
+     */
+    public long notBeforeMillis() {
+        return notBeforeMillis;
+    }
+
+    int index() {
+        return index;
+    }
+
+    void bind(Worker target, long newEpoch) {
+        worker = target;
+        epoch = newEpoch;
+        move(TaskState.BOUND);
+        target.add(this);
+    }
+
+    void move(TaskState next) {
+        if (worker != null) {
+            worker.taskMoves(state, next);
+        }
+        owner.count(state, -1);
+        state = next;
+        owner.count(state, 1);
+    }
+
+    /** Gives the worker's capacity back and enters a state that holds none. */
+    void release(TaskState next) {
+        move(next);
+        if (worker != null) {
+            worker.remove(this);
+            worker = null;
+        }
+    }
+
+    void pend(long nowMillis, long delayMillis) {
+        release(TaskState.PENDING);
+        pendingSinceMillis = nowMillis;
+        notBeforeMillis = nowMillis + delayMillis;
+    }
+
+    void fail() {
+        failures++;
+    }
+
+    TaskStatus toStatus() {
+        return TaskStatus.newBuilder()
+                .setTask(id)
+                .setPhase(state.phase())
+                .setWorker(worker == null ? "" : worker.id().name())
+                .setEpoch(epoch)
+                .setFailures(failures)
+                .setPendingSinceMillis(pendingSinceMillis)
+                .setNotBeforeMillis(notBeforeMillis)
+                .build();
+    }
+
+    void restore(TaskStatus status, Worker restoredWorker) {
+        epoch = status.getEpoch();
+        failures = status.getFailures();
+        pendingSinceMillis = status.getPendingSinceMillis();
+        notBeforeMillis = status.getNotBeforeMillis();
+        worker = restoredWorker;
+        move(TaskState.of(status.getPhase()));
+        if (worker != null) {
+            worker.add(this);
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/wasabimount/core/cell/WorkKind.java
@@ -0,0 +1,86 @@
+package org.wasabimount.core.cell;
+
+import java.util.Arrays;
+import java.util.Optional;
+
+import org.wasabimount.protocol.cell.ResourceKind;
+
+/** The kinds of work, with what each does when one of its tasks ends. */
+public enum WorkKind {
+    /** Tasks that run until they are deleted; one that ends is started again. */
+    SERVICE("services", ResourceKind.SERVICE, true, false),
+    /** Tasks that run once each, in any order. */
+    BATCH("batches", ResourceKind.BATCH, false, false),
+    /** Tasks that start together or not at all, and start again together. */
+    JOB("jobs", ResourceKind.JOB, false, true);
+
+    private final String segment;
+    private final ResourceKind message;
+    private final boolean runsForever;
+    private final boolean allAtOnce;
+
+    WorkKind(String segment, ResourceKind message, boolean runsForever, boolean allAtOnce) {
+        this.segment = segment;
+        this.message = message;
+        this.runsForever = runsForever;
+        this.allAtOnce = allAtOnce;
+    }
+
+    /**
+     * Returns the kind for a message's kind.
+     *
+     * @param kind the message's kind
+     * @return the kind
+     */
+    public static WorkKind of(ResourceKind kind) {
+        return valueOf(kind.name());
+    }
+
+    /**
+     * Returns the kind for a segment of a path.
+     *
+     * @param segment the segment, for example {@code services}
+     * @return the kind, or nothing if there is none
+     */
+    public static Optional<WorkKind> ofSegment(String segment) {
+        return Arrays.stream(values())
+                .filter(kind -> kind.segment.equals(segment))
+                .findFirst();
+    }
+
+    /**
+     * Returns the kind's segment in paths.
+     *
+     * @return the plural name
+     */
+    public String segment() {
+        return segment;
+    }
+
+    /**
+     * Returns the kind used in messages.
+     *
+     * @return the message's kind
+     */
+    public ResourceKind message() {
+        return message;
+    }
+
+    /**
+     * Tells whether a task that ends is started again without limit.
+     *
+     * @return true for services
+     */
+    public boolean runsForever() {
+        return runsForever;
+    }
+
+    /**
+     * Tells whether all tasks start and restart together.
+     *
+     * @return true for all-at-once jobs
+     */
+    public boolean allAtOnce() {
+        return allAtOnce;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/wasabimount/core/cell/Worker.java
@@ -0,0 +1,255 @@
+package org.wasabimount.core.cell;
+
+import java.util.Collection;
+import java.util.Collections;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.function.Function;
+
+import org.wasabimount.core.FailureDomainId;
+import org.wasabimount.core.WorkerId;
+import org.wasabimount.protocol.cell.WorkerState;
+
+/** A worker VM, what is committed on it and how far it is trusted. */
+public final class Worker {
+
+    /** Evidence from which on a worker is given no new task. */
+    static final int QUARANTINE_EVIDENCE = 3;
+
+    /** Most starts that a trusted worker may have open at once. */
+    static final int MAX_OPEN_STARTS = 4;
+
+    /** Most evidence that one resource gives that has never ended well anywhere. */
+    private static final int MAX_UNPROVEN_EVIDENCE = 2;
+
+    private final WorkerId id;
+    private final Map<String, Task> tasks = new LinkedHashMap<>();
+    private final Map<DeclaredResource, Integer> failures = new LinkedHashMap<>();
+    private String incarnation;
+    private FailureDomainId domain;
+    private String rack;
+    private Capacity size;
+    private Capacity committed = Capacity.NONE;
+    private boolean lost;
+    private boolean leaving;
+    private long quarantinedUntilMillis;
+    private int boundTasks;
+    private long changes;
+
+    Worker(WorkerState announced) {
+        this.id = new WorkerId(announced.getWorker());
+        update(announced);
+    }
+
+    /**
+     * Returns the worker's id.
+     *
+     * @return the id
+     */
+    public WorkerId id() {
+        return id;
+    }
+
+    /**
+     * Returns the worker's failure domain.
+     *
+     * @return the domain
+     */
+    public FailureDomainId domain() {
+        return domain;
+    }
+
+    /**
+     * Returns the worker's rack.
+     *
+     * @return the rack's name
+     */
+    public String rack() {
+        return rack;
+    }
+
+    /**
+     * Returns the number of the worker's life; a worker without its former tasks has another.
+     *
+     * @return the incarnation
+     */
+    public String incarnation() {
+        return incarnation;
+    }
+
+    /**
+     * Returns what the worker has in all.
+     *
+     * @return the size
+     */
+    public Capacity size() {
+        return size;
+    }
+
+    /**
+     * Returns what is committed to tasks.
+     *
+     * @return the sum of the sizes of its tasks
+     */
+    public Capacity committed() {
+        return committed;
+    }
+
+    /**
+     * Returns what is not committed.
+     *
+     * @return the free capacity
+     */
+    public Capacity free() {
+        return size.minus(committed);
+    }
+
+    /**
+     * Returns the tasks that hold capacity here.
+     *
+     * @return an unmodifiable view
+     */
+    public Collection<Task> tasks() {
+        return Collections.unmodifiableCollection(tasks.values());
+    }
+
+    /**
+     * Returns how many more tasks may be bound here now.
+     *
+     * <p>A worker that fails what it starts is found before it has cost many starts, because it may have few open.
+     *
+     * @param nowMillis wall time in milliseconds
+     * @return the count, zero if the worker is gone, leaving or in quarantine
+     */
+    public int openStarts(long nowMillis) {
+        if (lost || leaving || quarantined(nowMillis)) {
+            return 0;
+        }
+        int limit = failures.isEmpty() ? MAX_OPEN_STARTS : 1;
+        return Math.max(0, limit - boundTasks);
+    }
+
+    /**
+     * Tells whether the worker gets no task because of what failed on it.
+     *
+     * @param nowMillis wall time in milliseconds
+     * @return true until the quarantine ends or the failures prove to be the resources' own
+     */
+    public boolean quarantined(long nowMillis) {
+        return nowMillis < quarantinedUntilMillis && evidence() >= QUARANTINE_EVIDENCE;
+    }
+
+    /**
+     * Returns a number that grows with each change of the worker's tasks.
+     *
+     * @return the count of changes, not kept over a restart
+     */
+    public long changes() {
+        return changes;
+    }
+
+    /**
+     * Tells whether the worker's lease ended without its tasks being stopped by it.
+     *
+     * @return true until the worker is heard again
+     */
+    public boolean lost() {
+        return lost;
+    }
+
+    boolean differsFrom(WorkerState announced) {
+        return lost
+                || leaving != announced.getLeaving()
+                || !incarnation.equals(announced.getIncarnation())
+                || !size.equals(Capacity.of(announced.getSize()));
+    }
+
+    void update(WorkerState announced) {
+        incarnation = announced.getIncarnation();
+        domain = new FailureDomainId(announced.getDomain());
+        rack = announced.getRack();
+        size = Capacity.of(announced.getSize());
+        leaving = announced.getLeaving();
+        lost = false;
+    }
+
+    void add(Task task) {
+        tasks.put(task.id(), task);
+        committed = committed.plus(task.owner().taskSize());
+        task.owner().account().charge(task.owner().taskSize());
+    }
+
+    void remove(Task task) {
+        tasks.remove(task.id());
+        committed = committed.minus(task.owner().taskSize());
+        task.owner().account().refund(task.owner().taskSize());
+    }
+
+    void lose() {
+        lost = true;
+    }
+
+    /** Sums what the failures here say against this worker rather than against the resources. */
+    int evidence() {
+        return failures.entrySet().stream()
+                .mapToInt(failure -> evidence(failure.getKey(), failure.getValue()))
+                .sum();
+    }
+
+    private static int evidence(DeclaredResource resource, int count) {
+        if (resource.failsEverywhere()) {
+            return 0;
+        }
+        return resource.succeededOnce() ? count : Math.min(count, MAX_UNPROVEN_EVIDENCE);
+    }
+
+    void noteFailure(DeclaredResource resource, long quarantineUntilMillis) {
+        failures.merge(resource, 1, Integer::sum);
+        if (evidence() >= QUARANTINE_EVIDENCE) {
+            quarantinedUntilMillis = quarantineUntilMillis;
+        }
+    }
+
+    void noteSuccess() {
+        failures.clear();
+    }
+
+    void forget(DeclaredResource resource) {
+        failures.remove(resource);
+    }
+
+    /** Notes that a task here goes from one state to another. */
+    void taskMoves(TaskState from, TaskState to) {
+        changes++;
+        boundTasks += (to == TaskState.BOUND ? 1 : 0) - (from == TaskState.BOUND ? 1 : 0);
+    }
+
+    void restore(WorkerState saved) {
+        lost = saved.getLost();
+        quarantinedUntilMillis = saved.getQuarantinedUntilMillis();
+    }
+
+    void restoreFailures(WorkerState saved, Function<String, DeclaredResource> resources) {
+        saved.getFailuresMap().forEach((resource, count) -> failures.put(resources.apply(resource), count));
+    }
+
+    WorkerState toState() {
+        return WorkerState.newBuilder()
+                .setWorker(id.name())
+                .setIncarnation(incarnation)
+                .setDomain(domain.name())
+                .setRack(rack)
+                .setSize(size.toQuantity())
+                .setLost(lost)
+                .setLeaving(leaving)
+                .setQuarantinedUntilMillis(quarantinedUntilMillis)
+                .putAllFailures(failuresById())
+                .build();
+    }
+
+    private Map<String, Integer> failuresById() {
+        Map<String, Integer> byId = new LinkedHashMap<>();
+        failures.forEach((resource, count) -> byId.put(resource.id(), count));
+        return byId;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/wasabimount/core/cell/WorkerOrdersPlan.java
@@ -0,0 +1,110 @@
+package org.wasabimount.core.cell;
+
+import java.util.List;
+import java.util.Map;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+
+import org.wasabimount.protocol.cell.TaskOrder;
+import org.wasabimount.protocol.cell.TaskPhase;
+import org.wasabimount.protocol.cell.TaskReport;
+import org.wasabimount.protocol.cell.WorkerHeartbeat;
+import org.wasabimount.protocol.cell.WorkerOrders;
+
+/**
+ * Compares what a worker says it has with what the cell's state says it should have.
+ *
+ * <p>A task that is to stop is named until the worker itself reports its end, also when the worker never had it: only
+ * then does the worker refuse a start order that is still on its way.
+ */
+public final class WorkerOrdersPlan {
+
+    private WorkerOrdersPlan() {}
+
+    /**
+     * Finds the reports that tell the cell something new.
+     *
+     * @param state the cell's state
+     * @param heartbeat the worker's heartbeat
+     * @return the reports to put into the log
+     */
+    public static List<TaskReport> news(CellState state, WorkerHeartbeat heartbeat) {
+        return heartbeat.getTasksList().stream()
+                .filter(report -> state.task(report.getTask())
+                        .filter(task -> current(task, report))
+                        .filter(task -> tellsMore(task, report.getPhase()))
+                        .isPresent())
+                .toList();
+    }
+
+    /**
+     * Plans the answer to a heartbeat.
+     *
+     * @param state the cell's state
+     * @param heartbeat the worker's heartbeat
+     * @param leaseMillis the lease to grant
+     * @return what the worker is to start, to stop and to forget
+     */
+    public static WorkerOrders plan(CellState state, WorkerHeartbeat heartbeat, long leaseMillis) {
+        WorkerOrders.Builder orders = WorkerOrders.newBuilder().setLeaseMillis(leaseMillis);
+        Worker worker = state.worker(heartbeat.getWorker().getWorker()).orElse(null);
+        boolean known = worker != null
+                && worker.incarnation().equals(heartbeat.getWorker().getIncarnation());
+        if (!known) {
+            return orders.build();
+        }
+        Map<String, TaskReport> reported = heartbeat.getTasksList().stream()
+                .collect(Collectors.toMap(TaskReport::getTask, Function.identity(), (first, second) -> second));
+        worker.tasks().stream()
+                .filter(task -> task.state() != TaskState.STOPPING)
+                .filter(task -> !holds(reported.get(task.id()), task))
+                .forEach(task -> orders.addStart(order(task)));
+        worker.tasks().stream()
+                .filter(task -> task.state() == TaskState.STOPPING)
+                .filter(task -> !endedThere(reported.get(task.id()), task))
+                .forEach(task -> orders.addStop(order(task)));
+        reported.values().stream()
+                .filter(report -> unwanted(state, worker, report))
+                .forEach(report -> orders.addStop(
+                        TaskOrder.newBuilder().setTask(report.getTask()).setEpoch(report.getEpoch())));
+        return orders.build();
+    }
+
+    private static boolean holds(TaskReport report, Task task) {
+        return report != null && report.getEpoch() == task.epoch();
+    }
+
+    private static boolean endedThere(TaskReport report, Task task) {
+        return holds(report, task) && TaskState.of(report.getPhase()).ended();
+    }
+
+    private static boolean current(Task task, TaskReport report) {
+        return task.state().holdsCapacity()
+                && task.epoch() == report.getEpoch()
+                && task.worker().id().name().equals(report.getWorker());
+    }
+
+    private static boolean tellsMore(Task task, TaskPhase phase) {
+        return switch (phase) {
+            case RUNNING -> task.state() == TaskState.BOUND;
+            case SUCCEEDED, FAILED, STOPPED -> true;
+            default -> false;
+        };
+    }
+
+    private static boolean unwanted(CellState state, Worker worker, TaskReport report) {
+        return state.task(report.getTask())
+                .filter(task -> task.worker() == worker && task.epoch() == report.getEpoch())
+                .isEmpty();
+    }
+
+    private static TaskOrder order(Task task) {
+        return TaskOrder.newBuilder()
+                .setTask(task.id())
+                .setEpoch(task.epoch())
+                .setOnPartition(task.owner().spec().getOnPartition())
+                .setSize(task.owner().taskSize().toQuantity())
+                .setDeclaredRunMillis(task.owner().spec().getDeclaredRunMillis())
+                .build();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/wasabimount/core/log/EntryLog.java
@@ -0,0 +1,98 @@
+package org.wasabimount.core.log;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.wasabimount.protocol.log.LogEntry;
+
+/** The entries that a replica holds in memory, after a compacted prefix. */
+final class EntryLog {
+
+    private final List<LogEntry> entries = new ArrayList<>();
+    private long baseIndex;
+    private long baseTerm;
+
+    EntryLog(long baseIndex, long baseTerm, List<LogEntry> tail) {
+        this.baseIndex = baseIndex;
+        this.baseTerm = baseTerm;
+        this.entries.addAll(tail);
+    }
+
+    /** Returns the last index of the compacted prefix. */
+    long baseIndex() {
+        return baseIndex;
+    }
+
+    long lastIndex() {
+        return baseIndex + entries.size();
+    }
+
+    long lastTerm() {
+        return term(lastIndex());
+    }
+
+    boolean holds(long index) {
+        return index >= baseIndex && index <= lastIndex();
+    }
+
+    /** Returns the term at an index, or -1 if the index is not held. */
+    long term(long index) {
+        if (index == baseIndex) {
+            return baseTerm;
+        }
+        return holds(index) ? entry(index).getTerm() : -1;
+    }
+
+    LogEntry entry(long index) {
+        return entries.get(Math.toIntExact(index - baseIndex - 1));
+    }
+
+    /** Returns a copy of the entries from one index to another, both included. */
+    List<LogEntry> slice(long fromIndex, long toIndex) {
+        if (fromIndex > toIndex) {
+            return List.of();
+        }
+        return List.copyOf(
+                entries.subList(Math.toIntExact(fromIndex - baseIndex - 1), Math.toIntExact(toIndex - baseIndex)));
+    }
+
+    /** Returns entries from an index on, until a number of entries or of bytes is reached. */
+    List<LogEntry> slice(long fromIndex, int maxEntries, long maxBytes) {
+        List<LogEntry> result = new ArrayList<>();
+        long bytes = 0;
+        for (long index = fromIndex; index <= lastIndex() && result.size() < maxEntries; index++) {
+            LogEntry entry = entry(index);
+            bytes += entry.getSerializedSize();
+            if (bytes > maxBytes && !result.isEmpty()) {
+                break;
+            }
+            result.add(entry);
+        }
+        return result;
+    }
+
+    void append(LogEntry entry) {
+        entries.add(entry);
+    }
+
+    void truncateFrom(long index) {
+        entries.subList(Math.toIntExact(index - baseIndex - 1), entries.size()).clear();
+    }
+
+    /** Drops the entries up to an index, which must be held. */
+    void compactTo(long index) {
+        if (index <= baseIndex) {
+            return;
+        }
+        long term = term(index);
+        entries.subList(0, Math.toIntExact(index - baseIndex)).clear();
+        baseIndex = index;
+        baseTerm = term;
+    }
+
+    void resetTo(long index, long term) {
+        entries.clear();
+        baseIndex = index;
+        baseTerm = term;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/wasabimount/core/log/PeerProgress.java
@@ -0,0 +1,24 @@
+package org.wasabimount.core.log;
+
+/** What a leader knows of one other replica. */
+final class PeerProgress {
+
+    long matchIndex;
+    long nextIndex;
+    long ackedRound;
+    int inFlight;
+    long snapshotSentMillis = Long.MIN_VALUE;
+
+    PeerProgress(long nextIndex) {
+        this.nextIndex = nextIndex;
+    }
+
+    void accepted(long match) {
+        matchIndex = Math.max(matchIndex, match);
+        nextIndex = Math.max(nextIndex, matchIndex + 1);
+    }
+
+    void refused(long hint) {
+        nextIndex = Math.max(matchIndex + 1, Math.min(nextIndex, hint + 1));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/wasabimount/core/placement/JobReservation.java
@@ -0,0 +1,66 @@
+package org.wasabimount.core.placement;
+
+import java.util.Comparator;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+
+import org.wasabimount.core.cell.Capacity;
+import org.wasabimount.core.cell.DeclaredResource;
+import org.wasabimount.core.cell.WorkKind;
+import org.wasabimount.core.cell.Worker;
+
+/** Keeps workers free of new patient work for the job that has waited longest. */
+final class JobReservation {
+
+    private final DeclaredResource job;
+    private final Set<Worker> workers;
+
+    private JobReservation(DeclaredResource job, Set<Worker> workers) {
+        this.job = job;
+        this.workers = workers;
+    }
+
+    /** Reserves the emptiest workers that together could hold the job once patient work on them has ended. */
+    static JobReservation plan(DeclaredResource job, List<WorkerView> views) {
+        Set<Worker> chosen = new LinkedHashSet<>();
+        long placed = 0;
+        List<Worker> emptiestFirst = views.stream()
+                .map(WorkerView::worker)
+                .sorted(Comparator.comparingDouble(worker -> worker.committed().dominantShare(worker.size())))
+                .toList();
+        for (Worker worker : emptiestFirst) {
+            if (placed >= job.tasks().size()) {
+                break;
+            }
+            long room = tasksThatFit(job.taskSize(), worker.size().minus(heldByServices(worker)));
+            if (room > 0) {
+                chosen.add(worker);
+                placed += room;
+            }
+        }
+        return new JobReservation(job, chosen);
+    }
+
+    DeclaredResource job() {
+        return job;
+    }
+
+    boolean covers(Worker worker) {
+        return workers.contains(worker);
+    }
+
+    private static Capacity heldByServices(Worker worker) {
+        return worker.tasks().stream()
+                .filter(task -> task.owner().kind() == WorkKind.SERVICE)
+                .map(task -> task.owner().taskSize())
+                .reduce(Capacity.NONE, Capacity::plus);
+    }
+
+    private static long tasksThatFit(Capacity size, Capacity room) {
+        long fit = Long.MAX_VALUE;
+        fit = size.cpuMillis() == 0 ? fit : Math.min(fit, room.cpuMillis() / size.cpuMillis());
+        fit = size.memoryMegabytes() == 0 ? fit : Math.min(fit, room.memoryMegabytes() / size.memoryMegabytes());
+        return size.accelerators() == 0 ? fit : Math.min(fit, room.accelerators() / size.accelerators());
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/wasabimount/core/routing/BackendServer.java
@@ -0,0 +1,116 @@
+package org.wasabimount.core.routing;
+
+import org.wasabimount.core.BackendServerId;
+import org.wasabimount.core.FailureDomainId;
+import org.wasabimount.core.OrganisationId;
+import org.wasabimount.protocol.peer.BackendAnnouncement;
+
+/** A backend server that announced itself, with what this entry VM knows of its health. */
+final class BackendServer {
+
+    private static final int FAILURES_TO_EJECT = 3;
+    private static final long FIRST_EJECTION_MILLIS = 1_000;
+    private static final long MAX_EJECTION_MILLIS = 30_000;
+    private static final double LATENCY_WEIGHT = 0.1;
+
+    private final BackendServerId id;
+    private BackendAnnouncement announcement;
+    private long announcedMillis;
+    private int inFlight;
+    private int slotShare;
+    private int consecutiveFailures;
+    private long ejectionMillis;
+    private long ejectedUntilMillis;
+    private boolean ejected;
+    private double latencyMillis;
+
+    BackendServer(BackendAnnouncement announcement, long announcedMillis) {
+        this.id = new BackendServerId(announcement.getServer());
+        this.announcement = announcement;
+        this.announcedMillis = announcedMillis;
+    }
+
+    BackendServerId id() {
+        return id;
+    }
+
+    BackendAnnouncement announcement() {
+        return announcement;
+    }
+
+    FailureDomainId domain() {
+        return new FailureDomainId(announcement.getDomain());
+    }
+
+    PoolKey pool() {
+        OrganisationId owner = announcement.getShared() ? null : new OrganisationId(announcement.getOrganisation());
+        return new PoolKey(owner, announcement.getService());
+    }
+
+    long announcedMillis() {
+        return announcedMillis;
+    }
+
+    /** Takes a newer announcement; an older one that arrives late changes nothing. */
+    void update(BackendAnnouncement newer, long newerMillis) {
+        if (newer.getSequence() > announcement.getSequence()) {
+            announcement = newer;
+            announcedMillis = newerMillis;
+        }
+    }
+
+    boolean present(long nowMillis, long termMillis) {
+        return !announcement.getLeaving() && nowMillis - announcedMillis < termMillis;
+    }
+
+    void shareSlots(int slots) {
+        slotShare = slots;
+    }
+
+    int slotShare() {
+        return slotShare;
+    }
+
+    int inFlight() {
+        return inFlight;
+    }
+
+    /** Returns how many more requests this entry VM may have on the server now. */
+    int freeSlots(long nowMillis) {
+        if (ejected && nowMillis < ejectedUntilMillis) {
+            return 0;
+        }
+        int limit = ejected || consecutiveFailures > 0 ? Math.min(1, slotShare) : slotShare;
+        return limit - inFlight;
+    }
+
+    boolean ejected(long nowMillis) {
+        return ejected && nowMillis < ejectedUntilMillis;
+    }
+
+    double latencyMillis() {
+        return latencyMillis;
+    }
+
+    void dispatched() {
+        inFlight++;
+    }
+
+    void finished(AttemptResult result, long tookMillis, long nowMillis, boolean mayEject) {
+        inFlight--;
+        if (!result.failure()) {
+            consecutiveFailures = 0;
+            ejected = false;
+            ejectionMillis = 0;
+            latencyMillis =
+                    latencyMillis == 0 ? tookMillis : latencyMillis + LATENCY_WEIGHT * (tookMillis - latencyMillis);
+            return;
+        }
+        consecutiveFailures++;
+        if (ejected || mayEject && consecutiveFailures >= FAILURES_TO_EJECT) {
+            ejectionMillis = Math.min(MAX_EJECTION_MILLIS, Math.max(FIRST_EJECTION_MILLIS, 2 * ejectionMillis));
+            ejectedUntilMillis = nowMillis + ejectionMillis;
+            ejected = true;
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/wasabimount/core/routing/RequestRouter.java
@@ -0,0 +1,368 @@
+package org.wasabimount.core.routing;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+import org.wasabimount.core.BackendServerId;
+import org.wasabimount.core.FailureDomainId;
+import org.wasabimount.core.OrganisationId;
+import org.wasabimount.core.Refusal;
+import org.wasabimount.core.ResultCode;
+import org.wasabimount.core.VmId;
+import org.wasabimount.protocol.peer.BackendAnnouncement;
+
+/**
+ * Routes callers' requests on one entry VM.
+ *
+ * <p>Every request that arrives ends in exactly one {@link RoutingAction.Deliver} or {@link RoutingAction.GiveUp}.
+ */
+public final class RequestRouter {
+
+    private static final int MAX_ATTEMPTS = 3;
+    private static final long MIN_TRY_MILLIS = 1_000;
+    private static final double TRY_FACTOR = 10;
+    private static final long FORGET_AFTER_TERMS = 20;
+    private static final long MIN_RETRY_AFTER_MILLIS = 100;
+
+    private final VmId self;
+    private final RoutingPolicy policy;
+    private final Random random;
+    private final Map<BackendServerId, BackendServer> servers = new HashMap<>();
+    private final Map<PoolKey, ServicePool> pools = new HashMap<>();
+    private final Map<OrganisationId, RetryBudget> budgets = new HashMap<>();
+    private final Map<Long, Attempt> attempts = new HashMap<>();
+    private List<SlotShare.EntryVm> entryVms;
+    private Map<OrganisationId, Integer> weights = Map.of();
+    private Limits limits = Limits.DEFAULT;
+    private List<RoutingAction> actions = new ArrayList<>();
+    private long lastAttempt;
+    private int turn;
+    private long lateAnswers;
+
+    /**
+     * The limits that the cell's configuration sets.
+     *
+     * @param queueLimit most waiting requests of one organisation in one pool
+     * @param retryBudgetPercent retries allowed per hundred first tries
+     * @param announcementTermMillis how long an announcement holds
+     */
+    public record Limits(int queueLimit, long retryBudgetPercent, long announcementTermMillis) {
+
+        /** The limits before any configuration is known. */
+        public static final Limits DEFAULT = new Limits(200, 10, 3_000);
+    }
+
+    private record Attempt(RoutedRequest request, BackendServer server, ServicePool pool, long startedMillis) {}
+
+    /**
+     * Creates a router without servers.
+     *
+     * @param self this entry VM
+     * @param domain this entry VM's failure domain
+     * @param policy how a server is chosen
+     * @param seed seed of the policy's random choices
+     */
+    public RequestRouter(VmId self, FailureDomainId domain, RoutingPolicy policy, long seed) {
+        this.self = self;
+        this.policy = policy;
+        this.random = new Random(seed);
+        this.entryVms = List.of(new SlotShare.EntryVm(self, domain));
+    }
+
+    /**
+     * Changes the limits.
+     *
+     * @param newLimits the limits from now on
+     */
+    public void configure(Limits newLimits) {
+        limits = newLimits;
+    }
+
+    /**
+     * Changes the organisations' weights; one that is missing weighs 1.
+     *
+     * @param newWeights the weights from now on
+     */
+    public void weigh(Map<OrganisationId, Integer> newWeights) {
+        weights = Map.copyOf(newWeights);
+    }
+
+    /**
+     * Tells the router which entry VMs are alive, itself included.
+     *
+     * @param alive each live entry VM with its failure domain
+     */
+    public void entryVms(Map<VmId, FailureDomainId> alive) {
+        entryVms = alive.entrySet().stream()
+                .map(entry -> new SlotShare.EntryVm(entry.getKey(), entry.getValue()))
+                .toList();
+        shareAllSlots();
+    }
+
+    /**
+     * Takes a backend server's announcement, from itself or from another entry VM.
+     *
+     * @param announcement the announcement with its age
+     * @param nowMillis monotonic time
+     */
+    public void announce(BackendAnnouncement announcement, long nowMillis) {
+        long madeMillis = nowMillis - announcement.getAgeMillis();
+        BackendServerId id = new BackendServerId(announcement.getServer());
+        BackendServer server = servers.get(id);
+        if (server == null) {
+            server = new BackendServer(announcement, madeMillis);
+            servers.put(id, server);
+            pool(server.pool()).servers().add(server);
+            shareAllSlots();
+        } else {
+            PoolKey before = server.pool();
+            server.update(announcement, madeMillis);
+            movePool(server, before);
+        }
+        dispatch(pool(server.pool()), nowMillis);
+    }
+
+    /**
+     * Takes a new request.
+     *
+     * @param request the request
+     * @param nowMillis monotonic time
+     */
+    public void arrive(RoutedRequest request, long nowMillis) {
+        Optional<ServicePool> found = find(request);
+        if (found.isEmpty()
+                || found.get()
+                        .present(nowMillis, limits.announcementTermMillis())
+                        .isEmpty()) {
+            giveUp(request, ResultCode.NO_BACKEND_SERVER, "no server of the service is announced", MIN_TRY_MILLIS);
+            return;
+        }
+        ServicePool pool = found.get();
+        if (policy.admits()) {
+            admit(request, pool, nowMillis);
+        } else {
+            sendWithoutAdmission(request, pool, nowMillis);
+        }
+    }
+
+    /**
+     * Takes the end of an attempt.
+     *
+     * @param attemptId the attempt's number; one that is not open is a late answer and is dropped
+     * @param result how it ended
+     * @param nowMillis monotonic time
+     * @return true if the attempt was open, so that its answer may be used
+     */
+    public boolean finished(long attemptId, AttemptResult result, long nowMillis) {
+        Attempt attempt = attempts.remove(attemptId);
+        if (attempt == null) {
+            lateAnswers++;
+            return false;
+        }
+        long tookMillis = nowMillis - attempt.startedMillis();
+        attempt.server().finished(result, tookMillis, nowMillis, attempt.pool().mayEject(nowMillis));
+        if (!result.failure()) {
+            attempt.pool().answered(tookMillis);
+        }
+        conclude(attempt, result, nowMillis);
+        dispatch(attempt.pool(), nowMillis);
+        return true;
+    }
+
+    /**
+     * Lets time pass: requests whose deadline passed are given up, servers that are long silent forgotten.
+     *
+     * @param nowMillis monotonic time
+     */
+    public void tick(long nowMillis) {
+        long forgetBefore = nowMillis - FORGET_AFTER_TERMS * limits.announcementTermMillis();
+        List<BackendServer> silent = servers.values().stream()
+                .filter(server -> server.announcedMillis() < forgetBefore && server.inFlight() == 0)
+                .toList();
+        silent.forEach(server -> {
+            servers.remove(server.id());
+            pool(server.pool()).servers().remove(server);
+        });
+        pools.values().forEach(pool -> dispatch(pool, nowMillis));
+    }
+
+    /**
+     * Takes the actions decided since the last call.
+     *
+     * @return the actions, in order
+     */
+    public List<RoutingAction> drain() {
+        List<RoutingAction> taken = actions;
+        actions = new ArrayList<>();
+        return taken;
+    }
+
+    /**
+     * Returns how many answers came for attempts that were no longer open.
+     *
+     * @return the count since the start
+     */
+    public long lateAnswers() {
+        return lateAnswers;
+    }
+
+    /**
+     * Returns how many requests wait or run.
+     *
+     * @return the count
+     */
+    public long open() {
+        long waiting = pools.values().stream()
+                .mapToLong(pool -> pool.queue().active().stream()
+                        .mapToLong(pool.queue()::size)
+                        .sum())
+                .sum();
+        return waiting + attempts.size();
+    }
+
+    private Optional<ServicePool> find(RoutedRequest request) {
+        ServicePool own = pools.get(new PoolKey(request.organisation(), request.service()));
+        return own != null && !own.servers().isEmpty()
+                ? Optional.of(own)
+                : Optional.ofNullable(pools.get(new PoolKey(null, request.service())));
+    }
+
+    private ServicePool pool(PoolKey key) {
+        return pools.computeIfAbsent(key, absent -> new ServicePool());
+    }
+
+    private void movePool(BackendServer server, PoolKey before) {
+        if (!before.equals(server.pool())) {
+            pool(before).servers().remove(server);
+            pool(server.pool()).servers().add(server);
+        }
+        shareAllSlots();
+    }
+
+    private void shareAllSlots() {
+        pools.values().forEach(pool -> {
+            Set<FailureDomainId> domains =
+                    pool.servers().stream().map(BackendServer::domain).collect(Collectors.toSet());
+            pool.servers().forEach(server -> server.shareSlots(SlotShare.share(server, self, entryVms, domains)));
+        });
+    }
+
+    private void admit(RoutedRequest request, ServicePool pool, long nowMillis) {
+        budget(request).firstTry(limits.retryBudgetPercent());
+        double waitMillis =
+                pool.waitMillis(request.organisation(), this::weight, nowMillis, limits.announcementTermMillis());
+        long retryAfterMillis = Math.max(MIN_RETRY_AFTER_MILLIS, (long) waitMillis);
+        if (pool.queue().size(request.organisation()) >= limits.queueLimit()) {
+            giveUp(request, ResultCode.QUEUE_FULL, "the organisation's queue is full", retryAfterMillis);
+            return;
+        }
+        if (nowMillis + waitMillis + pool.serviceTimeMillis() > request.deadlineMillis()) {
+            giveUp(request, ResultCode.DEADLINE_UNREACHABLE, "no slot is free before the deadline", retryAfterMillis);
+            return;
+        }
+        pool.queue().add(request, weight(request.organisation()));
+        dispatch(pool, nowMillis);
+    }
+
+    private void sendWithoutAdmission(RoutedRequest request, ServicePool pool, long nowMillis) {
+        policy.choose(pool.present(nowMillis, limits.announcementTermMillis()), request, choice(nowMillis))
+                .ifPresent(server -> send(request, server, pool, nowMillis));
+    }
+
+    private void dispatch(ServicePool pool, long nowMillis) {
+        giveUpExpired(pool, nowMillis);
+        if (pool.queue().isEmpty()) {
+            return;
+        }
+        List<BackendServer> present = pool.present(nowMillis, limits.announcementTermMillis());
+        Optional<RoutedRequest> next = pool.queue().peek();
+        while (next.isPresent()) {
+            Optional<BackendServer> server = policy.choose(present, next.get(), choice(nowMillis));
+            if (server.isEmpty()) {
+                return;
+            }
+            pool.queue().remove(next.get());
+            send(next.get(), server.get(), pool, nowMillis);
+            next = pool.queue().peek();
+        }
+    }
+
+    private void giveUpExpired(ServicePool pool, long nowMillis) {
+        Optional<RoutedRequest> expired = pool.queue().expired(nowMillis);
+        while (expired.isPresent()) {
+            pool.queue().remove(expired.get());
+            ResultCode code = expired.get().mayHaveRun() ? ResultCode.ANSWER_LATE : ResultCode.DEADLINE_PASSED;
+            giveUp(expired.get(), code, "the deadline passed while the request waited", MIN_RETRY_AFTER_MILLIS);
+            expired = pool.queue().expired(nowMillis);
+        }
+    }
+
+    private void send(RoutedRequest request, BackendServer server, ServicePool pool, long nowMillis) {
+        request.dispatchedTo(server);
+        server.dispatched();
+        lastAttempt++;
+        attempts.put(lastAttempt, new Attempt(request, server, pool, nowMillis));
+        long remainingMillis = Math.max(1, request.deadlineMillis() - nowMillis);
+        long tryMillis = Math.max(MIN_TRY_MILLIS, (long) (TRY_FACTOR * pool.serviceTimeMillis()));
+        boolean bounded = policy.admits() && request.repeatable();
+        actions.add(new RoutingAction.Dispatch(
+                request,
+                lastAttempt,
+                server.id(),
+                server.announcement().getAddress(),
+                bounded ? Math.min(remainingMillis, tryMillis) : remainingMillis));
+    }
+
+    private void conclude(Attempt attempt, AttemptResult result, long nowMillis) {
+        RoutedRequest request = attempt.request();
+        request.noteAttempt(result);
+        if (!result.failure()) {
+            actions.add(new RoutingAction.Deliver(request));
+            return;
+        }
+        boolean safe = request.repeatable() || !result.mayHaveRun();
+        boolean timeLeft = nowMillis + attempt.pool().serviceTimeMillis() < request.deadlineMillis();
+        boolean another = attempt.pool()
+                        .present(nowMillis, limits.announcementTermMillis())
+                        .size()
+                > 1;
+        boolean worthwhile = policy.admits() && safe && timeLeft && another && request.attempts() < MAX_ATTEMPTS;
+        boolean retry = worthwhile && budget(request).take();
+        if (retry) {
+            attempt.pool().queue().addBack(request);
+        } else if (result.hasAnswer()) {
+            actions.add(new RoutingAction.Deliver(request));
+        } else {
+            ResultCode code = request.mayHaveRun() && !result.mayHaveRun() ? ResultCode.ANSWER_LOST : result.code();
+            boolean overBudget = worthwhile && request.mayHaveRun();
+            giveUp(
+                    request,
+                    overBudget ? ResultCode.RETRY_BUDGET_SPENT : code,
+                    "the backend server gave no whole answer",
+                    MIN_RETRY_AFTER_MILLIS);
+        }
+    }
+
+    private void giveUp(RoutedRequest request, ResultCode code, String detail, long retryAfterMillis) {
+        long later = code.retryable() ? retryAfterMillis : 0;
+        actions.add(new RoutingAction.GiveUp(request, new Refusal(code, detail, later)));
+    }
+
+    private RetryBudget budget(RoutedRequest request) {
+        return budgets.computeIfAbsent(request.organisation(), absent -> new RetryBudget());
+    }
+
+    private RoutingPolicy.Choice choice(long nowMillis) {
+        return new RoutingPolicy.Choice(nowMillis, turn++, random);
+    }
+
+    private int weight(OrganisationId organisation) {
+        return weights.getOrDefault(organisation, 1);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/wasabimount/daemon/Daemon.java
@@ -0,0 +1,271 @@
+package org.wasabimount.daemon;
+
+import java.io.IOException;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
+import org.wasabimount.client.HttpClient;
+import org.wasabimount.core.Clock;
+import org.wasabimount.core.VmId;
+import org.wasabimount.core.routing.RequestRouter;
+import org.wasabimount.daemon.http.HttpApi;
+import org.wasabimount.daemon.metrics.DaemonMetrics;
+import org.wasabimount.daemon.peer.OperationGateway;
+import org.wasabimount.daemon.peer.PeerNetwork;
+import org.wasabimount.daemon.peer.PeerTls;
+import org.wasabimount.daemon.routing.RoutingThread;
+import org.wasabimount.daemon.routing.UnrepeatableCalls;
+import org.wasabimount.daemon.settings.DaemonSettings;
+import org.wasabimount.protocol.log.LogMessage;
+import org.wasabimount.protocol.peer.Envelope;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+
+/** A running daemon: its threads, sockets and files. */
+public final class Daemon {
+
+    private static final System.Logger LOG = System.getLogger("wasabimount.daemon");
+    private static final long TICK_MILLIS = 20;
+    private static final long GOSSIP_MILLIS = 500;
+    private static final long IDLE_CHECK_MILLIS = 1_000;
+    private static final long BALANCER_GRACE_MILLIS = 1_500;
+    private static final long MAX_DRAIN_MILLIS = 30_000;
+    private static final long TRANSFER_MILLIS = 2_000;
+    private static final long ANSWER_GRACE_MILLIS = 200;
+    private static final long POLL_MILLIS = 20;
+    private static final int IO_THREADS = 2;
+
+    private final DaemonSettings settings;
+    private final Clock clock = Clock.monotonic();
+    private final DaemonMetrics metrics = new DaemonMetrics();
+    private final ScheduledExecutorService timers =
+            Executors.newSingleThreadScheduledExecutor(task -> new Thread(task, "timer"));
+    private final CountDownLatch ended = new CountDownLatch(1);
+    private final PeerNetwork network;
+    private final DaemonGroups groups;
+    private final RoutingThread routing;
+    private final OperationGateway gateway;
+    private final Gossiper gossiper;
+    private final XnioWorker ioThreads;
+    private final HttpApi http;
+    private volatile boolean draining;
+    private volatile boolean refusing;
+    private volatile boolean failed;
+
+    Daemon(DaemonSettings settings) throws IOException {
+        this.settings = settings;
+        PeerTls tls = settings.tls().isEmpty() ? null : tls(settings.tls().get());
+        this.network = new PeerNetwork(settings.vm(), tls);
+        this.groups = new DaemonGroups(settings, clock, Clock.wall(), this::send, this::fail);
+        this.ioThreads = Xnio.getInstance()
+                .createWorker(OptionMap.builder()
+                        .set(Options.WORKER_IO_THREADS, IO_THREADS)
+                        .set(Options.WORKER_TASK_CORE_THREADS, 1)
+                        .set(Options.WORKER_TASK_MAX_THREADS, 1)
+                        .set(Options.TCP_NODELAY, true)
+                        .getMap());
+        HttpClient client = new HttpClient(ioThreads, settings.limits().maxAnswerBytes());
+        RequestRouter router = new RequestRouter(
+                settings.vm(),
+                settings.domain(),
+                settings.routingPolicy(),
+                settings.vm().hashCode());
+        this.routing = new RoutingThread(router, client, clock, metrics);
+        this.gateway =
+                new OperationGateway(network, groups::execute, groups::knownLeader, groups::votersOf, timers, clock);
+        this.gossiper = new Gossiper(settings, groups, network, routing, () -> draining, clock);
+        UnrepeatableCalls unrepeatable =
+                new UnrepeatableCalls(routing, gateway, settings.domains(), clock, Clock.wall());
+        this.http = new HttpApi(
+                new HttpApi.Parts(
+                        settings,
+                        gateway,
+                        routing,
+                        unrepeatable,
+                        groups.directory(),
+                        this::ready,
+                        () -> refusing,
+                        this::status,
+                        this::drainInBackground,
+                        clock,
+                        metrics),
+                ioThreads);
+        registerGauges();
+        schedule(groups::tick, TICK_MILLIS);
+        schedule(routing::tick, TICK_MILLIS);
+        schedule(gossiper::round, GOSSIP_MILLIS);
+        schedule(client::closeIdle, IDLE_CHECK_MILLIS);
+    }
+
+    /** Starts the threads, then opens the ports. */
+    void start() throws IOException {
+        routing.start();
+        groups.onDirectory(routing::configure);
+        groups.start();
+        network.listen(settings.peerAddress(), this::receive);
+        settings.peers().forEach(peer -> network.connect(peer.vm(), peer.address()));
+        try {
+            http.start();
+        } catch (RuntimeException e) {
+            throw new IOException("cannot bind " + settings.httpAddress(), e);
+        }
+        LOG.log(
+                System.Logger.Level.INFO,
+                "DAEMON {0} serves on {1} as {2}",
+                settings.vm(),
+                settings.httpAddress(),
+                groups.identity());
+    }
+
+    /**
+     * Stops without cutting off a request: the balancer is told first, open requests end, leadership is handed over.
+     */
+    public void drain() {
+        synchronized (ended) {
+            if (ended.getCount() == 0) {
+                return;
+            }
+            LOG.log(System.Logger.Level.INFO, "DAEMON drain begins");
+            draining = true;
+            pause(BALANCER_GRACE_MILLIS);
+            refusing = true;
+            long untilMillis = clock.millis() + MAX_DRAIN_MILLIS;
+            while (routing.openCalls() > 0 && clock.millis() < untilMillis && !failed) {
+                pause(POLL_MILLIS);
+            }
+            handOver();
+            pause(ANSWER_GRACE_MILLIS);
+            close();
+            LOG.log(System.Logger.Level.INFO, "DAEMON drain ends with {0} open calls", routing.openCalls());
+        }
+    }
+
+    /**
+     * Waits until the daemon has stopped.
+     *
+     * @return true if it was asked to stop, false if it failed
+     * @throws InterruptedException if the wait is interrupted
+     */
+    public boolean awaitEnd() throws InterruptedException {
+        ended.await();
+        return !failed;
+    }
+
+    private void handOver() {
+        long untilMillis = clock.millis() + TRANSFER_MILLIS;
+        while (groups.leadsAny() && clock.millis() < untilMillis && !failed) {
+            groups.transferLeaderships();
+            pause(POLL_MILLIS);
+        }
+    }
+
+    private void close() {
+        http.stop();
+        timers.shutdownNow();
+        network.close();
+        groups.stop();
+        routing.stop();
+        ioThreads.shutdown();
+        ended.countDown();
+    }
+
+    /** Ends the process at once when the log can't be kept: an unsynced write must never be acknowledged. */
+    private void fail(IOException cause) {
+        if (!failed) {
+            failed = true;
+            LOG.log(System.Logger.Level.ERROR, "DAEMON stops: its log can't be kept", cause);
+            Runtime.getRuntime().halt(Wasabimount.EXIT_LOG_FAILED);
+        }
+    }
+
+    private void drainInBackground() {
+        new Thread(this::drain, "drain").start();
+    }
+
+    private boolean ready() {
+        return groups.caughtUp() && !draining;
+    }
+
+    private void send(LogMessage message) {
+        String to = message.getTo();
+        VmId vm = new VmId(to.substring(0, to.indexOf('/')));
+        network.send(vm, Envelope.newBuilder().setLog(message));
+    }
+
+    private void receive(Envelope envelope) {
+        VmId from = new VmId(envelope.getFromVm());
+        switch (envelope.getBodyCase()) {
+            case LOG -> groups.receive(envelope.getLog());
+            case GOSSIP -> gossiper.receive(from, envelope.getGossip());
+            case REQUEST -> gateway.receive(from, envelope.getRequest());
+            case REPLY -> gateway.receive(envelope.getReply());
+            default -> LOG.log(System.Logger.Level.WARNING, "DAEMON got an empty frame from {0}", from);
+        }
+    }
+
+    private ObjectNode status() {
+        ObjectNode json = new ObjectMapper().createObjectNode();
+        json.put("vm", settings.vm().name());
+        json.put("domain", settings.domain().name());
+        json.put("replica", groups.identity().toString());
+        json.put("draining", draining);
+        json.put("openCalls", routing.openCalls());
+        json.put("links", network.connectedLinks() + "/" + network.peers().size());
+        ObjectNode leaders = json.putObject("leaders");
+        groups.all().forEach((name, group) -> leaders.put(name, group.leader()));
+        json.putPOJO(
+                "entryVms", gossiper.alive().keySet().stream().map(VmId::name).toList());
+        return json;
+    }
+
+    private void registerGauges() {
+        metrics.gauge("wasabimount_open_calls", "Calls that wait or run", routing::openCalls);
+        metrics.gauge("wasabimount_peer_sent_bytes", "Bytes of frames sent to other daemons", network::sentBytes);
+        metrics.gauge(
+                "wasabimount_peer_received_bytes", "Bytes of frames taken from other daemons", network::receivedBytes);
+        metrics.gauge("wasabimount_peer_links", "Links to other daemons that are up", network::connectedLinks);
+        metrics.gauge(
+                "wasabimount_placed_tasks",
+                "Tasks that this VM placed while it led the cell",
+                () -> groups.cellDuties().placedTasks());
+        metrics.gauge("wasabimount_ready", "1 if the balancer may send requests here", () -> ready() ? 1 : 0);
+        groups.all().forEach((name, group) -> {
+            String suffix = name.replace('-', '_').replace('.', '_');
+            metrics.gauge("wasabimount_leads_" + suffix, "1 if this VM leads the group", () -> group.leading() ? 1 : 0);
+            metrics.gauge("wasabimount_syncs_" + suffix, "Batches synced to the group's log", group::syncCount);
+        });
+    }
+
+    private void schedule(Runnable task, long periodMillis) {
+        timers.scheduleAtFixedRate(
+                () -> {
+                    try {
+                        task.run();
+                    } catch (RuntimeException e) {
+                        LOG.log(System.Logger.Level.ERROR, "DAEMON a timer failed", e);
+                    }
+                },
+                periodMillis,
+                periodMillis,
+                TimeUnit.MILLISECONDS);
+    }
+
+    private static PeerTls tls(DaemonSettings.Tls files) throws IOException {
+        return new PeerTls(files.certificateFile(), files.keyFile(), files.authorityFile());
+    }
+
+    private static void pause(long millis) {
+        try {
+            Thread.sleep(millis);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/wasabimount/daemon/LogSetup.java
@@ -0,0 +1,61 @@
+package org.wasabimount.daemon;
+
+import java.nio.charset.StandardCharsets;
+
+import org.slf4j.LoggerFactory;
+import org.wasabimount.daemon.settings.DaemonSettings;
+
+import ch.qos.logback.classic.Level;
+import ch.qos.logback.classic.Logger;
+import ch.qos.logback.classic.LoggerContext;
+import ch.qos.logback.classic.encoder.JsonEncoder;
+import ch.qos.logback.classic.encoder.PatternLayoutEncoder;
+import ch.qos.logback.classic.spi.ILoggingEvent;
+import ch.qos.logback.core.ConsoleAppender;
+import ch.qos.logback.core.encoder.Encoder;
+import ch.qos.logback.core.encoder.EncoderBase;
+
+/** Sets up the log library as the settings say. */
+final class LogSetup {
+
+    private static final String PATTERN = "%d{yyyy-MM-dd'T'HH:mm:ss.SSSXXX,UTC} %-5level %msg%n";
+
+    private LogSetup() {}
+
+    static void apply(DaemonSettings.Logging logging) {
+        LoggerContext context = (LoggerContext) LoggerFactory.getILoggerFactory();
+        context.reset();
+        ConsoleAppender<ILoggingEvent> appender = new ConsoleAppender<>();
+        appender.setContext(context);
+        appender.setEncoder(encoder(context, logging.format()));
+        appender.start();
+        Logger root = context.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME);
+        root.setLevel(Level.WARN);
+        root.addAppender(appender);
+        context.getLogger("wasabimount").setLevel(level(logging.level()));
+    }
+
+    private static Encoder<ILoggingEvent> encoder(LoggerContext context, DaemonSettings.LogFormat format) {
+        EncoderBase<ILoggingEvent> encoder = switch (format) {
+            case JSON -> new JsonEncoder();
+            case PLAIN -> {
+                PatternLayoutEncoder plain = new PatternLayoutEncoder();
+                plain.setPattern(PATTERN);
+                plain.setCharset(StandardCharsets.UTF_8);
+                yield plain;
+            }
+        };
+        encoder.setContext(context);
+        encoder.start();
+        return encoder;
+    }
+
+    private static Level level(DaemonSettings.LogLevel level) {
+        return switch (level) {
+            case DEBUG -> Level.DEBUG;
+            case INFO -> Level.INFO;
+            case WARNING -> Level.WARN;
+            case ERROR -> Level.ERROR;
+        };
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/wasabimount/daemon/log/CorruptLogException.java
@@ -0,0 +1,18 @@
+package org.wasabimount.daemon.log;
+
+import java.io.IOException;
+
+/** Says that a synced record can no longer be read. */
+public final class CorruptLogException extends IOException {
+
+    private static final long serialVersionUID = 1L;
+
+    /**
+     * Creates the exception.
+     *
+     * @param message which file is corrupt, and where
+     */
+    public CorruptLogException(String message) {
+        super(message);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/wasabimount/daemon/log/DataFolder.java
@@ -0,0 +1,82 @@
+package org.wasabimount.daemon.log;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.UUID;
+
+import org.wasabimount.core.VmId;
+import org.wasabimount.core.log.ReplicaIdentity;
+
+/**
+ * The folder that holds all durable state of one VM.
+ *
+ * <p>It is made by an explicit command, so that a VM that lost its disk never votes under its former identity.
+ */
+public final class DataFolder {
+
+    private static final String IDENTITY_FILE = "identity";
+
+    private final Path path;
+
+    /**
+     * Names a data folder.
+     *
+     * @param path the folder
+     */
+    public DataFolder(Path path) {
+        this.path = path;
+    }
+
+    /**
+     * Makes the folder for a VM.
+     *
+     * @param vm the VM
+     * @param newCell true if the cell is made now, too; false for a VM that joins or replaces one
+     * @return the identity under which the VM's replicas take part
+     * @throws IOException if the folder exists already or can't be written
+     */
+    public ReplicaIdentity format(VmId vm, boolean newCell) throws IOException {
+        Files.createDirectories(path);
+        Path file = path.resolve(IDENTITY_FILE);
+        if (Files.exists(file)) {
+            throw new IOException("the data folder is in use already: it holds an identity");
+        }
+        String generation = newCell
+                ? ReplicaIdentity.FIRST_GENERATION
+                : UUID.randomUUID().toString().substring(0, 8);
+        ReplicaIdentity identity = new ReplicaIdentity(vm, generation);
+        Files.writeString(file, identity + "\n");
+        return identity;
+    }
+
+    /**
+     * Reads the identity.
+     *
+     * @param vm the VM that the settings name
+     * @return the identity
+     * @throws IOException if the folder was not formatted, or for another VM
+     */
+    public ReplicaIdentity identity(VmId vm) throws IOException {
+        Path file = path.resolve(IDENTITY_FILE);
+        if (!Files.exists(file)) {
+            throw new IOException("the data folder is not formatted: run wasabimountd --format first");
+        }
+        ReplicaIdentity identity = ReplicaIdentity.parse(Files.readString(file).trim());
+        if (!identity.vm().equals(vm)) {
+            throw new IOException("the data folder belongs to VM " + identity.vm() + ", not " + vm);
+        }
+        return identity;
+    }
+
+    /**
+     * Opens the store of a group.
+     *
+     * @param group the group's name
+     * @return the store
+     * @throws IOException if the folder can't be made
+     */
+    public LogStore store(String group) throws IOException {
+        return new FileLogStore(path.resolve(group));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/wasabimount/daemon/log/FileLogStore.java
@@ -0,0 +1,146 @@
+package org.wasabimount.daemon.log;
+
+import java.io.IOException;
+import java.nio.channels.FileChannel;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.nio.file.StandardOpenOption;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.Stream;
+
+import org.wasabimount.core.log.PersistedLog;
+import org.wasabimount.protocol.log.HardState;
+import org.wasabimount.protocol.log.LogBatch;
+import org.wasabimount.protocol.log.LogEntry;
+import org.wasabimount.protocol.log.LogRecord;
+import org.wasabimount.protocol.log.LogSnapshot;
+
+/**
+ * Keeps one group's log in a folder: one snapshot and one log file, both named by a number that grows.
+ *
+ * <p>A log file begins with everything that the files before it held and that still counts, and gets its name only when
+ * that is synced. So the file with the highest number is the whole truth, and older ones are garbage.
+ */
+public final class FileLogStore implements LogStore {
+
+    private static final String LOG_SUFFIX = ".log";
+    private static final String SNAPSHOT_SUFFIX = ".snapshot";
+    private static final String TEMPORARY_SUFFIX = ".tmp";
+
+    private final Path folder;
+    private long generation;
+    private RecordFile file;
+
+    /**
+     * Creates a store.
+     *
+     * @param folder the group's folder, made if it is missing
+     * @throws IOException if the folder can't be made
+     */
+    public FileLogStore(Path folder) throws IOException {
+        this.folder = Files.createDirectories(folder);
+    }
+
+    @Override
+    public PersistedLog recover(LogSnapshot first) throws IOException {
+        generation = highestGeneration();
+        LogSnapshot snapshot = first;
+        if (generation > 0) {
+            Path snapshotPath = path(SNAPSHOT_SUFFIX);
+            List<byte[]> records = RecordFile.open(snapshotPath).closeAndRecover();
+            if (records.size() != 1) {
+                throw new CorruptLogException("file " + snapshotPath.getFileName() + " holds no readable snapshot");
+            }
+            snapshot = LogSnapshot.parseFrom(records.get(0));
+        } else {
+            generation = 1;
+            writeFiles(first, HardState.getDefaultInstance(), List.of());
+        }
+        file = RecordFile.open(path(LOG_SUFFIX));
+        return replay(snapshot, file.takeRecovered());
+    }
+
+    @Override
+    public void append(Optional<HardState> hardState, List<LogEntry> entries) throws IOException {
+        file.append(batch(hardState, entries).toByteArray());
+    }
+
+    @Override
+    public void replace(LogSnapshot snapshot, HardState hardState, List<LogEntry> kept) throws IOException {
+        long old = generation;
+        file.close();
+        generation = old + 1;
+        writeFiles(snapshot, hardState, kept);
+        file = RecordFile.open(path(LOG_SUFFIX));
+        Files.deleteIfExists(folder.resolve(old + LOG_SUFFIX));
+        Files.deleteIfExists(folder.resolve(old + SNAPSHOT_SUFFIX));
+    }
+
+    private void writeFiles(LogSnapshot snapshot, HardState hardState, List<LogEntry> kept) throws IOException {
+        writeSynced(path(SNAPSHOT_SUFFIX), snapshot.toByteArray());
+        writeSynced(path(LOG_SUFFIX), batch(Optional.of(hardState), kept).toByteArray());
+    }
+
+    private void writeSynced(Path target, byte[] payload) throws IOException {
+        Path temporary = target.resolveSibling(target.getFileName() + TEMPORARY_SUFFIX);
+        Files.deleteIfExists(temporary);
+        try (RecordFile record = RecordFile.open(temporary)) {
+            record.append(payload);
+        }
+        Files.move(temporary, target, StandardCopyOption.ATOMIC_MOVE);
+        try (FileChannel directory = FileChannel.open(folder, StandardOpenOption.READ)) {
+            directory.force(true);
+        }
+    }
+
+    private static LogBatch batch(Optional<HardState> hardState, List<LogEntry> entries) {
+        LogBatch.Builder batch = LogBatch.newBuilder();
+        hardState.ifPresent(state -> batch.addRecords(LogRecord.newBuilder().setHardState(state)));
+        entries.forEach(entry -> batch.addRecords(LogRecord.newBuilder().setEntry(entry)));
+        return batch.build();
+    }
+
+    private static PersistedLog replay(LogSnapshot snapshot, List<byte[]> batches) throws IOException {
+        HardState hardState = HardState.getDefaultInstance();
+        List<LogEntry> entries = new ArrayList<>();
+        for (byte[] batch : batches) {
+            for (LogRecord record : LogBatch.parseFrom(batch).getRecordsList()) {
+                if (record.hasHardState()) {
+                    hardState = record.getHardState();
+                } else {
+                    putEntry(entries, record.getEntry());
+                }
+            }
+        }
+        return new PersistedLog(hardState, snapshot, entries);
+    }
+
+    /** Adds an entry; it replaces the one of its index and all after it. */
+    private static void putEntry(List<LogEntry> entries, LogEntry entry) throws CorruptLogException {
+        while (!entries.isEmpty() && entries.get(entries.size() - 1).getIndex() >= entry.getIndex()) {
+            entries.remove(entries.size() - 1);
+        }
+        boolean gap = !entries.isEmpty() && entries.get(entries.size() - 1).getIndex() + 1 != entry.getIndex();
+        if (gap) {
+            throw new CorruptLogException("the log has a gap before index " + entry.getIndex());
+        }
+        entries.add(entry);
+    }
+
+    private long highestGeneration() throws IOException {
+        try (Stream<Path> files = Files.list(folder)) {
+            return files.map(path -> path.getFileName().toString())
+                    .filter(name -> name.endsWith(LOG_SUFFIX))
+                    .mapToLong(name -> Long.parseLong(name.substring(0, name.length() - LOG_SUFFIX.length())))
+                    .max()
+                    .orElse(0);
+        }
+    }
+
+    private Path path(String suffix) {
+        return folder.resolve(generation + suffix);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/wasabimount/daemon/log/GroupThread.java
@@ -0,0 +1,332 @@
+package org.wasabimount.daemon.log;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ThreadFactory;
+import java.util.function.Consumer;
+
+import org.wasabimount.core.Clock;
+import org.wasabimount.core.ResultCode;
+import org.wasabimount.core.log.Replica;
+import org.wasabimount.core.log.ReplicaOutput;
+import org.wasabimount.core.log.ReplicaSettings;
+import org.wasabimount.protocol.cell.Reply;
+import org.wasabimount.protocol.log.HardState;
+import org.wasabimount.protocol.log.LogEntry;
+import org.wasabimount.protocol.log.LogMessage;
+import org.wasabimount.protocol.log.LogSnapshot;
+
+import com.google.protobuf.ByteString;
+import com.lmax.disruptor.BlockingWaitStrategy;
+import com.lmax.disruptor.EventHandler;
+import com.lmax.disruptor.dsl.Disruptor;
+import com.lmax.disruptor.dsl.ProducerType;
+
+/**
+ * Drives one replica and its state machine on a thread of their own, fed by a bounded ring.
+ *
+ * <p>Everything that arrives while a sync is under way is taken in one batch after it: group commit.
+ */
+public final class GroupThread implements EventHandler<GroupThread.Slot> {
+
+    private static final System.Logger LOG = System.getLogger("wasabimount.log");
+    private static final int RING_SLOTS = 4_096;
+    private static final int SNAPSHOT_EVERY_ENTRIES = 8_192;
+    private static final int KEPT_ENTRIES = 1_024;
+
+    private final String group;
+    private final Clock clock;
+    private final LogStore store;
+    private final Replica replica;
+    private final StateMachine machine;
+    private final Consumer<LogMessage> network;
+    private final Consumer<IOException> fatal;
+    private final Disruptor<Slot> disruptor;
+    private final TreeMap<Long, Proposal> proposals = new TreeMap<>();
+    private final List<Runnable> afterFlush = new ArrayList<>();
+    private HardState hardState;
+    private LogSnapshot lastSnapshot;
+    private long appliedIndex;
+    private volatile String leader = "";
+    private volatile boolean leading;
+    private volatile boolean caughtUp;
+    private volatile long syncCount;
+
+    private record Proposal(long term, CompletableFuture<Reply> reply) {}
+
+    /** A place in the ring. */
+    static final class Slot {
+        private Runnable task;
+    }
+
+    /**
+     * Recovers the replica; {@link #start} starts the thread.
+     *
+     * @param settings the replica's settings
+     * @param first the state of the group before its first entry
+     * @param store the group's log
+     * @param machine the group's state machine
+     * @param network takes messages for other replicas; must not block
+     * @param fatal told when the log can't be kept any more; the VM must stop
+     * @param clock monotonic time
+     * @throws IOException if the log can't be recovered
+     */
+    public GroupThread(
+            ReplicaSettings settings,
+            LogSnapshot first,
+            LogStore store,
+            StateMachine machine,
+            Consumer<LogMessage> network,
+            Consumer<IOException> fatal,
+            Clock clock)
+            throws IOException {
+        this.group = settings.group();
+        this.clock = clock;
+        this.store = store;
+        this.machine = machine;
+        this.network = network;
+        this.fatal = fatal;
+        var persisted = store.recover(first);
+        this.hardState = persisted.hardState();
+        this.lastSnapshot = persisted.snapshot();
+        this.appliedIndex = lastSnapshot.getIndex();
+        machine.restore(lastSnapshot.getState());
+        this.replica = new Replica(settings, persisted, clock.millis());
+        ThreadFactory threads = task -> new Thread(task, "log-" + group);
+        this.disruptor =
+                new Disruptor<>(Slot::new, RING_SLOTS, threads, ProducerType.MULTI, new BlockingWaitStrategy());
+        disruptor.handleEventsWith(this);
+    }
+
+    /** Starts the thread. */
+    public void start() {
+        disruptor.start();
+    }
+
+    /** Stops the thread after what is in the ring. */
+    public void stop() {
+        disruptor.shutdown();
+    }
+
+    /**
+     * Runs a task on the group's thread.
+     *
+     * @param task the task
+     * @return false if the ring is full; the task is not run
+     */
+    public boolean submit(Runnable task) {
+        return disruptor.getRingBuffer().tryPublishEvent((slot, sequence) -> slot.task = task);
+    }
+
+    /**
+     * Takes a message from another replica; dropped when the ring is full, as a network might.
+     *
+     * @param message the message
+     */
+    public void receive(LogMessage message) {
+        submit(() -> replica.receive(message, clock.millis()));
+    }
+
+    /** Lets time pass. */
+    public void tick() {
+        submit(() -> replica.tick(clock.millis()));
+    }
+
+    /**
+     * Appends a command. Called on the group's thread only.
+     *
+     * @param command the command's bytes
+     * @return completed with the state machine's reply once the command is applied, or with a refusal
+     */
+    public CompletableFuture<Reply> propose(ByteString command) {
+        CompletableFuture<Reply> reply = new CompletableFuture<>();
+        long index = replica.propose(command, clock.millis());
+        if (index < 0) {
+            reply.complete(notLeader());
+        } else {
+            proposals.put(index, new Proposal(replica.term(), reply));
+        }
+        return reply;
+    }
+
+    /**
+     * Runs a task on the group's thread after each batch, when everything committed is applied.
+     *
+     * @param task the task
+     */
+    public void afterEachFlush(Runnable task) {
+        afterFlush.add(task);
+    }
+
+    /**
+     * Returns the refusal that names the leader as far as it is known.
+     *
+     * @return a reply with {@link ResultCode#NOT_LEADER} and the leader's identity as detail
+     */
+    public Reply notLeader() {
+        return Reply.newBuilder()
+                .setResultCode(ResultCode.NOT_LEADER.number())
+                .setDetail(replica.role() == Replica.Role.LEADER ? "" : replica.leader())
+                .build();
+    }
+
+    /**
+     * Returns the replica. Used on the group's thread only.
+     *
+     * @return the replica
+     */
+    public Replica replica() {
+        return replica;
+    }
+
+    /**
+     * Returns the leader's identity as last seen, from any thread.
+     *
+     * @return the identity, or an empty string
+     */
+    public String leader() {
+        return leader;
+    }
+
+    /**
+     * Tells, from any thread, whether this replica led when last seen.
+     *
+     * @return true for the leader
+     */
+    public boolean leading() {
+        return leading;
+    }
+
+    /**
+     * Tells, from any thread, whether the state has once been as new as a leader's.
+     *
+     * @return true from then on
+     */
+    public boolean caughtUp() {
+        return caughtUp;
+    }
+
+    /**
+     * Returns how many batches were synced.
+     *
+     * @return the count since the start
+     */
+    public long syncCount() {
+        return syncCount;
+    }
+
+    @Override
+    public void onEvent(Slot slot, long sequence, boolean endOfBatch) {
+        Runnable task = slot.task;
+        slot.task = null;
+        try {
+            task.run();
+            if (endOfBatch) {
+                flush();
+                afterFlush.forEach(Runnable::run);
+                flush();
+            }
+        } catch (IOException e) {
+            fatal.accept(e);
+        } catch (RuntimeException e) {
+            LOG.log(System.Logger.Level.ERROR, "LOG group " + group + " failed", e);
+            fatal.accept(new IOException("group " + group + " failed", e));
+        }
+    }
+
+    private void flush() throws IOException {
+        boolean more = true;
+        while (more) {
+            ReplicaOutput output = replica.drain();
+            output.beforeSync().forEach(network);
+            if (output.needsSync()) {
+                persist(output);
+            }
+            output.afterSync().forEach(network);
+            replica.persisted(replica.lastIndex());
+            apply(output.committed());
+            more = output.needsSync() || !output.committed().isEmpty();
+        }
+        noteRole();
+        compactIfDue();
+    }
+
+    private void persist(ReplicaOutput output) throws IOException {
+        output.hardState().ifPresent(changed -> hardState = changed);
+        if (output.installed().isPresent()) {
+            lastSnapshot = output.installed().get();
+            store.replace(lastSnapshot, hardState, output.appended());
+            machine.restore(lastSnapshot.getState());
+            appliedIndex = lastSnapshot.getIndex();
+        } else {
+            store.append(output.hardState(), output.appended());
+        }
+        syncCount++;
+    }
+
+    private void apply(List<LogEntry> committed) throws IOException {
+        for (LogEntry entry : committed) {
+            Reply reply = Reply.getDefaultInstance();
+            if (entry.getKind() == LogEntry.Kind.COMMAND) {
+                reply = machine.apply(entry.getData());
+            }
+            appliedIndex = entry.getIndex();
+            answer(entry, reply);
+        }
+    }
+
+    private void answer(LogEntry entry, Reply reply) {
+        Map<Long, Proposal> settled = proposals.headMap(entry.getIndex(), true);
+        settled.forEach((index, proposal) -> {
+            boolean own = index == entry.getIndex() && proposal.term() == entry.getTerm();
+            proposal.reply().complete(own ? reply : refusal(ResultCode.COMMIT_UNKNOWN));
+        });
+        settled.clear();
+    }
+
+    private void noteRole() {
+        boolean nowLeading = replica.role() == Replica.Role.LEADER;
+        if (nowLeading != leading) {
+            LOG.log(
+                    System.Logger.Level.INFO,
+                    "LOG group {0} {1} in term {2}",
+                    group,
+                    nowLeading ? "leads" : "follows",
+                    Long.toString(replica.term()));
+        }
+        if (leading && !nowLeading) {
+            proposals.values().forEach(proposal -> proposal.reply().complete(refusal(ResultCode.COMMIT_UNKNOWN)));
+            proposals.clear();
+        }
+        leading = nowLeading;
+        leader = replica.leader();
+        boolean current = nowLeading ? replica.mayDecide(clock.millis()) : replica.caughtUpWithLeader();
+        caughtUp = caughtUp || current;
+    }
+
+    private void compactIfDue() throws IOException {
+        if (appliedIndex - lastSnapshot.getIndex() < SNAPSHOT_EVERY_ENTRIES) {
+            return;
+        }
+        LogSnapshot taken = LogSnapshot.newBuilder()
+                .setIndex(appliedIndex)
+                .setTerm(replica.termAt(appliedIndex))
+                .setMembership(replica.membershipAt(appliedIndex))
+                .setState(machine.snapshot())
+                .build();
+        store.replace(taken, hardState, replica.entriesAfter(appliedIndex));
+        replica.compact(taken, KEPT_ENTRIES);
+        lastSnapshot = taken;
+    }
+
+    private static Reply refusal(ResultCode code) {
+        return Reply.newBuilder()
+                .setResultCode(code.number())
+                .setDetail("the leader changed")
+                .build();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/wasabimount/daemon/log/MemoryLogStore.java
@@ -0,0 +1,28 @@
+package org.wasabimount.daemon.log;
+
+import java.util.List;
+import java.util.Optional;
+
+import org.wasabimount.core.log.PersistedLog;
+import org.wasabimount.protocol.log.HardState;
+import org.wasabimount.protocol.log.LogEntry;
+import org.wasabimount.protocol.log.LogSnapshot;
+
+/** Keeps nothing: for a VM without a disk, which only learns and never votes. */
+public final class MemoryLogStore implements LogStore {
+
+    @Override
+    public PersistedLog recover(LogSnapshot first) {
+        return new PersistedLog(HardState.getDefaultInstance(), first, List.of());
+    }
+
+    @Override
+    public void append(Optional<HardState> hardState, List<LogEntry> entries) {
+        // A learner that forgets is sent everything again.
+    }
+
+    @Override
+    public void replace(LogSnapshot snapshot, HardState hardState, List<LogEntry> kept) {
+        // A learner that forgets is sent everything again.
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/wasabimount/daemon/metrics/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * What a daemon counts and measures, as documented in docs/METRICS.md.
+ */
+package org.wasabimount.daemon.metrics;
--- /dev/null
+++ b/daemon/src/main/java/org/wasabimount/daemon/peer/PeerLink.java
@@ -0,0 +1,71 @@
+package org.wasabimount.daemon.peer;
+
+import java.net.InetSocketAddress;
+import java.util.concurrent.TimeUnit;
+
+import org.wasabimount.protocol.peer.Envelope;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+
+/** The outgoing connection to one other daemon; made again whenever it is lost. */
+final class PeerLink {
+
+    private static final long RECONNECT_MILLIS = 200;
+
+    private final Bootstrap bootstrap;
+    private final InetSocketAddress address;
+    private volatile Channel channel;
+    private volatile boolean closed;
+
+    PeerLink(Bootstrap bootstrap, InetSocketAddress address) {
+        this.bootstrap = bootstrap;
+        this.address = address;
+    }
+
+    void open() {
+        if (!closed) {
+            bootstrap.connect(address).addListener((ChannelFuture connect) -> connected(connect));
+        }
+    }
+
+    /** Sends a frame, or drops it when the link is down or congested; returns whether it was sent. */
+    boolean send(Envelope envelope) {
+        Channel current = channel;
+        if (current == null || !current.isWritable()) {
+            return false;
+        }
+        current.writeAndFlush(envelope, current.voidPromise());
+        return true;
+    }
+
+    boolean connected() {
+        Channel current = channel;
+        return current != null && current.isActive();
+    }
+
+    void close() {
+        closed = true;
+        Channel current = channel;
+        if (current != null) {
+            current.close();
+        }
+    }
+
+    private void connected(ChannelFuture connect) {
+        if (connect.isSuccess()) {
+            channel = connect.channel();
+            channel.closeFuture().addListener(lost -> reopen());
+        } else {
+            reopen();
+        }
+    }
+
+    private void reopen() {
+        channel = null;
+        if (!closed) {
+            bootstrap.config().group().schedule(this::open, RECONNECT_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/wasabimount/daemon/routing/CallRequest.java
@@ -0,0 +1,47 @@
+package org.wasabimount.daemon.routing;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+import org.wasabimount.client.HttpHeader;
+import org.wasabimount.client.HttpMessage;
+import org.wasabimount.core.OrganisationId;
+import org.wasabimount.core.ledger.RequestKey;
+
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+
+/**
+ * A caller's request with all that is passed on to a backend server.
+ *
+ * @param organisation the caller's organisation
+ * @param service the service that is called
+ * @param method the HTTP method
+ * @param path the path and query behind the service
+ * @param contentType the body's type, or nothing
+ * @param body the whole body
+ * @param repeatable whether the request may run more than once
+ * @param key the idempotency key of an unrepeatable request, or nothing
+ * @param deadlineMillis monotonic time after which the answer is of no use
+ */
+public record CallRequest(
+        OrganisationId organisation,
+        String service,
+        HttpString method,
+        String path,
+        Optional<String> contentType,
+        byte[] body,
+        boolean repeatable,
+        Optional<RequestKey> key,
+        long deadlineMillis) {
+
+    /** Returns the message for a backend server. */
+    HttpMessage toMessage() {
+        List<HttpHeader> headers = new ArrayList<>();
+        headers.add(HttpHeader.of("Wasabimount-Organisation", organisation.name()));
+        contentType.ifPresent(type -> headers.add(new HttpHeader(Headers.CONTENT_TYPE, type)));
+        key.ifPresent(present -> headers.add(HttpHeader.of("Idempotency-Key", present.toString())));
+        return new HttpMessage(method, path, headers, body);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/wasabimount/daemon/settings/SettingsException.java
@@ -0,0 +1,18 @@
+package org.wasabimount.daemon.settings;
+
+/** Says what is wrong in a settings file, and where. */
+public final class SettingsException extends Exception {
+
+    private static final long serialVersionUID = 1L;
+
+    /**
+     * Creates the exception.
+     *
+     * @param path the key's path, for example {@code peers[1].address}
+     * @param line the line in the file, from 1
+     * @param detail what is wrong
+     */
+    public SettingsException(String path, int line, String detail) {
+        super("line " + line + ": " + path + ": " + detail);
+    }
+}
