--- a/bench/src/main/java/org/wasabimount/bench/standin/StandInWorker.java
+++ b/bench/src/main/java/org/wasabimount/bench/standin/StandInWorker.java
@@ -2,26 +2,28 @@
 
 import java.io.IOException;
 import java.util.HashMap;
-import java.util.Iterator;
 import java.util.Map;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 import org.wasabimount.client.HttpResult;
+import org.wasabimount.core.cell.Capacity;
+import org.wasabimount.core.worker.WorkerAgent;
+import org.wasabimount.protocol.cell.PartitionPolicy;
+import org.wasabimount.protocol.cell.Quantity;
+import org.wasabimount.protocol.cell.TaskOrder;
+import org.wasabimount.protocol.cell.TaskPhase;
+import org.wasabimount.protocol.cell.WorkerHeartbeat;
+import org.wasabimount.protocol.cell.WorkerOrders;
+import org.wasabimount.protocol.cell.WorkerState;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 
-/**
- * A worker that keeps its lease and runs tasks by doing nothing for as long as they last.
- *
- * <p>The rules that every worker must keep: it takes only the answer to its latest heartbeat; it stops tasks that move
- * when the lease counted from that heartbeat's sending is over; a task that it was told to stop never starts again
- * under the same epoch.
- */
+/** A worker that keeps the rules of {@link WorkerAgent} and runs tasks by doing nothing for as long as they last. */
 public final class StandInWorker {
 
     private static final ObjectMapper MAPPER = new ObjectMapper();
@@ -34,11 +36,9 @@
     private final Announcer announcer;
     private final ScheduledExecutorService thread;
     private final Consumer<String> journal;
-    private final String incarnation = Long.toString(System.currentTimeMillis());
-    private final Map<String, RunningTask> tasks = new HashMap<>();
+    private final WorkerAgent agent;
+    private final Map<String, Long> endsMillis = new HashMap<>();
     private boolean asking;
-    private boolean news;
-    private long leaseUntilMillis = Long.MAX_VALUE;
 
     /**
      * What a worker announces and how its tasks end.
@@ -46,43 +46,23 @@
      * @param name its id
      * @param domain its failure domain
      * @param rack its rack
-     * @param cpuMillis thousandths of a processor
-     * @param memoryMegabytes megabytes of memory
-     * @param accelerators whole accelerators
+     * @param size its processors, memory and accelerators
      * @param failsAll whether every task fails at once
      */
-    public record Settings(
-            String name,
-            String domain,
-            String rack,
-            long cpuMillis,
-            long memoryMegabytes,
-            long accelerators,
-            boolean failsAll) {}
-
-    private static final class RunningTask {
-        private final long epoch;
-        private final boolean moves;
-        private final long endsMillis;
-        private String phase;
-
-        RunningTask(long epoch, boolean moves, long endsMillis, String phase) {
-            this.epoch = epoch;
-            this.moves = moves;
-            this.endsMillis = endsMillis;
-            this.phase = phase;
-        }
-
-        boolean running() {
-            return phase.equals("RUNNING");
-        }
-    }
+    public record Settings(String name, String domain, String rack, Capacity size, boolean failsAll) {}
 
     StandInWorker(Settings settings, Announcer announcer, ScheduledExecutorService thread, Consumer<String> journal) {
         this.settings = settings;
         this.announcer = announcer;
         this.thread = thread;
         this.journal = journal;
+        this.agent = new WorkerAgent(WorkerState.newBuilder()
+                .setWorker(settings.name())
+                .setIncarnation(Long.toString(System.currentTimeMillis()))
+                .setDomain(settings.domain())
+                .setRack(settings.rack())
+                .setSize(settings.size().toQuantity())
+                .build());
     }
 
     /** Begins to send heartbeats. */
@@ -92,111 +72,101 @@
 
     private void step() {
         long nowMillis = nowMillis();
-        if (nowMillis >= leaseUntilMillis) {
-            stopMovingTasks();
-        }
-        tasks.forEach((id, task) -> {
-            if (task.running() && nowMillis >= task.endsMillis) {
-                end(id, task, settings.failsAll() ? "FAILED" : "SUCCEEDED");
-            }
-        });
+        agent.tick(nowMillis);
+        agent.running().stream()
+                .map(task -> task.order().getTask())
+                .filter(task -> nowMillis >= endsMillis.get(task))
+                .forEach(task -> agent.ended(task, settings.failsAll() ? TaskPhase.FAILED : TaskPhase.SUCCEEDED));
+        writeJournal(nowMillis);
         if (!asking) {
             ask(nowMillis);
         }
     }
 
-    private void ask(long sentMillis) {
+    private void ask(long nowMillis) {
         asking = true;
-        long waitMillis = news ? 0 : WAIT_MILLIS;
-        news = false;
+        WorkerHeartbeat heartbeat = agent.heartbeat(agent.news() ? 0 : WAIT_MILLIS, nowMillis);
+        long sequence = agent.sequence();
         announcer
-                .post("/platform/worker", heartbeat(waitMillis), TIMEOUT_MILLIS)
-                .thenAccept(result -> thread.execute(() -> answered(result, sentMillis)));
+                .post("/platform/worker", write(heartbeat), TIMEOUT_MILLIS)
+                .thenAccept(result -> thread.execute(() -> answered(result, sequence)));
     }
 
-    private void answered(HttpResult result, long sentMillis) {
+    private void answered(HttpResult result, long sequence) {
         asking = false;
         if (!result.is(OK)) {
             announcer.next();
             return;
         }
         try {
-            JsonNode orders = MAPPER.readTree(result.answer().body());
-            leaseUntilMillis = sentMillis + orders.path("leaseMillis").asLong();
-            if (nowMillis() < leaseUntilMillis) {
-                orders.path("stop").forEach(this::stop);
-                orders.path("start").forEach(this::begin);
-            }
+            agent.answered(sequence, read(MAPPER.readTree(result.answer().body())), nowMillis());
+            writeJournal(nowMillis());
         } catch (IOException e) {
             announcer.next();
         }
     }
 
-    private void begin(JsonNode order) {
-        String id = order.path("task").asText();
-        long epoch = order.path("epoch").asLong();
-        RunningTask known = tasks.get(id);
-        if (known != null && known.epoch >= epoch) {
-            return;
-        }
-        boolean service = id.contains("/services/");
-        long runMillis = order.path("declaredRunMillis").asLong();
-        long endsMillis = service && !settings.failsAll() ? Long.MAX_VALUE : nowMillis() + runMillis;
-        boolean moves = order.path("onPartition").asText().equals("MOVE");
-        tasks.put(id, new RunningTask(epoch, moves, settings.failsAll() ? 0 : endsMillis, "RUNNING"));
-        news = true;
-        journal.accept("start " + id + " " + epoch + " " + settings.name());
+    private void writeJournal(long nowMillis) {
+        agent.takeStarted().forEach(task -> {
+            TaskOrder order = task.order();
+            endsMillis.put(order.getTask(), nowMillis + runMillis(order));
+            journal.accept("start " + order.getTask() + " " + order.getEpoch() + " " + settings.name());
+        });
+        agent.takeEnded()
+                .forEach(task -> journal.accept("end " + task.order().getTask() + " "
+                        + task.order().getEpoch() + " " + settings.name() + " " + task.phase()));
     }
 
-    private void stop(JsonNode order) {
-        String id = order.path("task").asText();
-        long epoch = order.path("epoch").asLong();
-        RunningTask known = tasks.get(id);
-        if (known == null || known.epoch < epoch) {
-            tasks.put(id, new RunningTask(epoch, true, Long.MAX_VALUE, "STOPPED"));
-            news = true;
-        } else if (known.epoch == epoch && known.running()) {
-            end(id, known, "STOPPED");
-        } else if (known.epoch == epoch) {
-            tasks.remove(id);
+    private long runMillis(TaskOrder order) {
+        if (settings.failsAll()) {
+            return 0;
         }
+        boolean service = order.getTask().contains("/services/");
+        return service ? Long.MAX_VALUE / 2 : order.getDeclaredRunMillis();
     }
 
-    private void stopMovingTasks() {
-        tasks.forEach((id, task) -> {
-            if (task.running() && task.moves) {
-                end(id, task, "STOPPED");
-            }
-        });
+    private static ObjectNode write(WorkerHeartbeat heartbeat) {
+        WorkerState self = heartbeat.getWorker();
+        ObjectNode body = MAPPER.createObjectNode()
+                .put("worker", self.getWorker())
+                .put("incarnation", self.getIncarnation())
+                .put("domain", self.getDomain())
+                .put("rack", self.getRack())
+                .put("waitMillis", heartbeat.getWaitMillis());
+        body.putObject("size")
+                .put("cpuMillis", self.getSize().getCpuMillis())
+                .put("memoryMegabytes", self.getSize().getMemoryMegabytes())
+                .put("accelerators", self.getSize().getAccelerators());
+        ArrayNode tasks = body.putArray("tasks");
+        heartbeat
+                .getTasksList()
+                .forEach(task -> tasks.addObject()
+                        .put("task", task.getTask())
+                        .put("epoch", task.getEpoch())
+                        .put("phase", task.getPhase().name()));
+        return body;
     }
 
-    private void end(String id, RunningTask task, String phase) {
-        task.phase = phase;
-        news = true;
-        journal.accept("end " + id + " " + task.epoch + " " + settings.name() + " " + phase);
+    private static WorkerOrders read(JsonNode json) {
+        WorkerOrders.Builder orders = WorkerOrders.newBuilder()
+                .setLeaseMillis(json.path("leaseMillis").asLong());
+        json.path("start").forEach(order -> orders.addStart(readOrder(order)));
+        json.path("stop").forEach(order -> orders.addStop(readOrder(order)));
+        return orders.build();
     }
 
-    private ObjectNode heartbeat(long waitMillis) {
-        ObjectNode body = MAPPER.createObjectNode()
-                .put("worker", settings.name())
-                .put("incarnation", incarnation)
-                .put("domain", settings.domain())
-                .put("rack", settings.rack())
-                .put("waitMillis", waitMillis);
-        body.putObject("size")
-                .put("cpuMillis", settings.cpuMillis())
-                .put("memoryMegabytes", settings.memoryMegabytes())
-                .put("accelerators", settings.accelerators());
-        ArrayNode list = body.putArray("tasks");
-        Iterator<Map.Entry<String, RunningTask>> all = tasks.entrySet().iterator();
-        while (all.hasNext()) {
-            Map.Entry<String, RunningTask> task = all.next();
-            list.addObject()
-                    .put("task", task.getKey())
-                    .put("epoch", task.getValue().epoch)
-                    .put("phase", task.getValue().phase);
-        }
-        return body;
+    private static TaskOrder readOrder(JsonNode json) {
+        JsonNode size = json.path("size");
+        return TaskOrder.newBuilder()
+                .setTask(json.path("task").asText())
+                .setEpoch(json.path("epoch").asLong())
+                .setOnPartition(PartitionPolicy.valueOf(json.path("onPartition").asText("MOVE")))
+                .setDeclaredRunMillis(json.path("declaredRunMillis").asLong())
+                .setSize(Quantity.newBuilder()
+                        .setCpuMillis(size.path("cpuMillis").asLong())
+                        .setMemoryMegabytes(size.path("memoryMegabytes").asLong())
+                        .setAccelerators(size.path("accelerators").asLong()))
+                .build();
     }
 
     private static long nowMillis() {
--- a/daemon/src/main/java/org/wasabimount/daemon/MembershipKeeper.java
+++ b/core/src/main/java/org/wasabimount/core/log/MembershipPlan.java
@@ -1,35 +1,31 @@
-package org.wasabimount.daemon;
+package org.wasabimount.core.log;
 
 import java.util.List;
 import java.util.Optional;
 
-import org.wasabimount.core.log.Replica;
-import org.wasabimount.core.log.ReplicaIdentity;
 import org.wasabimount.protocol.log.Membership;
 
 /**
- * Brings replicas into a group one step at a time: first as a learner, then in place of the voter that the same VM was
- * before it lost its disk, once the learner has caught up.
+ * Plans how a replica comes into a group, one safe step at a time.
+ *
+ * <p>It is first a learner. Once it has caught up, the voter that the same VM was before it lost its disk is removed, and
+ * only then does the learner become a voter. Each step changes one voter, so that any two majorities overlap.
  */
-final class MembershipKeeper {
+public final class MembershipPlan {
 
-    private static final System.Logger LOG = System.getLogger("wasabimount.member");
     private static final long MAX_LAG_ENTRIES = 100;
 
-    /** Takes the next step for a replica that was heard of. Called on the leader's thread. */
-    void heard(Replica leader, ReplicaIdentity replica, boolean mayVote, long nowMillis) {
-        next(leader, replica, mayVote).ifPresent(change -> {
-            if (leader.changeMembership(change, nowMillis) > 0) {
-                LOG.log(
-                        System.Logger.Level.INFO,
-                        "MEMBER voters {0}, learners {1}",
-                        change.getVotersList(),
-                        change.getLearnersList());
-            }
-        });
-    }
+    private MembershipPlan() {}
 
-    private static Optional<Membership> next(Replica leader, ReplicaIdentity replica, boolean mayVote) {
+    /**
+     * Plans the next step for a replica.
+     *
+     * @param leader the group's leader
+     * @param replica the replica that was heard of
+     * @param mayVote whether the replica's VM is meant to vote in the group
+     * @return the members after the step, or nothing if there is none to take now
+     */
+    public static Optional<Membership> next(Replica leader, ReplicaIdentity replica, boolean mayVote) {
         Membership current = leader.membership();
         String id = replica.toString();
         if (current.getVotersList().contains(id)) {
--- a/core/src/main/java/org/wasabimount/core/log/Replica.java
+++ b/core/src/main/java/org/wasabimount/core/log/Replica.java
@@ -170,6 +170,15 @@
         return memberships.lastEntry().getValue();
     }
 
+    /**
+     * Tells whether the members in force are those of a committed entry.
+     *
+     * @return false while a change of members is open
+     */
+    public boolean membershipCommitted() {
+        return memberships.lastKey() <= commitIndex;
+    }
+
     /**
      * Returns how far another replica is known to follow.
      *
@@ -223,8 +232,7 @@
      * @return the entry's index, or -1 if the change is not allowed now
      */
     public long changeMembership(Membership next, long nowMillis) {
-        boolean open = memberships.lastKey() > commitIndex;
-        if (!mayDecide(nowMillis) || open || !oneVoterApart(membership(), next)) {
+        if (!mayDecide(nowMillis) || !membershipCommitted() || !oneVoterApart(membership(), next)) {
             return -1;
         }
         return append(LogEntry.Kind.MEMBERSHIP, next.toByteString());
--- a/core/src/main/java/org/wasabimount/core/placement/JobReservation.java
+++ b/core/src/main/java/org/wasabimount/core/placement/JobReservation.java
@@ -3,6 +3,7 @@
 import java.util.Comparator;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 
 import org.wasabimount.core.cell.Capacity;
@@ -21,8 +22,12 @@
         this.workers = workers;
     }
 
-    /** Reserves the emptiest workers that together could hold the job once patient work on them has ended. */
-    static JobReservation plan(DeclaredResource job, List<WorkerView> views) {
+    /**
+     * Reserves the emptiest workers that together could hold the job once patient work on them has ended.
+     *
+     * @return the reservation, or nothing if services leave too little room for the job
+     */
+    static Optional<JobReservation> plan(DeclaredResource job, List<WorkerView> views) {
         Set<Worker> chosen = new LinkedHashSet<>();
         long placed = 0;
         List<Worker> emptiestFirst = views.stream()
@@ -39,7 +44,7 @@
                 placed += room;
             }
         }
-        return new JobReservation(job, chosen);
+        return placed < job.tasks().size() ? Optional.empty() : Optional.of(new JobReservation(job, chosen));
     }
 
     DeclaredResource job() {
--- a/core/src/main/java/org/wasabimount/core/placement/Scheduler.java
+++ b/core/src/main/java/org/wasabimount/core/placement/Scheduler.java
@@ -136,7 +136,13 @@
         }
 
         private void dropStaleReservation() {
-            if (reservation != null && !state.waiting().contains(reservation.job())) {
+            if (reservation == null) {
+                return;
+            }
+            DeclaredResource job = reservation.job();
+            OrganisationAccount account = job.account();
+            boolean inQuota = account.used().plus(demandAtOnce(job)).fitsIn(account.quota());
+            if (!inQuota || !state.waiting().contains(job)) {
                 reservation = null;
             }
         }
@@ -205,8 +211,11 @@
                 return;
             }
             long waitedMillis = nowMillis - resource.tasks().get(0).pendingSinceMillis();
-            if (reservation == null && waitedMillis >= RESERVE_AFTER_MILLIS) {
-                reservation = JobReservation.plan(resource, views);
+            boolean inQuota = used(resource.account())
+                    .plus(demandAtOnce(resource))
+                    .fitsIn(resource.account().quota());
+            if (reservation == null && inQuota && waitedMillis >= RESERVE_AFTER_MILLIS) {
+                reservation = JobReservation.plan(resource, views).orElse(null);
             }
         }
 
--- /dev/null
+++ b/core/src/test/java/org/wasabimount/core/cell/FakeCell.java
@@ -0,0 +1,300 @@
+package org.wasabimount.core.cell;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.IntStream;
+
+import org.wasabimount.core.placement.PlacementPolicy;
+import org.wasabimount.core.placement.Scheduler;
+import org.wasabimount.core.worker.WorkerAgent;
+import org.wasabimount.protocol.cell.BindTasks;
+import org.wasabimount.protocol.cell.CellCommand;
+import org.wasabimount.protocol.cell.DeleteResource;
+import org.wasabimount.protocol.cell.LoseWorker;
+import org.wasabimount.protocol.cell.Organisation;
+import org.wasabimount.protocol.cell.PartitionPolicy;
+import org.wasabimount.protocol.cell.PutOrganisation;
+import org.wasabimount.protocol.cell.PutResource;
+import org.wasabimount.protocol.cell.Quantity;
+import org.wasabimount.protocol.cell.RegisterWorker;
+import org.wasabimount.protocol.cell.Reply;
+import org.wasabimount.protocol.cell.ReportTasks;
+import org.wasabimount.protocol.cell.ResourceKind;
+import org.wasabimount.protocol.cell.ResourceSpec;
+import org.wasabimount.protocol.cell.TaskPhase;
+import org.wasabimount.protocol.cell.TaskReport;
+import org.wasabimount.protocol.cell.WorkerHeartbeat;
+import org.wasabimount.protocol.cell.WorkerOrders;
+import org.wasabimount.protocol.cell.WorkerState;
+
+/** A cell's leader and its workers in virtual time; what really runs is checked after every step. */
+final class FakeCell {
+
+    static final Capacity WORKER_SIZE = new Capacity(4_000, 8_000, 1);
+    static final Capacity QUOTA = new Capacity(14_000, 30_000, 3);
+    private static final long LEASE_MILLIS = 2_000;
+    private static final int CALM_ROUNDS = 900;
+
+    private final List<FakeWorker> workers = new ArrayList<>();
+    private final List<Reply> replies = new ArrayList<>();
+    private CellState state = new CellState();
+    private WorkerLeases leases = new WorkerLeases();
+    private Scheduler scheduler = new Scheduler(PlacementPolicy.SPREAD_AND_PACK, 1);
+    private long nowMillis = 10_000;
+    private int lives;
+
+    /** A worker with the heartbeats and answers that are on their way. */
+    private final class FakeWorker {
+        private final String name;
+        private WorkerAgent agent;
+        private boolean frozen;
+        private final List<WorkerHeartbeat> toLeader = new ArrayList<>();
+        private final Map<Long, WorkerOrders> toWorker = new HashMap<>();
+        private final Map<WorkerHeartbeat, Long> sequences = new HashMap<>();
+
+        FakeWorker(String name) {
+            this.name = name;
+            restart();
+        }
+
+        void restart() {
+            lives++;
+            agent = new WorkerAgent(WorkerState.newBuilder()
+                    .setWorker(name)
+                    .setIncarnation("life-" + lives)
+                    .setDomain("domain-" + name.charAt(name.length() - 1) % 3)
+                    .setRack("rack-" + name)
+                    .setSize(WORKER_SIZE.toQuantity())
+                    .build());
+            toWorker.clear();
+            sequences.clear();
+            frozen = false;
+        }
+    }
+
+    FakeCell(int workerCount) {
+        IntStream.range(0, workerCount).forEach(number -> workers.add(new FakeWorker("worker-" + number)));
+        apply(CellCommand.newBuilder()
+                .setPutOrganisation(PutOrganisation.newBuilder()
+                        .setOrganisation(Organisation.newBuilder()
+                                .setName("org")
+                                .setWeight(1)
+                                .setQuota(QUOTA.toQuantity()))));
+    }
+
+    CellState state() {
+        return state;
+    }
+
+    List<Reply> replies() {
+        return replies;
+    }
+
+    void declare(int number, int size, int count) {
+        ResourceKind kind = ResourceKind.forNumber(number % 3);
+        ResourceSpec spec = ResourceSpec.newBuilder()
+                .setTaskSize(Quantity.newBuilder()
+                        .setCpuMillis(500 + size % 6 * 500L)
+                        .setMemoryMegabytes(1_000 + size % 5 * 1_000L)
+                        .setAccelerators(size % 7 == 0 ? 1 : 0))
+                .setTaskCount(1 + count % 4)
+                .setMaxAttempts(3)
+                .setUrgent(size % 11 == 0)
+                .setOnPartition(size % 4 == 0 ? PartitionPolicy.KEEP : PartitionPolicy.MOVE)
+                .build();
+        apply(CellCommand.newBuilder()
+                .setPutResource(PutResource.newBuilder()
+                        .setOrganisation("org")
+                        .setKind(kind)
+                        .setName("work-" + number % 8)
+                        .setSpec(spec)
+                        .setExpectedVersion(-1)));
+    }
+
+    void delete(int number) {
+        apply(CellCommand.newBuilder()
+                .setDeleteResource(DeleteResource.newBuilder()
+                        .setOrganisation("org")
+                        .setKind(ResourceKind.forNumber(number % 3))
+                        .setName("work-" + number % 8)
+                        .setExpectedVersion(-1)));
+    }
+
+    /** The leader's duties: leases and placement. */
+    void decide() {
+        for (Worker worker : leases.lapsed(state, LEASE_MILLIS, nowMillis)) {
+            apply(CellCommand.newBuilder()
+                    .setLoseWorker(LoseWorker.newBuilder()
+                            .setWorker(worker.id().name())
+                            .setIncarnation(worker.incarnation())));
+        }
+        for (BindTasks binding : scheduler.plan(state, nowMillis, 64)) {
+            apply(CellCommand.newBuilder().setBindTasks(binding));
+        }
+    }
+
+    /** Replaces the leader by one that has only the log's state. */
+    void changeLeader() {
+        state = CellState.restore(state.snapshot());
+        leases = new WorkerLeases();
+        leases.leadingSince(nowMillis);
+        scheduler = new Scheduler(PlacementPolicy.SPREAD_AND_PACK, nowMillis);
+    }
+
+    void advance(long millis) {
+        nowMillis += millis;
+        workers.stream().filter(worker -> !worker.frozen).forEach(worker -> worker.agent.tick(nowMillis));
+        check();
+    }
+
+    void heartbeat(int number) {
+        FakeWorker worker = worker(number);
+        if (!worker.frozen) {
+            WorkerHeartbeat heartbeat = worker.agent.heartbeat(0, nowMillis);
+            worker.sequences.put(heartbeat, worker.agent.sequence());
+            worker.toLeader.add(heartbeat);
+        }
+    }
+
+    /** The leader takes a heartbeat, perhaps an old or doubled one. */
+    void takeHeartbeat(int number, int which, boolean keepCopy) {
+        FakeWorker worker = worker(number);
+        if (worker.toLeader.isEmpty()) {
+            return;
+        }
+        int index = which % worker.toLeader.size();
+        WorkerHeartbeat heartbeat = keepCopy ? worker.toLeader.get(index) : worker.toLeader.remove(index);
+        leases.grant(worker.name, LEASE_MILLIS, nowMillis);
+        if (state.needsRegistration(heartbeat.getWorker())) {
+            apply(CellCommand.newBuilder()
+                    .setRegisterWorker(RegisterWorker.newBuilder().setWorker(heartbeat.getWorker())));
+        }
+        List<TaskReport> news = WorkerOrdersPlan.news(state, heartbeat);
+        if (!news.isEmpty()) {
+            apply(CellCommand.newBuilder()
+                    .setReportTasks(ReportTasks.newBuilder().addAllReports(news)));
+        }
+        Long sequence = worker.sequences.get(heartbeat);
+        if (sequence != null) {
+            worker.toWorker.put(sequence, WorkerOrdersPlan.plan(state, heartbeat, LEASE_MILLIS));
+        }
+    }
+
+    void takeAnswers(int number) {
+        FakeWorker worker = worker(number);
+        if (!worker.frozen) {
+            worker.toWorker.forEach((sequence, orders) -> worker.agent.answered(sequence, orders, nowMillis));
+            worker.toWorker.clear();
+            check();
+        }
+    }
+
+    void loseMessages(int number) {
+        worker(number).toLeader.clear();
+        worker(number).toWorker.clear();
+    }
+
+    void freeze(int number, boolean frozen) {
+        worker(number).frozen = frozen;
+        if (!frozen) {
+            worker(number).agent.tick(nowMillis);
+        }
+    }
+
+    void restartWorker(int number) {
+        worker(number).restart();
+    }
+
+    void endTask(int number, TaskPhase phase) {
+        FakeWorker worker = worker(number);
+        if (!worker.frozen) {
+            worker.agent.running().stream()
+                    .findFirst()
+                    .ifPresent(task -> worker.agent.ended(task.order().getTask(), phase));
+        }
+    }
+
+    /** Ends every fault and checks that all work comes to its end. */
+    void calmDownAndCheck() {
+        IntStream.range(0, workers.size()).forEach(number -> freeze(number, false));
+        for (int round = 0; round < CALM_ROUNDS; round++) {
+            advance(100);
+            decide();
+            for (int number = 0; number < workers.size(); number++) {
+                loseMessages(number);
+                heartbeat(number);
+                takeHeartbeat(number, 0, false);
+                takeAnswers(number);
+                endFiniteTasks(number);
+            }
+        }
+        for (DeclaredResource resource : state.resources()) {
+            boolean waits = resource.count(TaskState.PENDING) > 0;
+            assertTrue(!waits || !hasRoom(resource), "work waits although there is room: " + resource.id());
+            assertEquals(resource.count(TaskState.STOPPING), 0, "a stop never ends: " + resource.id());
+            boolean runsOn = !resource.kind().runsForever() && resource.count(TaskState.RUNNING) > 0;
+            assertTrue(!runsOn, "finite work never ends: " + resource.id());
+        }
+    }
+
+    /** Tells whether what waits could start now: tasks of one size fit where each worker has room for some. */
+    private boolean hasRoom(DeclaredResource resource) {
+        int need = resource.kind().allAtOnce() ? resource.tasks().size() : 1;
+        Capacity size = resource.taskSize();
+        OrganisationAccount account = resource.account();
+        boolean inQuota = account.used().plus(size.times(need)).fitsIn(account.quota());
+        long places = state.workers().stream()
+                .filter(worker -> !worker.quarantined(nowMillis))
+                .mapToLong(worker -> IntStream.rangeClosed(1, need)
+                        .filter(count -> size.times(count).fitsIn(worker.free()))
+                        .count())
+                .sum();
+        return inQuota && places >= need;
+    }
+
+    private void endFiniteTasks(int number) {
+        worker(number).agent.running().stream()
+                .map(task -> task.order().getTask())
+                .filter(task -> !task.contains("/services/"))
+                .forEach(task -> worker(number).agent.ended(task, TaskPhase.SUCCEEDED));
+    }
+
+    private FakeWorker worker(int number) {
+        return workers.get(number % workers.size());
+    }
+
+    private void apply(CellCommand.Builder command) {
+        replies.add(state.apply(command.setTimeMillis(nowMillis).build()));
+        check();
+    }
+
+    private void check() {
+        Map<String, String> placeByTask = new HashMap<>();
+        for (FakeWorker worker : workers) {
+            if (worker.frozen) {
+                continue;
+            }
+            assertTrue(worker.agent.used().fitsIn(WORKER_SIZE), worker.name + " runs more than it has");
+            for (WorkerAgent.HeldTask task : worker.agent.running()) {
+                String other = placeByTask.put(task.order().getTask(), worker.name);
+                assertTrue(other == null, task.order().getTask() + " runs on " + other + " and on " + worker.name);
+            }
+        }
+        for (Worker worker : state.workers()) {
+            assertTrue(worker.committed().fitsIn(worker.size()), worker.id() + " is committed beyond its size");
+        }
+        state.organisations()
+                .forEach(account -> assertTrue(account.used().fitsIn(account.quota()), "the quota is exceeded"));
+        state.resources().stream()
+                .filter(resource -> resource.kind().allAtOnce() && !resource.restarting() && !resource.deleting())
+                .forEach(job -> assertTrue(
+                        job.count(TaskState.PENDING) == 0
+                                || job.count(TaskState.BOUND) + job.count(TaskState.RUNNING) == 0,
+                        "job is half started: " + job.id()));
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/wasabimount/core/ledger/LedgerFuzzTest.java
@@ -0,0 +1,165 @@
+package org.wasabimount.core.ledger;
+
+import static org.quicktheories.QuickTheory.qt;
+import static org.quicktheories.generators.SourceDSL.integers;
+import static org.quicktheories.generators.SourceDSL.lists;
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.UUID;
+
+import org.quicktheories.core.Gen;
+import org.testng.annotations.Test;
+import org.wasabimount.core.ResultCode;
+import org.wasabimount.protocol.cell.ClaimKey;
+import org.wasabimount.protocol.cell.CompleteKey;
+import org.wasabimount.protocol.cell.LedgerCommand;
+import org.wasabimount.protocol.cell.RecordedAnswer;
+import org.wasabimount.protocol.cell.ReleaseKey;
+import org.wasabimount.protocol.cell.Reply;
+
+import com.google.protobuf.ByteString;
+
+/** Dispatchers that claim, send, answer, release and die, against a count of what was really sent. */
+public class LedgerFuzzTest {
+
+    private static final long SEED = Long.getLong("fuzz.seed", 20261203L);
+    private static final int EXAMPLES = Integer.getInteger("fuzz.examples", 200);
+    private static final int STEPS = Integer.getInteger("fuzz.steps", 400);
+    private static final int MAX_NUMBER = 1_000_000;
+    private static final long RETENTION_MILLIS = 100_000;
+    private static final int KEYS = 6;
+
+    private record Step(int action, int first, int second) {}
+
+    /** The ledger, the keys in use, and what was really sent and answered. */
+    private static final class Model {
+        private final List<String> keys = new ArrayList<>();
+        private final Map<String, Integer> sent = new HashMap<>();
+        private final Map<String, String> firstAnswer = new HashMap<>();
+        private final List<LedgerCommand> commands = new ArrayList<>();
+        private final Map<String, String> keyByAttempt = new HashMap<>();
+        private final List<String> holders = new ArrayList<>();
+        private Ledger ledger = new Ledger(RETENTION_MILLIS);
+        private long nowMillis = 1_000_000;
+        private int nextAttempt;
+
+        private void newKey(int number) {
+            long createdMillis = nowMillis - number % 2_000;
+            UUID key = new UUID(createdMillis << 16 | 0x7000L, Long.MIN_VALUE | keys.size());
+            keys.add(key.toString());
+        }
+
+        private Reply apply(LedgerCommand command) {
+            commands.add(command);
+            return ledger.apply(command.toBuilder().setTimeMillis(nowMillis).build());
+        }
+
+        private void claim(int number) {
+            if (keys.size() < KEYS || number % 10 == 0) {
+                newKey(number);
+            }
+            String key = keys.get(number % keys.size());
+            nextAttempt++;
+            String attempt = "attempt-" + nextAttempt;
+            Reply reply = apply(command(key)
+                    .setClaim(ClaimKey.newBuilder()
+                            .setAttempt(attempt)
+                            .setBodyHash(ByteString.copyFromUtf8(key))
+                            .setDeadlineMillis(nowMillis + 1_000))
+                    .build());
+            if (reply.hasAnswer()) {
+                assertEquals(reply.getAnswer().getBody().toStringUtf8(), firstAnswer.get(key), "another answer");
+            } else if (reply.getResultCode() == ResultCode.OK.number()) {
+                keyByAttempt.put(attempt, key);
+                holders.add(attempt);
+            }
+        }
+
+        /** A dispatcher that holds a claim sends the request, and perhaps its answer is recorded. */
+        private void send(int number, boolean answered) {
+            if (holders.isEmpty()) {
+                return;
+            }
+            String attempt = holders.remove(number % holders.size());
+            String key = keyByAttempt.get(attempt);
+            int times = sent.merge(key, 1, Integer::sum);
+            assertTrue(times == 1, "key " + key + " was sent " + times + " times");
+            if (answered) {
+                firstAnswer.putIfAbsent(key, attempt);
+                apply(command(key)
+                        .setComplete(CompleteKey.newBuilder()
+                                .setAttempt(attempt)
+                                .setAnswer(RecordedAnswer.newBuilder()
+                                        .setStatus(200)
+                                        .setBody(ByteString.copyFromUtf8(attempt))))
+                        .build());
+            }
+        }
+
+        private void release(int number) {
+            if (!holders.isEmpty()) {
+                String attempt = holders.remove(number % holders.size());
+                apply(command(keyByAttempt.get(attempt))
+                        .setRelease(ReleaseKey.newBuilder().setAttempt(attempt))
+                        .build());
+            }
+        }
+
+        /** A command that was delayed on its way arrives again; its sender no longer acts on the reply. */
+        private void repeat(int number) {
+            if (!commands.isEmpty()) {
+                LedgerCommand old = commands.get(number % commands.size());
+                ledger.apply(old.toBuilder().setTimeMillis(nowMillis).build());
+            }
+        }
+
+        private static LedgerCommand.Builder command(String key) {
+            return LedgerCommand.newBuilder().setOrganisation("org").setKey(key);
+        }
+    }
+
+    private static Gen<List<Step>> steps() {
+        Gen<Step> step = integers()
+                .between(0, 99)
+                .zip(integers().between(0, MAX_NUMBER), integers().between(0, MAX_NUMBER), Step::new);
+        return lists().of(step).ofSizeBetween(STEPS / 2, STEPS);
+    }
+
+    @Test
+    public void sendsNoKeyTwiceAndRepeatsTheFirstAnswer() {
+        qt().withFixedSeed(SEED)
+                .withExamples(EXAMPLES)
+                .withShrinkCycles(EXAMPLES)
+                .forAll(steps())
+                .checkAssert(steps -> {
+                    Model model = new Model();
+                    steps.forEach(step -> take(model, step));
+                });
+    }
+
+    private static void take(Model model, Step step) {
+        int action = step.action();
+        if (action < 40) {
+            model.claim(step.first());
+        } else if (action < 55) {
+            model.send(step.first(), true);
+        } else if (action < 62) {
+            model.send(step.first(), false);
+        } else if (action < 70) {
+            model.release(step.first());
+        } else if (action < 80) {
+            model.repeat(step.first());
+        } else if (action < 85) {
+            model.ledger = Ledger.restore(model.ledger.snapshot(), RETENTION_MILLIS);
+        } else if (action < 98) {
+            model.nowMillis += step.first() % 5_000;
+        } else {
+            model.nowMillis += RETENTION_MILLIS;
+        }
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/wasabimount/core/log/FakeCluster.java
@@ -0,0 +1,232 @@
+package org.wasabimount.core.log;
+
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.IntStream;
+
+import org.wasabimount.core.VmId;
+import org.wasabimount.protocol.log.LogMessage;
+import org.wasabimount.protocol.log.LogSnapshot;
+import org.wasabimount.protocol.log.Membership;
+
+/** Replicas in virtual time on a network that loses, doubles, delays and reorders messages as told. */
+final class FakeCluster {
+
+    private static final double[] CLOCK_RATES = {1.0, 0.97, 1.03, 1.0, 0.98};
+    private static final long CALM_STEP_MILLIS = 20;
+    private static final int CALM_STEPS = 200;
+
+    private final Oracle oracle = new Oracle();
+    private final List<FakeNode> nodes;
+    private final List<LogMessage> inFlight = new ArrayList<>();
+    private final Set<String> cutLinks = new HashSet<>();
+    private final Set<String> lostIdentities = new HashSet<>();
+    private long nowMillis = 1_000;
+    private int nextCommand;
+
+    FakeCluster(int voters) {
+        Membership.Builder membership = Membership.newBuilder();
+        IntStream.range(0, voters).forEach(node -> membership.addVoters("vm" + node + "/0"));
+        LogSnapshot first = LogSnapshot.newBuilder().setMembership(membership).build();
+        nodes = IntStream.range(0, voters)
+                .mapToObj(node -> new FakeNode(new VmId("vm" + node), CLOCK_RATES[node], first, this::send, oracle))
+                .toList();
+        nodes.forEach(node -> node.start(nowMillis));
+    }
+
+    Oracle oracle() {
+        return oracle;
+    }
+
+    FakeNode node(int number) {
+        return nodes.get(Math.floorMod(number, nodes.size()));
+    }
+
+    void advance(long millis) {
+        nowMillis += millis;
+        nodes.stream().filter(FakeNode::runs).forEach(node -> {
+            node.replica().tick(node.now(nowMillis));
+            node.flush(FakeNode.CrashPoint.NONE);
+        });
+        checkOneDecider();
+    }
+
+    void deliver(int number, boolean keepCopy, FakeNode.CrashPoint crashPoint) {
+        if (inFlight.isEmpty()) {
+            return;
+        }
+        int index = Math.floorMod(number, inFlight.size());
+        LogMessage message = keepCopy ? inFlight.get(index) : inFlight.remove(index);
+        nodes.stream()
+                .filter(node -> node.runs() && node.identity().toString().equals(message.getTo()))
+                .forEach(node -> {
+                    node.replica().receive(message, node.now(nowMillis));
+                    node.flush(crashPoint);
+                });
+        checkOneDecider();
+    }
+
+    /** Lets time pass and delivers what is in flight, but for about one message in so many. */
+    void run(long millis, int lossSeed, int lossOneIn) {
+        advance(millis);
+        List<LogMessage> batch = new ArrayList<>(inFlight);
+        inFlight.clear();
+        for (int index = 0; index < batch.size(); index++) {
+            if (Math.floorMod(lossSeed + 31 * index, lossOneIn) != 0) {
+                inFlight.add(0, batch.get(index));
+                deliver(0, false, FakeNode.CrashPoint.NONE);
+            }
+        }
+    }
+
+    /** Cuts a node off in one direction or in both. */
+    void isolate(int number, boolean outgoing, boolean incoming) {
+        for (int other = 0; other < nodes.size(); other++) {
+            if (outgoing) {
+                cut(number, other);
+            }
+            if (incoming) {
+                cut(other, number);
+            }
+        }
+    }
+
+    void drop(int number) {
+        if (!inFlight.isEmpty()) {
+            inFlight.remove(Math.floorMod(number, inFlight.size()));
+        }
+    }
+
+    void propose(int number, FakeNode.CrashPoint crashPoint) {
+        FakeNode node = node(number);
+        if (node.runs()) {
+            nextCommand++;
+            node.propose("<" + nextCommand + ">", nowMillis);
+            node.flush(crashPoint);
+        }
+    }
+
+    void crash(int number) {
+        node(number).crash();
+    }
+
+    void restart(int number) {
+        if (!node(number).up()) {
+            node(number).start(nowMillis);
+        }
+    }
+
+    void pause(int number, boolean paused) {
+        node(number).pause(paused);
+        checkOneDecider();
+    }
+
+    void cut(int from, int to) {
+        cutLinks.add(node(from).identity().vm() + ">" + node(to).identity().vm());
+    }
+
+    void endFaults() {
+        cutLinks.clear();
+        nodes.forEach(node -> node.pause(false));
+        IntStream.range(0, nodes.size()).forEach(this::restart);
+        checkOneDecider();
+    }
+
+    void compact(int number) {
+        if (node(number).runs()) {
+            node(number).compact();
+        }
+    }
+
+    /** Loses a disk, unless an earlier loss is not yet repaired: a majority must keep its disks. */
+    void loseDisk(int number) {
+        Optional<FakeNode> leader = decider();
+        boolean repaired = leader.isPresent()
+                && nodes.stream().allMatch(FakeNode::runs)
+                && nodes.stream()
+                        .allMatch(node -> votes(leader.get(), node.identity().toString()))
+                && leader.get().replica().membershipCommitted()
+                && lostIdentities.stream().noneMatch(lost -> votes(leader.get(), lost));
+        if (repaired) {
+            FakeNode node = node(number);
+            lostIdentities.add(node.identity().toString());
+            node.loseDisk();
+            node.start(nowMillis);
+        }
+    }
+
+    /** Lets the leader take the next step for a VM's current identity. */
+    void admit(int number) {
+        decider().ifPresent(leader -> {
+            MembershipPlan.next(leader.replica(), node(number).identity(), true)
+                    .ifPresent(change -> leader.replica().changeMembership(change, leader.now(nowMillis)));
+            leader.flush(FakeNode.CrashPoint.NONE);
+        });
+    }
+
+    void transfer() {
+        decider().ifPresent(leader -> {
+            leader.replica().transferLeadership(leader.now(nowMillis));
+            leader.flush(FakeNode.CrashPoint.NONE);
+        });
+    }
+
+    /** Ends every fault, waits, and checks that the cell works and has kept everything. */
+    void calmDownAndCheck() {
+        endFaults();
+        settle();
+        int before = oracle.acknowledgedCount();
+        decider().ifPresent(leader -> leader.propose("<last>", nowMillis));
+        settle();
+        assertTrue(oracle.acknowledgedCount() > before, "nothing can be written after the faults ended");
+        nodes.forEach(node -> oracle.checkKept(node.state()));
+    }
+
+    void settle() {
+        for (int step = 0; step < CALM_STEPS; step++) {
+            run(CALM_STEP_MILLIS, 1, Integer.MAX_VALUE);
+            admit(step);
+        }
+    }
+
+    private void send(LogMessage message) {
+        String from = ReplicaIdentity.parse(message.getFrom()).vm().name();
+        String to = ReplicaIdentity.parse(message.getTo()).vm().name();
+        if (!cutLinks.contains(from + ">" + to)) {
+            inFlight.add(message);
+        }
+    }
+
+    private Optional<FakeNode> decider() {
+        return nodes.stream()
+                .filter(FakeNode::runs)
+                .filter(node -> node.replica().mayDecide(node.now(nowMillis)))
+                .findFirst();
+    }
+
+    /** Returns the number of the node that leads, or the given one if none does. */
+    int leaderOr(int number) {
+        return IntStream.range(0, nodes.size())
+                .filter(node ->
+                        nodes.get(node).runs() && nodes.get(node).replica().role() == Replica.Role.LEADER)
+                .findFirst()
+                .orElse(number);
+    }
+
+    private void checkOneDecider() {
+        long deciders = nodes.stream()
+                .filter(FakeNode::runs)
+                .filter(node -> node.replica().mayDecide(node.now(nowMillis)))
+                .count();
+        assertTrue(deciders <= 1, "two replicas may decide at once");
+    }
+
+    private static boolean votes(FakeNode leader, String identity) {
+        return leader.replica().membership().getVotersList().contains(identity);
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/wasabimount/core/log/ReplicaFuzzTest.java
@@ -0,0 +1,126 @@
+package org.wasabimount.core.log;
+
+import static org.quicktheories.QuickTheory.qt;
+import static org.quicktheories.generators.SourceDSL.integers;
+import static org.quicktheories.generators.SourceDSL.lists;
+
+import java.util.List;
+
+import org.quicktheories.core.Gen;
+import org.testng.annotations.Test;
+
+/** Replicas against one list of entries, under faults that the seed chooses. */
+public class ReplicaFuzzTest {
+
+    private static final long SEED = Long.getLong("fuzz.seed", 20261203L);
+    private static final int EXAMPLES = Integer.getInteger("fuzz.examples", 150);
+    private static final int STEPS = Integer.getInteger("fuzz.steps", 2_000);
+    private static final int MAX_NUMBER = 1_000_000;
+
+    private enum Fault {
+        RUN(400),
+        DELIVER_ONE(20),
+        DELIVER_TWICE(10),
+        DROP(4),
+        PROPOSE(10),
+        PROPOSE_AT_LEADER(60),
+        CRASH(2),
+        CRASH_LEADER(3),
+        CRASH_BEFORE_SYNC(2),
+        CRASH_AFTER_SYNC(3),
+        RESTART(10),
+        PAUSE_LEADER(3),
+        RESUME(5),
+        ISOLATE(2),
+        ISOLATE_LEADER(5),
+        CUT(3),
+        END_FAULTS(12),
+        COMPACT(6),
+        LOSE_DISK(4),
+        ADMIT(15),
+        TRANSFER(2);
+
+        private final int weight;
+
+        Fault(int weight) {
+            this.weight = weight;
+        }
+
+        private static Fault pick(int number) {
+            int total = java.util.Arrays.stream(values())
+                    .mapToInt(fault -> fault.weight)
+                    .sum();
+            int left = Math.floorMod(number, total);
+            for (Fault fault : values()) {
+                left -= fault.weight;
+                if (left < 0) {
+                    return fault;
+                }
+            }
+            throw new IllegalStateException("the weights do not add up");
+        }
+    }
+
+    private record Step(Fault fault, int first, int second) {}
+
+    private static Gen<List<Step>> steps() {
+        Gen<Step> step = integers()
+                .between(0, MAX_NUMBER)
+                .zip(
+                        integers().between(0, MAX_NUMBER),
+                        integers().between(0, MAX_NUMBER),
+                        (fault, first, second) -> new Step(Fault.pick(fault), first, second));
+        return lists().of(step).ofSizeBetween(STEPS / 2, STEPS);
+    }
+
+    @Test
+    public void threeReplicasKeepOneLogUnderFaults() {
+        keepsOneLog(3, SEED);
+    }
+
+    @Test
+    public void fiveReplicasKeepOneLogUnderFaults() {
+        keepsOneLog(5, SEED + 1);
+    }
+
+    private static void keepsOneLog(int voters, long seed) {
+        qt().withFixedSeed(seed)
+                .withExamples(EXAMPLES)
+                .withShrinkCycles(EXAMPLES)
+                .forAll(steps())
+                .checkAssert(steps -> {
+                    FakeCluster cluster = new FakeCluster(voters);
+                    cluster.settle();
+                    steps.forEach(step -> take(cluster, step));
+                    cluster.calmDownAndCheck();
+                });
+    }
+
+    private static void take(FakeCluster cluster, Step step) {
+        int leader = cluster.leaderOr(step.first());
+        switch (step.fault()) {
+            case RUN -> cluster.run(10 + step.first() % 50, step.second(), 5 + step.second() % 60);
+            case DELIVER_ONE -> cluster.deliver(step.first(), false, FakeNode.CrashPoint.NONE);
+            case DELIVER_TWICE -> cluster.deliver(step.first(), true, FakeNode.CrashPoint.NONE);
+            case DROP -> cluster.drop(step.first());
+            case PROPOSE -> cluster.propose(step.first(), FakeNode.CrashPoint.NONE);
+            case PROPOSE_AT_LEADER -> cluster.propose(leader, FakeNode.CrashPoint.NONE);
+            case CRASH -> cluster.crash(step.first());
+            case CRASH_LEADER -> cluster.crash(leader);
+            case CRASH_BEFORE_SYNC -> cluster.propose(leader, FakeNode.CrashPoint.BEFORE_SYNC);
+            case CRASH_AFTER_SYNC -> cluster.deliver(step.first(), false, FakeNode.CrashPoint.AFTER_SYNC);
+            case RESTART -> cluster.restart(step.first());
+            case PAUSE_LEADER -> cluster.pause(leader, true);
+            case RESUME -> cluster.pause(step.first(), false);
+            case ISOLATE -> cluster.isolate(step.first(), step.second() % 2 == 0, step.second() % 3 != 0);
+            case ISOLATE_LEADER -> cluster.isolate(leader, step.second() % 2 == 0, step.second() % 3 != 0);
+            case CUT -> cluster.cut(step.first(), step.second());
+            case END_FAULTS -> cluster.endFaults();
+            case COMPACT -> cluster.compact(step.first());
+            case LOSE_DISK -> cluster.loseDisk(step.first());
+            case ADMIT -> cluster.admit(step.first());
+            case TRANSFER -> cluster.transfer();
+            default -> throw new IllegalStateException("unknown fault " + step.fault());
+        }
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/wasabimount/core/placement/SchedulerTest.java
@@ -0,0 +1,235 @@
+package org.wasabimount.core.placement;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.HashSet;
+import java.util.Set;
+
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+import org.wasabimount.core.cell.Capacity;
+import org.wasabimount.core.cell.CellState;
+import org.wasabimount.core.cell.TaskState;
+import org.wasabimount.core.cell.Worker;
+import org.wasabimount.protocol.cell.BindTasks;
+import org.wasabimount.protocol.cell.CellCommand;
+import org.wasabimount.protocol.cell.Organisation;
+import org.wasabimount.protocol.cell.PutOrganisation;
+import org.wasabimount.protocol.cell.PutResource;
+import org.wasabimount.protocol.cell.RegisterWorker;
+import org.wasabimount.protocol.cell.ReportTasks;
+import org.wasabimount.protocol.cell.ResourceKind;
+import org.wasabimount.protocol.cell.ResourceSpec;
+import org.wasabimount.protocol.cell.TaskPhase;
+import org.wasabimount.protocol.cell.TaskReport;
+import org.wasabimount.protocol.cell.WorkerState;
+
+/** Where the scheduler places work, and whom it blames. */
+public class SchedulerTest {
+
+    private static final Capacity WORKER = new Capacity(4_000, 8_000, 0);
+    private static final Capacity QUOTA = new Capacity(100_000, 200_000, 10);
+
+    private CellState state;
+    private Scheduler scheduler;
+    private long nowMillis;
+
+    @BeforeMethod
+    public void emptyCell() {
+        state = new CellState();
+        scheduler = new Scheduler(PlacementPolicy.SPREAD_AND_PACK, 1);
+        nowMillis = 1_000;
+        organisation("org", QUOTA);
+    }
+
+    @Test
+    public void spreadsServiceOverDomains() {
+        for (int number = 0; number < 6; number++) {
+            worker("w" + number, "domain-" + number % 3, WORKER);
+        }
+        declare(ResourceKind.SERVICE, "web", new Capacity(1_000, 1_000, 0), 3);
+        round();
+        Set<String> domains = new HashSet<>();
+        state.workers().stream()
+                .filter(worker -> !worker.tasks().isEmpty())
+                .forEach(worker -> domains.add(worker.domain().name()));
+        assertEquals(domains.size(), 3);
+    }
+
+    @Test
+    public void packsBatchOnFewWorkers() {
+        for (int number = 0; number < 4; number++) {
+            worker("w" + number, "domain-0", WORKER);
+        }
+        declare(ResourceKind.BATCH, "codes", new Capacity(1_000, 2_000, 0), 4);
+        round();
+        long used = state.workers().stream()
+                .filter(worker -> !worker.tasks().isEmpty())
+                .count();
+        assertEquals(used, 1);
+    }
+
+    @Test
+    public void startsJobWholeOrNotAtAll() {
+        worker("w0", "domain-0", WORKER);
+        declare(ResourceKind.JOB, "weights", new Capacity(3_000, 1_000, 0), 2);
+        round();
+        assertEquals(count(TaskState.BOUND), 0);
+        worker("w1", "domain-0", WORKER);
+        round();
+        assertEquals(count(TaskState.BOUND), 2);
+    }
+
+    @Test
+    public void jobOverQuotaReservesNothing() {
+        organisation("org", new Capacity(4_000, 200_000, 10));
+        worker("w0", "domain-0", WORKER);
+        worker("w1", "domain-0", WORKER);
+        declare(ResourceKind.SERVICE, "web", new Capacity(1_000, 1_000, 0), 1);
+        round();
+        declare(ResourceKind.JOB, "weights", new Capacity(2_000, 1_000, 0), 2);
+        round();
+        nowMillis += Scheduler.RESERVE_AFTER_MILLIS;
+        round();
+        declare(ResourceKind.BATCH, "codes", new Capacity(1_000, 1_000, 0), 1);
+        round();
+        assertEquals(count(TaskState.BOUND), 2);
+    }
+
+    @Test
+    public void keepsWorkersFreeForJobThatWaitedLong() {
+        worker("w0", "domain-0", WORKER);
+        worker("w1", "domain-0", WORKER);
+        declare(ResourceKind.BATCH, "first", new Capacity(2_000, 1_000, 0), 2);
+        round();
+        declare(ResourceKind.JOB, "weights", new Capacity(4_000, 1_000, 0), 2);
+        round();
+        nowMillis += Scheduler.RESERVE_AFTER_MILLIS;
+        round();
+        declare(ResourceKind.BATCH, "later", new Capacity(1_000, 1_000, 0), 2);
+        round();
+        assertEquals(count(TaskState.BOUND), 2);
+        report("org/batches/first/0", TaskPhase.SUCCEEDED);
+        report("org/batches/first/1", TaskPhase.SUCCEEDED);
+        round();
+        assertEquals(state.task("org/jobs/weights/0").orElseThrow().state(), TaskState.BOUND);
+    }
+
+    @Test
+    public void prefersOrganisationWithSmallerShare() {
+        organisation("other", QUOTA);
+        worker("w0", "domain-0", WORKER);
+        declare("org", ResourceKind.BATCH, "first", new Capacity(1_000, 1_000, 0), 1);
+        round();
+        declare("org", ResourceKind.BATCH, "second", new Capacity(3_000, 1_000, 0), 1);
+        declare("other", ResourceKind.BATCH, "third", new Capacity(3_000, 1_000, 0), 1);
+        round();
+        assertEquals(state.task("other/batches/third/0").orElseThrow().state(), TaskState.BOUND);
+    }
+
+    @Test
+    public void workerThatFailsEverythingIsOutAfterFiveStarts() {
+        worker("bad", "domain-0", WORKER);
+        declare(ResourceKind.BATCH, "proof", new Capacity(500, 500, 0), 1);
+        worker("good", "domain-0", WORKER);
+        for (int number = 0; number < 5; number++) {
+            declare(ResourceKind.BATCH, "work-" + number, new Capacity(500, 500, 0), 10);
+        }
+        int lost = 0;
+        for (int step = 0; step < 200; step++) {
+            round();
+            lost += endAll("bad", TaskPhase.FAILED);
+            endAll("good", TaskPhase.SUCCEEDED);
+            nowMillis += 1_000;
+        }
+        assertTrue(lost <= 5, lost + " starts were lost");
+        assertEquals(count(TaskState.SUCCEEDED), 51);
+    }
+
+    @Test
+    public void jobThatFailsEverywhereCondemnsNoWorker() {
+        for (int number = 0; number < 6; number++) {
+            worker("w" + number, "domain-0", WORKER);
+        }
+        declare(ResourceKind.BATCH, "broken", new Capacity(500, 500, 0), 12);
+        for (int step = 0; step < 60; step++) {
+            round();
+            state.workers().forEach(worker -> endAll(worker.id().name(), TaskPhase.FAILED));
+            nowMillis += 1_000;
+        }
+        assertTrue(state.workers().stream().noneMatch(worker -> worker.quarantined(nowMillis)));
+        assertEquals(count(TaskState.FAILED), 12);
+    }
+
+    private int endAll(String worker, TaskPhase phase) {
+        var held = java.util.List.copyOf(state.worker(worker).orElseThrow().tasks());
+        held.forEach(task -> report(task.id(), phase));
+        return held.size();
+    }
+
+    private void round() {
+        for (BindTasks binding : scheduler.plan(state, nowMillis, 100)) {
+            assertEquals(apply(CellCommand.newBuilder().setBindTasks(binding)), 0);
+        }
+    }
+
+    private int count(TaskState wanted) {
+        return state.resources().stream()
+                .mapToInt(resource -> resource.count(wanted))
+                .sum();
+    }
+
+    private void report(String id, TaskPhase phase) {
+        var task = state.task(id).orElseThrow();
+        Worker worker = task.worker();
+        apply(CellCommand.newBuilder()
+                .setReportTasks(ReportTasks.newBuilder()
+                        .addReports(TaskReport.newBuilder()
+                                .setTask(id)
+                                .setEpoch(task.epoch())
+                                .setPhase(phase)
+                                .setWorker(worker.id().name()))));
+    }
+
+    private void organisation(String name, Capacity quota) {
+        apply(CellCommand.newBuilder()
+                .setPutOrganisation(PutOrganisation.newBuilder()
+                        .setOrganisation(Organisation.newBuilder()
+                                .setName(name)
+                                .setWeight(1)
+                                .setQuota(quota.toQuantity()))));
+    }
+
+    private void worker(String name, String domain, Capacity size) {
+        apply(CellCommand.newBuilder()
+                .setRegisterWorker(RegisterWorker.newBuilder()
+                        .setWorker(WorkerState.newBuilder()
+                                .setWorker(name)
+                                .setIncarnation("1")
+                                .setDomain(domain)
+                                .setRack(domain + "-rack")
+                                .setSize(size.toQuantity()))));
+    }
+
+    private void declare(ResourceKind kind, String name, Capacity size, int count) {
+        declare("org", kind, name, size, count);
+    }
+
+    private void declare(String organisation, ResourceKind kind, String name, Capacity size, int count) {
+        apply(CellCommand.newBuilder()
+                .setPutResource(PutResource.newBuilder()
+                        .setOrganisation(organisation)
+                        .setKind(kind)
+                        .setName(name)
+                        .setExpectedVersion(-1)
+                        .setSpec(ResourceSpec.newBuilder()
+                                .setTaskSize(size.toQuantity())
+                                .setTaskCount(count)
+                                .setMaxAttempts(4))));
+    }
+
+    private int apply(CellCommand.Builder command) {
+        return state.apply(command.setTimeMillis(nowMillis).build()).getResultCode();
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/wasabimount/core/routing/RouterFuzzTest.java
@@ -0,0 +1,211 @@
+package org.wasabimount.core.routing;
+
+import static org.quicktheories.QuickTheory.qt;
+import static org.quicktheories.generators.SourceDSL.integers;
+import static org.quicktheories.generators.SourceDSL.lists;
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.quicktheories.core.Gen;
+import org.testng.annotations.Test;
+import org.wasabimount.core.FailureDomainId;
+import org.wasabimount.core.OrganisationId;
+import org.wasabimount.core.ResultCode;
+import org.wasabimount.core.VmId;
+import org.wasabimount.protocol.peer.BackendAnnouncement;
+
+/** The router against what servers really received, under failures that the seed chooses. */
+public class RouterFuzzTest {
+
+    private static final long SEED = Long.getLong("fuzz.seed", 20261203L);
+    private static final int EXAMPLES = Integer.getInteger("fuzz.examples", 200);
+    private static final int STEPS = Integer.getInteger("fuzz.steps", 600);
+    private static final int MAX_NUMBER = 1_000_000;
+    private static final int SERVERS = 4;
+    private static final int SLOTS = 3;
+    private static final long TERM_MILLIS = 3_000;
+
+    private record Step(int action, int first, int second) {}
+
+    /** The router with every request's true story. */
+    private static final class Model {
+        private final RequestRouter router =
+                new RequestRouter(new VmId("vm"), new FailureDomainId("domain"), RoutingPolicy.FAIR_SLOTS, 1);
+        private final Map<Long, RoutedRequest> open = new LinkedHashMap<>();
+        private final Map<Long, Boolean> repeatable = new HashMap<>();
+        private final Map<Long, Integer> mayHaveRun = new HashMap<>();
+        private final List<RoutingAction.Dispatch> attempts = new ArrayList<>();
+        private final List<RoutingAction.Dispatch> ended = new ArrayList<>();
+        private final Map<String, Long> leftMillis = new HashMap<>();
+        private final Map<String, Long> heardMillis = new HashMap<>();
+        private final Map<String, Integer> inFlight = new HashMap<>();
+        private final List<BackendAnnouncement> announcements = new ArrayList<>();
+        private long nowMillis = 100_000;
+        private long nextId;
+        private long sequence;
+
+        private void announce(int number, boolean leaving) {
+            String server = "server-" + number % SERVERS;
+            sequence++;
+            BackendAnnouncement announcement = BackendAnnouncement.newBuilder()
+                    .setServer(server)
+                    .setOrganisation("org-0")
+                    .setShared(true)
+                    .setService("service")
+                    .setAddress("127.0.0.1:1")
+                    .setDomain("domain")
+                    .setSlots(SLOTS)
+                    .setLeaving(leaving)
+                    .setSequence(sequence)
+                    .build();
+            announcements.add(announcement);
+            heardMillis.put(server, nowMillis);
+            if (leaving) {
+                leftMillis.put(server, nowMillis);
+            } else {
+                leftMillis.remove(server);
+            }
+            router.announce(announcement, nowMillis);
+            carryOut();
+        }
+
+        /** An old announcement arrives once more by another way. */
+        private void repeatAnnouncement(int number) {
+            if (!announcements.isEmpty()) {
+                router.announce(announcements.get(number % announcements.size()), nowMillis);
+                carryOut();
+            }
+        }
+
+        private void arrive(int number, int second) {
+            nextId++;
+            boolean mayRepeat = second % 2 == 0;
+            RoutedRequest request = new RoutedRequest(
+                    nextId,
+                    new OrganisationId("org-" + number % 3),
+                    "service",
+                    mayRepeat,
+                    nowMillis,
+                    nowMillis + 100 + second % 5_000);
+            open.put(nextId, request);
+            repeatable.put(nextId, mayRepeat);
+            router.arrive(request, nowMillis);
+            carryOut();
+        }
+
+        private void finish(int number, AttemptResult result) {
+            if (attempts.isEmpty()) {
+                return;
+            }
+            RoutingAction.Dispatch attempt = attempts.remove(number % attempts.size());
+            ended.add(attempt);
+            inFlight.merge(attempt.server().name(), -1, Integer::sum);
+            if (result.mayHaveRun() || result == AttemptResult.ANSWERED) {
+                mayHaveRun.merge(attempt.request().id(), 1, Integer::sum);
+            }
+            assertTrue(router.finished(attempt.attempt(), result, nowMillis), "an open attempt was not known");
+            carryOut();
+        }
+
+        private void finishAgain(int number) {
+            if (!ended.isEmpty()) {
+                RoutingAction.Dispatch attempt = ended.get(number % ended.size());
+                boolean taken = router.finished(attempt.attempt(), AttemptResult.ANSWERED, nowMillis);
+                assertTrue(!taken, "a late answer was taken");
+            }
+        }
+
+        private void carryOut() {
+            for (RoutingAction action : router.drain()) {
+                if (action instanceof RoutingAction.Dispatch dispatch) {
+                    checkDispatch(dispatch);
+                    attempts.add(dispatch);
+                } else {
+                    long id = action.request().id();
+                    assertTrue(open.remove(id) != null, "request " + id + " ended twice");
+                    if (action instanceof RoutingAction.GiveUp giveUp) {
+                        boolean saysNotRun = giveUp.refusal().code().outcome() == ResultCode.Outcome.NOT_RUN;
+                        assertTrue(
+                                !saysNotRun || !mayHaveRun.containsKey(id),
+                                "request " + id + " may have run, but the caller is told " + giveUp.refusal());
+                    }
+                }
+            }
+        }
+
+        private void checkDispatch(RoutingAction.Dispatch dispatch) {
+            long id = dispatch.request().id();
+            String server = dispatch.server().name();
+            assertTrue(
+                    repeatable.get(id) || !mayHaveRun.containsKey(id),
+                    "request " + id + " was sent again though it may have run");
+            assertTrue(!leftMillis.containsKey(server), server + " is leaving and got new work");
+            assertTrue(nowMillis - heardMillis.get(server) < TERM_MILLIS, server + " was silent and got new work");
+            int load = inFlight.merge(server, 1, Integer::sum);
+            assertTrue(load <= SLOTS, server + " got " + load + " requests for " + SLOTS + " slots");
+        }
+
+        private void calmDownAndCheck() {
+            for (int round = 0; round < 200 && !open.isEmpty(); round++) {
+                nowMillis += 100;
+                for (int server = 0; server < SERVERS; server++) {
+                    announce(server, false);
+                }
+                router.tick(nowMillis);
+                carryOut();
+                while (!attempts.isEmpty()) {
+                    finish(0, AttemptResult.ANSWERED);
+                }
+            }
+            assertEquals(open.size(), 0, "requests without an end");
+            assertEquals(router.open(), 0, "the router holds requests that ended");
+        }
+    }
+
+    private static Gen<List<Step>> steps() {
+        Gen<Step> step = integers()
+                .between(0, 99)
+                .zip(integers().between(0, MAX_NUMBER), integers().between(0, MAX_NUMBER), Step::new);
+        return lists().of(step).ofSizeBetween(STEPS / 2, STEPS);
+    }
+
+    @Test
+    public void endsEveryRequestOnceAndTellsTheTruth() {
+        qt().withFixedSeed(SEED)
+                .withExamples(EXAMPLES)
+                .withShrinkCycles(EXAMPLES)
+                .forAll(steps())
+                .checkAssert(steps -> {
+                    Model model = new Model();
+                    steps.forEach(step -> take(model, step));
+                    model.calmDownAndCheck();
+                });
+    }
+
+    private static void take(Model model, Step step) {
+        int action = step.action();
+        if (action < 20) {
+            model.announce(step.first(), step.second() % 12 == 0);
+        } else if (action < 24) {
+            model.repeatAnnouncement(step.first());
+        } else if (action < 55) {
+            model.arrive(step.first(), step.second());
+        } else if (action < 80) {
+            model.finish(step.first(), AttemptResult.values()[step.second() % 7 % AttemptResult.values().length]);
+        } else if (action < 84) {
+            model.finishAgain(step.first());
+        } else if (action < 99) {
+            model.nowMillis += step.first() % 200;
+            model.router.tick(model.nowMillis);
+            model.carryOut();
+        } else {
+            model.nowMillis += TERM_MILLIS;
+        }
+    }
+}
--- a/daemon/src/main/java/org/wasabimount/daemon/DaemonGroups.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/DaemonGroups.java
@@ -15,6 +15,8 @@
 import org.wasabimount.core.FailureDomainId;
 import org.wasabimount.core.ResultCode;
 import org.wasabimount.core.VmId;
+import org.wasabimount.core.log.MembershipPlan;
+import org.wasabimount.core.log.Replica;
 import org.wasabimount.core.log.ReplicaIdentity;
 import org.wasabimount.core.log.ReplicaSettings;
 import org.wasabimount.daemon.cell.CellDuties;
@@ -41,6 +43,7 @@
     /** The name of the cell's group. */
     public static final String CELL = "cell";
 
+    private static final System.Logger LOG = System.getLogger("wasabimount.member");
     private static final long RETRY_AFTER_MILLIS = 200;
 
     private final DaemonSettings settings;
@@ -51,7 +54,6 @@
     private final Map<String, Function<Operation, CompletableFuture<Reply>>> duties = new LinkedHashMap<>();
     private final Consumer<LogMessage> network;
     private final Consumer<IOException> fatal;
-    private final MembershipKeeper membershipKeeper = new MembershipKeeper();
     private CellDuties cellDuties;
     private volatile Directory directory = Directory.EMPTY;
     private volatile Consumer<Directory> directoryListener = changed -> {};
@@ -119,11 +121,21 @@
         groups.forEach((name, group) -> {
             boolean mayVote = votersOf(name).contains(replica.vm());
             if ((mayVote || name.equals(CELL)) && group.leading()) {
-                group.submit(() -> membershipKeeper.heard(group.replica(), replica, mayVote, clock.millis()));
+                group.submit(() -> admit(group.replica(), replica, mayVote));
             }
         });
     }
 
+    private void admit(Replica leader, ReplicaIdentity replica, boolean mayVote) {
+        MembershipPlan.next(leader, replica, mayVote)
+                .filter(change -> leader.changeMembership(change, clock.millis()) > 0)
+                .ifPresent(change -> LOG.log(
+                        System.Logger.Level.INFO,
+                        "MEMBER voters {0}, learners {1}",
+                        change.getVotersList(),
+                        change.getLearnersList()));
+    }
+
     void receive(LogMessage message) {
         GroupThread group = groups.get(message.getGroup());
         if (group != null) {
