--- a/core/src/test/java/org/wasabimount/core/log/FakeCluster.java
+++ b/core/src/test/java/org/wasabimount/core/log/FakeCluster.java
@@ -169,6 +169,27 @@
         });
     }
 
+    /** Lets the leader make a voter a learner; {@link #admit} takes it back. */
+    void demote(int number) {
+        String id = node(number).identity().toString();
+        decider().ifPresent(leader -> {
+            Membership current = leader.replica().membership();
+            List<String> voters = current.getVotersList().stream()
+                    .filter(voter -> !voter.equals(id))
+                    .toList();
+            boolean intact = current.getVotersList().stream().noneMatch(lostIdentities::contains);
+            if (intact && voters.size() < current.getVotersCount() && voters.size() >= 2) {
+                Membership next = current.toBuilder()
+                        .clearVoters()
+                        .addAllVoters(voters)
+                        .addLearners(id)
+                        .build();
+                leader.replica().changeMembership(next, leader.now(nowMillis));
+                leader.flush(FakeNode.CrashPoint.NONE);
+            }
+        });
+    }
+
     void transfer() {
         decider().ifPresent(leader -> {
             leader.replica().transferLeadership(leader.now(nowMillis));
--- a/core/src/test/java/org/wasabimount/core/log/FakeNode.java
+++ b/core/src/test/java/org/wasabimount/core/log/FakeNode.java
@@ -26,6 +26,9 @@
     }
 
     private static final long ELECTION_TIMEOUT_MILLIS = 400;
+    private static final long HEARTBEAT_MILLIS = 80;
+    private static final long LEASE_MARGIN_MILLIS = 40;
+    private static final int MAX_BATCH_ENTRIES = 1;
 
     private final VmId vm;
     private final double clockRate;
@@ -82,8 +85,15 @@
 
     void start(long globalMillis) {
         starts++;
-        ReplicaSettings settings = ReplicaSettings.of(
-                "group", identity().toString(), ELECTION_TIMEOUT_MILLIS, vm.hashCode() * 31L + starts);
+        ReplicaSettings settings = new ReplicaSettings(
+                "group",
+                identity().toString(),
+                ELECTION_TIMEOUT_MILLIS,
+                HEARTBEAT_MILLIS,
+                LEASE_MARGIN_MILLIS,
+                MAX_BATCH_ENTRIES,
+                Long.MAX_VALUE,
+                vm.hashCode() * 31L + starts);
         replica = new Replica(settings, new PersistedLog(disk, diskSnapshot, diskEntries), now(globalMillis));
         state = diskSnapshot.getState().toStringUtf8();
         appliedIndex = diskSnapshot.getIndex();
--- a/core/src/test/java/org/wasabimount/core/log/ReplicaFuzzTest.java
+++ b/core/src/test/java/org/wasabimount/core/log/ReplicaFuzzTest.java
@@ -33,11 +33,12 @@
         RESUME(5),
         ISOLATE(2),
         ISOLATE_LEADER(5),
-        CUT(3),
+        CUT(12),
         END_FAULTS(12),
         COMPACT(6),
         LOSE_DISK(4),
         ADMIT(15),
+        DEMOTE(6),
         TRANSFER(2);
 
         private final int weight;
@@ -119,6 +120,7 @@
             case COMPACT -> cluster.compact(step.first());
             case LOSE_DISK -> cluster.loseDisk(step.first());
             case ADMIT -> cluster.admit(step.first());
+            case DEMOTE -> cluster.demote(step.first());
             case TRANSFER -> cluster.transfer();
             default -> throw new IllegalStateException("unknown fault " + step.fault());
         }
