--- /dev/null
+++ b/bench/src/main/java/org/wasabimount/bench/BenchMain.java
@@ -0,0 +1,54 @@
+package org.wasabimount.bench;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.Arrays;
+
+import org.wasabimount.bench.log.LogBench;
+import org.wasabimount.bench.overhead.OverheadBench;
+import org.wasabimount.bench.placement.PlacementBench;
+import org.wasabimount.bench.routing.RoutingBench;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+
+/** The program {@code bin/bench}. */
+public final class BenchMain {
+
+    private static final int USAGE = 64;
+
+    private BenchMain() {}
+
+    /**
+     * Runs an experiment and prints its JSON object last.
+     *
+     * @param arguments the project's folder, the experiment's name and its options
+     * @throws IOException if a process can't be started or spoken to
+     */
+    public static void main(String[] arguments) throws IOException {
+        if (arguments.length < 2) {
+            usage();
+        }
+        Path top = Path.of(arguments[0]);
+        BenchOptions options = BenchOptions.parse(Arrays.copyOfRange(arguments, 2, arguments.length));
+        System.out.println(run(arguments[1], top, options));
+        Runtime.getRuntime().halt(0);
+    }
+
+    private static ObjectNode run(String experiment, Path top, BenchOptions options) throws IOException {
+        return switch (experiment) {
+            case "placement" -> new PlacementBench(options).run();
+            case "log" -> new LogBench(top, options).run();
+            case "routing" -> new RoutingBench(top, options).run();
+            case "overhead" -> new OverheadBench(top, options).run();
+            default -> {
+                usage();
+                yield null;
+            }
+        };
+    }
+
+    private static void usage() {
+        System.err.println("usage: bin/bench log|routing|placement|overhead [--NAME NUMBER]...");
+        Runtime.getRuntime().halt(USAGE);
+    }
+}
--- a/bench/src/main/java/org/wasabimount/bench/demo/DemoMain.java
+++ b/bench/src/main/java/org/wasabimount/bench/demo/DemoMain.java
@@ -15,6 +15,7 @@
 import org.wasabimount.bench.standin.StandInBackend;
 import org.wasabimount.bench.standin.StandInWorker;
 import org.wasabimount.bench.standin.StandIns;
+import org.wasabimount.core.cell.Capacity;
 
 /** Shows the whole path: three daemons, stand-ins, the real command line, a kill and a graceful stop. */
 public final class DemoMain {
@@ -93,7 +94,11 @@
             for (int number = 1; number <= 2; number++) {
                 standIns.worker(
                         new StandInWorker.Settings(
-                                "worker-" + domain + "-" + number, domain, "rack-" + domain, 32_000, 131_072, 0, false),
+                                "worker-" + domain + "-" + number,
+                                domain,
+                                "rack-" + domain,
+                                new Capacity(32_000, 131_072, 0),
+                                false),
                         line -> {});
             }
             int host = 100 + DOMAINS.indexOf(domain);
--- /dev/null
+++ b/bench/src/main/java/org/wasabimount/bench/log/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Measures the replicated log of real daemons.
+ */
+package org.wasabimount.bench.log;
--- /dev/null
+++ b/bench/src/main/java/org/wasabimount/bench/overhead/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Measures what a daemon costs against the size of its work.
+ */
+package org.wasabimount.bench.overhead;
--- /dev/null
+++ b/bench/src/main/java/org/wasabimount/bench/placement/PackingMeasure.java
@@ -0,0 +1,68 @@
+package org.wasabimount.bench.placement;
+
+import java.util.List;
+import java.util.Random;
+
+import org.wasabimount.core.cell.Capacity;
+import org.wasabimount.core.cell.TaskState;
+import org.wasabimount.core.cell.Worker;
+import org.wasabimount.core.placement.PlacementPolicy;
+import org.wasabimount.core.placement.Scheduler;
+import org.wasabimount.protocol.cell.BindTasks;
+import org.wasabimount.protocol.cell.ResourceKind;
+import org.wasabimount.protocol.cell.TaskPhase;
+
+/**
+ * How many workers a mix of batches takes up in an empty cell.
+ *
+ * @param workersUsed workers with a task
+ * @param lowerBound the largest, over the dimensions, of the tasks' sum over a worker's size, rounded up
+ */
+record PackingMeasure(long workersUsed, long lowerBound) {
+
+    private static final Capacity WORKER = new Capacity(32_000, 131_072, 1);
+    private static final double FILLED_SHARE = 0.6;
+    private static final long SEED = 7;
+    private static final int MAX_ROUNDS = 100_000;
+
+    double overBound() {
+        return (double) workersUsed / lowerBound;
+    }
+
+    static PackingMeasure run(PlacementPolicy policy, int workers) {
+        PlacementCell cell = new PlacementCell();
+        cell.organisation("org", 1);
+        for (int number = 0; number < workers; number++) {
+            cell.worker(number, 3, WORKER);
+        }
+        Random random = new Random(SEED);
+        Capacity sum = Capacity.NONE;
+        for (int batch = 0; sum.dominantShare(WORKER.times(workers)) < FILLED_SHARE; batch++) {
+            int count = 1 + random.nextInt(20);
+            // Two thirds need more processors than memory for their size, one third the other way round.
+            Capacity size = random.nextInt(3) > 0
+                    ? new Capacity(1_000L + 500 * random.nextInt(8), 1_024L + 512 * random.nextInt(16), 0)
+                    : new Capacity(500L + 250 * random.nextInt(4), 8_192L + 1_024 * random.nextInt(16), 0);
+            cell.declare("org", ResourceKind.BATCH, "batch-" + batch, size, count, false);
+            sum = sum.plus(size.times(count));
+        }
+        place(cell, new Scheduler(policy, SEED));
+        long used = cell.state().workers().stream()
+                .filter(worker -> !worker.tasks().isEmpty())
+                .count();
+        return new PackingMeasure(used, (long) Math.ceil(sum.dominantShare(WORKER)));
+    }
+
+    private static void place(PlacementCell cell, Scheduler scheduler) {
+        for (int round = 0; round < MAX_ROUNDS && !cell.state().waiting().isEmpty(); round++) {
+            List<BindTasks> plan = scheduler.plan(cell.state(), cell.nowMillis(), 256);
+            plan.forEach(cell::bind);
+            cell.advance(100);
+            cell.state().workers().stream()
+                    .map(Worker::tasks)
+                    .flatMap(tasks -> List.copyOf(tasks).stream())
+                    .filter(task -> task.state() == TaskState.BOUND)
+                    .forEach(task -> cell.report(task, TaskPhase.RUNNING));
+        }
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/wasabimount/bench/placement/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Measures placement by driving the pure code in virtual time.
+ */
+package org.wasabimount.bench.placement;
