Hold batches for the best worker, preempt for urgent work, bound retries of placement

Ruled out: lifting the limit of open starts (a bad worker then costs a burst); a plain hold (it expired while only one worker was being filled; waiting work must open as many workers as it needs).

--- a/bench/src/main/java/org/wasabimount/bench/placement/PlacementCell.java
+++ b/bench/src/main/java/org/wasabimount/bench/placement/PlacementCell.java
@@ -9,6 +9,7 @@
 import org.wasabimount.protocol.cell.DeleteResource;
 import org.wasabimount.protocol.cell.LoseWorker;
 import org.wasabimount.protocol.cell.Organisation;
+import org.wasabimount.protocol.cell.PreemptTasks;
 import org.wasabimount.protocol.cell.PutOrganisation;
 import org.wasabimount.protocol.cell.PutResource;
 import org.wasabimount.protocol.cell.RegisterWorker;
@@ -90,6 +91,10 @@
         return apply(CellCommand.newBuilder().setBindTasks(bindings));
     }
 
+    void preempt(PreemptTasks tasks) {
+        apply(CellCommand.newBuilder().setPreemptTasks(tasks));
+    }
+
     void report(Task task, TaskPhase phase) {
         apply(CellCommand.newBuilder()
                 .setReportTasks(ReportTasks.newBuilder()
--- a/core/src/main/java/org/wasabimount/core/cell/Capacity.java
+++ b/core/src/main/java/org/wasabimount/core/cell/Capacity.java
@@ -82,6 +82,18 @@
                 && accelerators <= room.accelerators;
     }
 
+    /**
+     * Returns how many times this fits into a room.
+     *
+     * @param room the room
+     * @return the count, {@link Long#MAX_VALUE} if this is nothing at all
+     */
+    public long timesIn(Capacity room) {
+        long times = cpuMillis == 0 ? Long.MAX_VALUE : Math.max(0, room.cpuMillis) / cpuMillis;
+        times = memoryMegabytes == 0 ? times : Math.min(times, Math.max(0, room.memoryMegabytes) / memoryMegabytes);
+        return accelerators == 0 ? times : Math.min(times, Math.max(0, room.accelerators) / accelerators);
+    }
+
     /**
      * Returns the largest share that this takes of a whole, over the dimensions that the whole has.
      *
--- a/core/src/main/java/org/wasabimount/core/cell/CellState.java
+++ b/core/src/main/java/org/wasabimount/core/cell/CellState.java
@@ -89,6 +89,13 @@
                 sweep();
                 yield ok().build();
             }
+            case PREEMPT_TASKS -> {
+                command.getPreemptTasks()
+                        .getTasksList()
+                        .forEach(report ->
+                                task(report.getTask()).ifPresent(task -> transitions.preempt(task, report.getEpoch())));
+                yield ok().build();
+            }
             case BODY_NOT_SET -> refuse(ResultCode.MALFORMED, "the command has no body");
         };
     }
@@ -442,7 +449,7 @@
             }
             if (worker == null
                     || !worker.incarnation().equals(binding.getIncarnation())
-                    || worker.openStarts(nowMillis) == 0) {
+                    || !worker.acceptsTasks(nowMillis)) {
                 return stale("worker " + binding.getWorker() + " takes no task");
             }
             Capacity size = task.owner().taskSize();
--- a/core/src/main/java/org/wasabimount/core/cell/TaskTransitions.java
+++ b/core/src/main/java/org/wasabimount/core/cell/TaskTransitions.java
@@ -53,6 +53,18 @@
         changed.accept(task.owner());
     }
 
+    /** Stops a batch task so that its room can be used by more urgent work; it waits again once it has stopped. */
+    void preempt(Task task, long epoch) {
+        boolean preemptible = task.owner().kind() == WorkKind.BATCH
+                && task.epoch() == epoch
+                && task.state().holdsCapacity()
+                && task.state() != TaskState.STOPPING;
+        if (preemptible) {
+            task.move(TaskState.STOPPING);
+            changed.accept(task.owner());
+        }
+    }
+
     void stopAll(DeclaredResource resource) {
         resource.tasks().forEach(this::stop);
     }
--- a/core/src/main/java/org/wasabimount/core/cell/Worker.java
+++ b/core/src/main/java/org/wasabimount/core/cell/Worker.java
@@ -114,19 +114,35 @@
     }
 
     /**
-     * Returns how many more tasks may be bound here now.
+     * Tells whether tasks may be bound here at all.
+     *
+     * @param nowMillis wall time in milliseconds
+     * @return false if the worker is gone, leaving or in quarantine
+     */
+    public boolean acceptsTasks(long nowMillis) {
+        return !lost && !leaving && !quarantined(nowMillis);
+    }
+
+    /**
+     * Tells whether nothing failed here since the last success.
+     *
+     * @return true for a worker above suspicion
+     */
+    public boolean trusted() {
+        return failures.isEmpty();
+    }
+
+    /**
+     * Returns how many more tasks should be bound here now.
      *
      * <p>A worker that fails what it starts is found before it has cost many starts, because it may have few open.
      *
      * @param nowMillis wall time in milliseconds
-     * @return the count, zero if the worker is gone, leaving or in quarantine
+     * @return the count
      */
     public int openStarts(long nowMillis) {
-        if (lost || leaving || quarantined(nowMillis)) {
-            return 0;
-        }
-        int limit = failures.isEmpty() ? MAX_OPEN_STARTS : 1;
-        return Math.max(0, limit - boundTasks);
+        int limit = trusted() ? MAX_OPEN_STARTS : 1;
+        return acceptsTasks(nowMillis) ? Math.max(0, limit - boundTasks) : 0;
     }
 
     /**
--- a/core/src/main/java/org/wasabimount/core/placement/JobReservation.java
+++ b/core/src/main/java/org/wasabimount/core/placement/JobReservation.java
@@ -38,7 +38,7 @@
             if (placed >= job.tasks().size()) {
                 break;
             }
-            long room = tasksThatFit(job.taskSize(), worker.size().minus(heldByServices(worker)));
+            long room = job.taskSize().timesIn(worker.size().minus(heldByServices(worker)));
             if (room > 0) {
                 chosen.add(worker);
                 placed += room;
@@ -61,11 +61,4 @@
                 .map(task -> task.owner().taskSize())
                 .reduce(Capacity.NONE, Capacity::plus);
     }
-
-    private static long tasksThatFit(Capacity size, Capacity room) {
-        long fit = Long.MAX_VALUE;
-        fit = size.cpuMillis() == 0 ? fit : Math.min(fit, room.cpuMillis() / size.cpuMillis());
-        fit = size.memoryMegabytes() == 0 ? fit : Math.min(fit, room.memoryMegabytes() / size.memoryMegabytes());
-        return size.accelerators() == 0 ? fit : Math.min(fit, room.accelerators() / size.accelerators());
-    }
 }
--- /dev/null
+++ b/core/src/main/java/org/wasabimount/core/placement/OpenedRoom.java
@@ -0,0 +1,54 @@
+package org.wasabimount.core.placement;
+
+import java.util.List;
+
+import org.wasabimount.core.cell.Capacity;
+import org.wasabimount.core.cell.CellState;
+import org.wasabimount.core.cell.DeclaredResource;
+import org.wasabimount.core.cell.TaskState;
+
+/**
+ * Compares what patient work waits for with the room on workers that are in use already.
+ *
+ * <p>While that room is enough, a task rather waits a moment for a start on the worker that suits it best than to take
+ * an empty one. Otherwise empty workers are taken, as many as the waiting work needs.
+ */
+final class OpenedRoom {
+
+    private Capacity demand;
+    private Capacity room;
+
+    private OpenedRoom(Capacity demand, Capacity room) {
+        this.demand = demand;
+        this.room = room;
+    }
+
+    static OpenedRoom of(CellState state, List<WorkerView> views) {
+        Capacity demand = Capacity.NONE;
+        for (DeclaredResource resource : state.waiting()) {
+            if (Urgency.of(resource) == Urgency.PATIENT && !resource.kind().allAtOnce()) {
+                demand = demand.plus(resource.taskSize().times(resource.count(TaskState.PENDING)));
+            }
+        }
+        Capacity room = Capacity.NONE;
+        for (WorkerView view : views) {
+            if (view.accepts() && !view.worker().tasks().isEmpty()) {
+                room = room.plus(view.free());
+            }
+        }
+        return new OpenedRoom(demand, room);
+    }
+
+    /** Notes a placement; must be called before the view gives the room away. */
+    void place(WorkerView view, Capacity size) {
+        if (view.empty()) {
+            room = room.plus(view.free());
+        }
+        demand = demand.minus(size);
+        room = room.minus(size);
+    }
+
+    boolean enough() {
+        return demand.fitsIn(room);
+    }
+}
--- a/core/src/main/java/org/wasabimount/core/placement/PlacementPolicy.java
+++ b/core/src/main/java/org/wasabimount/core/placement/PlacementPolicy.java
@@ -11,17 +11,17 @@
     /** Spreads services over domains and racks; packs all else where the least is wasted in any dimension. */
     SPREAD_AND_PACK {
         @Override
-        WorkerView choose(List<WorkerView> views, DeclaredResource resource, Spread spread, Random random) {
+        WorkerView choose(List<WorkerView> views, DeclaredResource resource, Demand demand) {
             boolean service = resource.kind() == WorkKind.SERVICE;
             WorkerView best = null;
             double bestScore = Double.MAX_VALUE;
             for (WorkerView view : views) {
-                if (!eligible(view, resource)) {
+                if (!eligible(view, resource, demand)) {
                     continue;
                 }
                 double score = view.waste(resource.taskSize());
                 if (service) {
-                    score += spread.crowding(view.worker());
+                    score += demand.spread().crowding(view.worker());
                 }
                 if (resource.failedOn(view.worker())) {
                     score += FAILED_BEFORE_PENALTY;
@@ -37,9 +37,9 @@
     /** Takes the first worker with room. */
     FIRST_FIT {
         @Override
-        WorkerView choose(List<WorkerView> views, DeclaredResource resource, Spread spread, Random random) {
+        WorkerView choose(List<WorkerView> views, DeclaredResource resource, Demand demand) {
             return views.stream()
-                    .filter(view -> view.fits(resource.taskSize()))
+                    .filter(view -> demand.fits(view, resource))
                     .findFirst()
                     .orElse(null);
         }
@@ -47,11 +47,11 @@
     /** Takes the worker with the fewest processors left over. */
     BEST_FIT_CPU {
         @Override
-        WorkerView choose(List<WorkerView> views, DeclaredResource resource, Spread spread, Random random) {
+        WorkerView choose(List<WorkerView> views, DeclaredResource resource, Demand demand) {
             WorkerView best = null;
             for (WorkerView view : views) {
                 boolean better = best == null || view.cpuLeft(resource.taskSize()) < best.cpuLeft(resource.taskSize());
-                if (view.fits(resource.taskSize()) && better) {
+                if (demand.fits(view, resource) && better) {
                     best = view;
                 }
             }
@@ -61,11 +61,11 @@
     /** Takes any worker with room. */
     RANDOM {
         @Override
-        WorkerView choose(List<WorkerView> views, DeclaredResource resource, Spread spread, Random random) {
-            int start = views.isEmpty() ? 0 : random.nextInt(views.size());
+        WorkerView choose(List<WorkerView> views, DeclaredResource resource, Demand demand) {
+            int start = views.isEmpty() ? 0 : demand.random().nextInt(views.size());
             for (int offset = 0; offset < views.size(); offset++) {
                 WorkerView view = views.get((start + offset) % views.size());
-                if (view.fits(resource.taskSize())) {
+                if (demand.fits(view, resource)) {
                     return view;
                 }
             }
@@ -75,10 +75,26 @@
 
     private static final double FAILED_BEFORE_PENALTY = 1e6;
 
-    abstract WorkerView choose(List<WorkerView> views, DeclaredResource resource, Spread spread, Random random);
+    /**
+     * What a choice depends on besides the workers and the resource.
+     *
+     * @param urgency how urgent the resource is
+     * @param mayHold whether the best worker may be chosen although it has no start left now
+     * @param spread where the resource's other tasks are
+     * @param random a source of random numbers
+     */
+    record Demand(Urgency urgency, boolean mayHold, Spread spread, Random random) {
 
-    private static boolean eligible(WorkerView view, DeclaredResource resource) {
-        boolean open = !view.reserved() || resource.kind() == WorkKind.SERVICE;
-        return open && view.fits(resource.taskSize());
+        boolean fits(WorkerView view, DeclaredResource resource) {
+            boolean starts = resource.kind().allAtOnce() && view.worker().trusted() || mayHold || view.hasStart();
+            return starts && view.hasRoom(resource.taskSize());
+        }
+    }
+
+    abstract WorkerView choose(List<WorkerView> views, DeclaredResource resource, Demand demand);
+
+    private static boolean eligible(WorkerView view, DeclaredResource resource, Demand demand) {
+        boolean open = !view.reserved() || demand.urgency() != Urgency.PATIENT;
+        return open && demand.fits(view, resource);
     }
 }
--- /dev/null
+++ b/core/src/main/java/org/wasabimount/core/placement/RetryDelays.java
@@ -0,0 +1,39 @@
+package org.wasabimount.core.placement;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Set;
+
+import org.wasabimount.core.cell.DeclaredResource;
+
+/** Bounds how often patient work that found no room is tried again. */
+final class RetryDelays {
+
+    private static final long FIRST_DELAY_MILLIS = 100;
+    private static final long MAX_DELAY_MILLIS = 1_600;
+
+    private final Map<DeclaredResource, Delay> delays = new HashMap<>();
+
+    private record Delay(long untilMillis, long delayMillis) {}
+
+    boolean due(DeclaredResource resource, long nowMillis) {
+        Delay delay = delays.get(resource);
+        return delay == null || nowMillis >= delay.untilMillis();
+    }
+
+    void failed(DeclaredResource resource, long nowMillis) {
+        Delay last = delays.get(resource);
+        long delayMillis = last == null ? FIRST_DELAY_MILLIS : Math.min(MAX_DELAY_MILLIS, 2 * last.delayMillis());
+        delays.put(resource, new Delay(nowMillis + delayMillis, delayMillis));
+    }
+
+    void placed(DeclaredResource resource) {
+        delays.remove(resource);
+    }
+
+    void keepOnly(Set<DeclaredResource> waiting) {
+        if (delays.size() > 2 * waiting.size()) {
+            delays.keySet().retainAll(waiting);
+        }
+    }
+}
--- a/daemon/src/main/java/org/wasabimount/daemon/cell/CellDuties.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/cell/CellDuties.java
@@ -14,6 +14,7 @@
 import org.wasabimount.core.cell.Worker;
 import org.wasabimount.core.cell.WorkerLeases;
 import org.wasabimount.core.cell.WorkerOrdersPlan;
+import org.wasabimount.core.placement.PlacementPlan;
 import org.wasabimount.core.placement.PlacementPolicy;
 import org.wasabimount.core.placement.Scheduler;
 import org.wasabimount.daemon.log.GroupThread;
@@ -21,6 +22,7 @@
 import org.wasabimount.protocol.cell.CellCommand;
 import org.wasabimount.protocol.cell.CellQuery;
 import org.wasabimount.protocol.cell.LoseWorker;
+import org.wasabimount.protocol.cell.PreemptTasks;
 import org.wasabimount.protocol.cell.RegisterWorker;
 import org.wasabimount.protocol.cell.Reply;
 import org.wasabimount.protocol.cell.ReportTasks;
@@ -42,6 +44,7 @@
     private final List<Parked> parked = new ArrayList<>();
     private final List<CompletableFuture<Reply>> openBindings = new ArrayList<>();
     private long placedTasks;
+    private long preemptedTasks;
 
     /** A reply that is held back until what it depends on changes and there is something to say. */
     private static final class Parked {
@@ -173,6 +176,15 @@
         return placedTasks;
     }
 
+    /**
+     * Returns how many tasks this leader has stopped for urgent work.
+     *
+     * @return the count since the start
+     */
+    public long preemptedTasks() {
+        return preemptedTasks;
+    }
+
     private void work() {
         if (!mayDecide()) {
             releaseParked();
@@ -198,10 +210,15 @@
         if (!openBindings.isEmpty()) {
             return;
         }
-        for (BindTasks binding : scheduler.plan(state(), wallClock.millis(), TASKS_PER_ROUND)) {
+        PlacementPlan plan = scheduler.plan(state(), wallClock.millis(), TASKS_PER_ROUND);
+        for (BindTasks binding : plan.bindings()) {
             placedTasks += binding.getBindingsCount();
             openBindings.add(propose(CellCommand.newBuilder().setBindTasks(binding)));
         }
+        for (PreemptTasks preempt : plan.preemptions()) {
+            preemptedTasks += preempt.getTasksCount();
+            openBindings.add(propose(CellCommand.newBuilder().setPreemptTasks(preempt)));
+        }
     }
 
     private CompletableFuture<Reply> park(
--- a/protocol/src/main/java/org/wasabimount/protocol/cell/CellCommand.java
+++ b/protocol/src/main/java/org/wasabimount/protocol/cell/CellCommand.java
@@ -29,6 +29,7 @@
     LOSE_WORKER(8),
     BIND_TASKS(9),
     REPORT_TASKS(10),
+    PREEMPT_TASKS(11),
     BODY_NOT_SET(0);
     private final int value;
     private BodyCase(int value) {
@@ -52,6 +53,7 @@
         case 8: return LOSE_WORKER;
         case 9: return BIND_TASKS;
         case 10: return REPORT_TASKS;
+        case 11: return PREEMPT_TASKS;
         case 0: return BODY_NOT_SET;
         default: return null;
       }
@@ -566,6 +568,56 @@
     }
   }
 
+  public static final int PREEMPT_TASKS_FIELD_NUMBER = 11;
+  /**
+   * <code>.wasabimount.cell.PreemptTasks preempt_tasks = 11;</code>
+   */
+  @java.lang.Override
+  public boolean hasPreemptTasks() {
+    return bodyCase_ == 11;
+  }
+  /**
+   * <code>.wasabimount.cell.PreemptTasks preempt_tasks = 11;</code>
+   */
+  @java.lang.Override
+  public org.wasabimount.protocol.cell.PreemptTasks getPreemptTasks() {
+    if (bodyCase_ == 11) {
+       return (org.wasabimount.protocol.cell.PreemptTasks) body_;
+    }
+    return org.wasabimount.protocol.cell.PreemptTasks.getDefaultInstance();
+  }
+  /**
+   * <code>.wasabimount.cell.PreemptTasks preempt_tasks = 11;</code>
+   */
+  private void setPreemptTasks(org.wasabimount.protocol.cell.PreemptTasks value) {
+    java.util.Objects.requireNonNull(value);
+    body_ = value;
+    bodyCase_ = 11;
+  }
+  /**
+   * <code>.wasabimount.cell.PreemptTasks preempt_tasks = 11;</code>
+   */
+  private void mergePreemptTasks(org.wasabimount.protocol.cell.PreemptTasks value) {
+    java.util.Objects.requireNonNull(value);
+    if (bodyCase_ == 11 &&
+        body_ != org.wasabimount.protocol.cell.PreemptTasks.getDefaultInstance()) {
+      body_ = org.wasabimount.protocol.cell.PreemptTasks.newBuilder((org.wasabimount.protocol.cell.PreemptTasks) body_)
+          .mergeFrom(value).buildPartial();
+    } else {
+      body_ = value;
+    }
+    bodyCase_ = 11;
+  }
+  /**
+   * <code>.wasabimount.cell.PreemptTasks preempt_tasks = 11;</code>
+   */
+  private void clearPreemptTasks() {
+    if (bodyCase_ == 11) {
+      bodyCase_ = 0;
+      body_ = null;
+    }
+  }
+
   public static org.wasabimount.protocol.cell.CellCommand parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -1156,6 +1208,54 @@
       return this;
     }
 
+    /**
+     * <code>.wasabimount.cell.PreemptTasks preempt_tasks = 11;</code>
+     */
+    @java.lang.Override
+    public boolean hasPreemptTasks() {
+      return instance.hasPreemptTasks();
+    }
+    /**
+     * <code>.wasabimount.cell.PreemptTasks preempt_tasks = 11;</code>
+     */
+    @java.lang.Override
+    public org.wasabimount.protocol.cell.PreemptTasks getPreemptTasks() {
+      return instance.getPreemptTasks();
+    }
+    /**
+     * <code>.wasabimount.cell.PreemptTasks preempt_tasks = 11;</code>
+     */
+    public Builder setPreemptTasks(org.wasabimount.protocol.cell.PreemptTasks value) {
+      copyOnWrite();
+      instance.setPreemptTasks(value);
+      return this;
+    }
+    /**
+     * <code>.wasabimount.cell.PreemptTasks preempt_tasks = 11;</code>
+     */
+    public Builder setPreemptTasks(
+        org.wasabimount.protocol.cell.PreemptTasks.Builder builderForValue) {
+      copyOnWrite();
+      instance.setPreemptTasks(builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>.wasabimount.cell.PreemptTasks preempt_tasks = 11;</code>
+     */
+    public Builder mergePreemptTasks(org.wasabimount.protocol.cell.PreemptTasks value) {
+      copyOnWrite();
+      instance.mergePreemptTasks(value);
+      return this;
+    }
+    /**
+     * <code>.wasabimount.cell.PreemptTasks preempt_tasks = 11;</code>
+     */
+    public Builder clearPreemptTasks() {
+      copyOnWrite();
+      instance.clearPreemptTasks();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:wasabimount.cell.CellCommand)
   }
   @java.lang.Override
@@ -1184,10 +1284,12 @@
             org.wasabimount.protocol.cell.LoseWorker.class,
             org.wasabimount.protocol.cell.BindTasks.class,
             org.wasabimount.protocol.cell.ReportTasks.class,
+            org.wasabimount.protocol.cell.PreemptTasks.class,
           };
           java.lang.String info =
-              "\u0000\n\u0001\u0000\u0001\n\n\u0000\u0000\u0000\u0001\u0002\u0002\u0208\u0003<\u0000" +
-              "\u0004<\u0000\u0005<\u0000\u0006<\u0000\u0007<\u0000\b<\u0000\t<\u0000\n<\u0000";
+              "\u0000\u000b\u0001\u0000\u0001\u000b\u000b\u0000\u0000\u0000\u0001\u0002\u0002\u0208" +
+              "\u0003<\u0000\u0004<\u0000\u0005<\u0000\u0006<\u0000\u0007<\u0000\b<\u0000\t<\u0000" +
+              "\n<\u0000\u000b<\u0000";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/protocol/src/main/java/org/wasabimount/protocol/cell/CellCommandOrBuilder.java
+++ b/protocol/src/main/java/org/wasabimount/protocol/cell/CellCommandOrBuilder.java
@@ -124,5 +124,16 @@
    */
   org.wasabimount.protocol.cell.ReportTasks getReportTasks();
 
+  /**
+   * <code>.wasabimount.cell.PreemptTasks preempt_tasks = 11;</code>
+   * @return Whether the preemptTasks field is set.
+   */
+  boolean hasPreemptTasks();
+  /**
+   * <code>.wasabimount.cell.PreemptTasks preempt_tasks = 11;</code>
+   * @return The preemptTasks.
+   */
+  org.wasabimount.protocol.cell.PreemptTasks getPreemptTasks();
+
   public org.wasabimount.protocol.cell.CellCommand.BodyCase getBodyCase();
 }
