Fill opened workers side by side; bound unproven starts also for jobs

Ruled out: longer holds, which trade waiting for nothing; scanning fewer workers, as first fit took as long a round.

Change: while the room on workers in use is enough, empty ones are left out, else as many are opened as waiting work needs; a worker is proven by its first success, and unproven ones get three starts at once, jobs included for two seconds; views and the cell's size are kept until the fleet changes. Tests of single rules of the replica.

--- a/core/src/main/java/org/wasabimount/core/cell/CellState.java
+++ b/core/src/main/java/org/wasabimount/core/cell/CellState.java
@@ -52,6 +52,7 @@
     private final TaskTransitions transitions = new TaskTransitions(this::touch);
     private Configuration configuration = Configuration.getDefaultInstance();
     private long revision;
+    private long fleetVersion;
     private long nextEpoch = 1;
 
     /**
@@ -144,6 +145,15 @@
         return Collections.unmodifiableCollection(workers.values());
     }
 
+    /**
+     * Returns a number that grows whenever a worker is new or announces itself in another way.
+     *
+     * @return the number, not kept over a restart
+     */
+    public long fleetVersion() {
+        return fleetVersion;
+    }
+
     /**
      * Returns a worker.
      *
@@ -390,6 +400,7 @@
     }
 
     private Reply registerWorker(WorkerState announced, long nowMillis) {
+        fleetVersion++;
         Worker known = workers.get(announced.getWorker());
         if (known == null) {
             workers.put(announced.getWorker(), new Worker(announced));
--- a/core/src/main/java/org/wasabimount/core/cell/DeclaredResource.java
+++ b/core/src/main/java/org/wasabimount/core/cell/DeclaredResource.java
@@ -129,6 +129,15 @@
         return Collections.unmodifiableList(tasks);
     }
 
+    /**
+     * Tells whether a task failed on any worker.
+     *
+     * @return true if one did
+     */
+    public boolean failedBefore() {
+        return !failedWorkers.isEmpty();
+    }
+
     /**
      * Tells whether a task failed on a worker.
      *
--- a/core/src/main/java/org/wasabimount/core/cell/Worker.java
+++ b/core/src/main/java/org/wasabimount/core/cell/Worker.java
@@ -19,6 +19,9 @@
     /** Most starts that a trusted worker may have open at once. */
     static final int MAX_OPEN_STARTS = 4;
 
+    /** Most starts that a worker may have open at once before a task has ended well there. */
+    static final int MAX_UNPROVEN_STARTS = 3;
+
     /** Most evidence that one resource gives that has never ended well anywhere. */
     private static final int MAX_UNPROVEN_EVIDENCE = 2;
 
@@ -34,6 +37,7 @@
     private boolean leaving;
     private long quarantinedUntilMillis;
     private int boundTasks;
+    private boolean proven;
     private long changes;
 
     Worker(WorkerState announced) {
@@ -132,6 +136,15 @@
         return failures.isEmpty();
     }
 
+    /**
+     * Tells whether a task has ever ended well here.
+     *
+     * @return true from the first success on
+     */
+    public boolean proven() {
+        return proven;
+    }
+
     /**
      * Returns how many more tasks should be bound here now.
      *
@@ -141,8 +154,8 @@
      * @return the count
      */
     public int openStarts(long nowMillis) {
-        int limit = trusted() ? MAX_OPEN_STARTS : 1;
-        return acceptsTasks(nowMillis) ? Math.max(0, limit - boundTasks) : 0;
+        int limit = proven ? MAX_OPEN_STARTS : MAX_UNPROVEN_STARTS;
+        return acceptsTasks(nowMillis) ? Math.max(0, (trusted() ? limit : 1) - boundTasks) : 0;
     }
 
     /**
@@ -227,6 +240,7 @@
     }
 
     void noteSuccess() {
+        proven = true;
         failures.clear();
     }
 
@@ -243,6 +257,7 @@
     void restore(WorkerState saved) {
         lost = saved.getLost();
         quarantinedUntilMillis = saved.getQuarantinedUntilMillis();
+        proven = saved.getProven();
     }
 
     void restoreFailures(WorkerState saved, Function<String, DeclaredResource> resources) {
@@ -259,6 +274,7 @@
                 .setLost(lost)
                 .setLeaving(leaving)
                 .setQuarantinedUntilMillis(quarantinedUntilMillis)
+                .setProven(proven)
                 .putAllFailures(failuresById())
                 .build();
     }
--- a/core/src/main/java/org/wasabimount/core/placement/OpenedRoom.java
+++ b/core/src/main/java/org/wasabimount/core/placement/OpenedRoom.java
@@ -30,12 +30,10 @@
                 demand = demand.plus(resource.taskSize().times(resource.count(TaskState.PENDING)));
             }
         }
-        Capacity room = Capacity.NONE;
-        for (WorkerView view : views) {
-            if (view.accepts() && !view.worker().tasks().isEmpty()) {
-                room = room.plus(view.free());
-            }
-        }
+        Capacity room = views.stream()
+                .filter(view -> view.accepts() && !view.worker().tasks().isEmpty())
+                .map(WorkerView::free)
+                .reduce(Capacity.NONE, Capacity::plus);
         return new OpenedRoom(demand, room);
     }
 
--- a/core/src/main/java/org/wasabimount/core/placement/PlacementPolicy.java
+++ b/core/src/main/java/org/wasabimount/core/placement/PlacementPolicy.java
@@ -12,6 +12,7 @@
     SPREAD_AND_PACK {
         @Override
         WorkerView choose(List<WorkerView> views, DeclaredResource resource, Demand demand) {
+            boolean failedBefore = resource.failedBefore();
             boolean service = resource.kind() == WorkKind.SERVICE;
             WorkerView best = null;
             double bestScore = Double.MAX_VALUE;
@@ -23,7 +24,7 @@
                 if (service) {
                     score += demand.spread().crowding(view.worker());
                 }
-                if (resource.failedOn(view.worker())) {
+                if (failedBefore && resource.failedOn(view.worker())) {
                     score += FAILED_BEFORE_PENALTY;
                 }
                 if (score < bestScore) {
@@ -79,15 +80,16 @@
      * What a choice depends on besides the workers and the resource.
      *
      * @param urgency how urgent the resource is
-     * @param mayHold whether the best worker may be chosen although it has no start left now
+     * @param avoidEmpty whether workers without any task are left out
+     * @param bold whether a job may be bound beyond a worker's starts though nothing has ended well there
      * @param spread where the resource's other tasks are
      * @param random a source of random numbers
      */
-    record Demand(Urgency urgency, boolean mayHold, Spread spread, Random random) {
+    record Demand(Urgency urgency, boolean avoidEmpty, boolean bold, Spread spread, Random random) {
 
         boolean fits(WorkerView view, DeclaredResource resource) {
-            boolean starts = resource.kind().allAtOnce() && view.worker().trusted() || mayHold || view.hasStart();
-            return starts && view.hasRoom(resource.taskSize());
+            return view.hasRoom(resource.taskSize())
+                    && (resource.kind().allAtOnce() ? view.hasJobStart(bold) : view.hasStart());
         }
     }
 
@@ -95,6 +97,6 @@
 
     private static boolean eligible(WorkerView view, DeclaredResource resource, Demand demand) {
         boolean open = !view.reserved() || demand.urgency() != Urgency.PATIENT;
-        return open && demand.fits(view, resource);
+        return open && demand.fits(view, resource) && !(demand.avoidEmpty() && view.empty());
     }
 }
--- a/core/src/main/java/org/wasabimount/core/placement/RetryDelays.java
+++ b/core/src/main/java/org/wasabimount/core/placement/RetryDelays.java
@@ -6,13 +6,17 @@
 
 import org.wasabimount.core.cell.DeclaredResource;
 
-/** Bounds how often patient work that found no room is tried again. */
+/** Bounds how often patient work that found no room is tried again, and how long it is held for its best worker. */
 final class RetryDelays {
 
     private static final long FIRST_DELAY_MILLIS = 100;
     private static final long MAX_DELAY_MILLIS = 1_600;
 
+    /** How long work waits for a start on the worker that suits it best. */
+    private static final long MAX_HOLD_MILLIS = 2_000;
+
     private final Map<DeclaredResource, Delay> delays = new HashMap<>();
+    private final Map<DeclaredResource, Long> heldSinceMillis = new HashMap<>();
 
     private record Delay(long untilMillis, long delayMillis) {}
 
@@ -29,11 +33,22 @@
 
     void placed(DeclaredResource resource) {
         delays.remove(resource);
+        heldSinceMillis.remove(resource);
+    }
+
+    void held(DeclaredResource resource, long nowMillis) {
+        delays.remove(resource);
+        heldSinceMillis.putIfAbsent(resource, nowMillis);
+    }
+
+    boolean mayBeHeld(DeclaredResource resource, long nowMillis) {
+        return nowMillis - heldSinceMillis.getOrDefault(resource, nowMillis) < MAX_HOLD_MILLIS;
     }
 
     void keepOnly(Set<DeclaredResource> waiting) {
-        if (delays.size() > 2 * waiting.size()) {
+        if (delays.size() + heldSinceMillis.size() > 2 * waiting.size()) {
             delays.keySet().retainAll(waiting);
+            heldSinceMillis.keySet().retainAll(waiting);
         }
     }
 }
--- a/core/src/main/java/org/wasabimount/core/placement/Round.java
+++ b/core/src/main/java/org/wasabimount/core/placement/Round.java
@@ -23,13 +23,12 @@
 
     private static final int CHUNK_TASKS = 16;
 
-    /** How long a patient task waits for a start on the worker that suits it best, in milliseconds. */
-    private static final long MAX_HOLD_MILLIS = 2_000;
+    /** How long a job waits for workers that have proved themselves, in milliseconds. */
+    private static final long PROVEN_ONLY_MILLIS = 2_000;
 
     private final Scheduler scheduler;
     private final CellState state;
     private final List<WorkerView> views;
-    private final Capacity whole;
     private final long nowMillis;
     private final List<BindTasks> bindings = new ArrayList<>();
     private final List<PreemptTasks> preemptions = new ArrayList<>();
@@ -60,7 +59,6 @@
         this.nowMillis = nowMillis;
         this.tasksLeft = maxTasks;
         this.opened = OpenedRoom.of(state, views);
-        this.whole = state.workers().stream().map(Worker::size).reduce(Capacity.NONE, Capacity::plus);
     }
 
     PlacementPlan plan() {
@@ -104,7 +102,8 @@
         }
         Result result = together ? placeJob(resource, tasks, urgency) : placeEach(resource, tasks, urgency);
         switch (result) {
-            case PLACED, HELD -> scheduler.delays().placed(resource);
+            case PLACED -> scheduler.delays().placed(resource);
+            case HELD -> scheduler.delays().held(resource, nowMillis);
             case NO_ROOM -> noRoom(resource, urgency);
             default -> scheduler.delays().failed(resource, nowMillis);
         }
@@ -127,8 +126,9 @@
         if (noRoomFor.stream().anyMatch(size -> size.fitsIn(resource.taskSize()))) {
             return Result.NO_ROOM;
         }
-        boolean young = nowMillis - tasks.get(0).pendingSinceMillis() < MAX_HOLD_MILLIS;
-        boolean holds = urgency == Urgency.PATIENT && young;
+        boolean patient = urgency == Urgency.PATIENT;
+        boolean holds = patient && scheduler.delays().mayBeHeld(resource, nowMillis);
+        WorkerView view = null;
         Spread spread = Spread.of(resource);
         List<Binding> planned = new ArrayList<>();
         Result result = Result.PLACED;
@@ -137,9 +137,20 @@
                 result = Result.OVER_QUOTA;
                 break;
             }
-            WorkerView view = scheduler.choose(views, resource, spread, urgency, holds && opened.enough());
-            if (view == null || !view.hasStart()) {
-                result = view == null ? Result.NO_ROOM : Result.HELD;
+            // A worker that was best stays so while it fills up.
+            if (!patient || view == null || !view.hasStart() || !view.hasRoom(resource.taskSize())) {
+                boolean avoidEmpty = holds && opened.enough();
+                view = scheduler.choose(resource, spread, urgency, avoidEmpty, false);
+                if (view == null && avoidEmpty && hasOpenedRoom(resource.taskSize())) {
+                    result = Result.HELD;
+                    break;
+                }
+                if (view == null && avoidEmpty) {
+                    view = scheduler.choose(resource, spread, urgency, false, false);
+                }
+            }
+            if (view == null) {
+                result = Result.NO_ROOM;
                 break;
             }
             take(resource, view);
@@ -150,6 +161,11 @@
         return result;
     }
 
+    /** Tells whether a worker in use has room, and only starts too many tasks already. */
+    private boolean hasOpenedRoom(Capacity size) {
+        return views.stream().anyMatch(view -> !view.empty() && !view.reserved() && view.hasRoom(size));
+    }
+
     private Result placeJob(DeclaredResource job, List<Task> tasks, Urgency urgency) {
         if (!withinQuota(job, tasks.size())) {
             return Result.OVER_QUOTA;
@@ -158,23 +174,25 @@
         if (holder) {
             reserve(false);
         }
+        // Workers that never ended a task well get few tasks of a job, unless it has waited for proven ones.
+        boolean bold = nowMillis - tasks.get(0).pendingSinceMillis() >= PROVEN_ONLY_MILLIS;
         long places = 0;
         for (int index = 0; index < views.size() && places < tasks.size(); index++) {
-            places += views.get(index).places(job.taskSize(), tasks.size());
+            places += views.get(index).places(job.taskSize(), tasks.size(), bold);
         }
-        Result result = places < tasks.size() ? Result.NO_ROOM : placeWhole(job, tasks, urgency);
+        Result result = places < tasks.size() ? Result.NO_ROOM : placeWhole(job, tasks, urgency, bold);
         if (holder && result != Result.PLACED) {
             reserve(true);
         }
         return result;
     }
 
-    private Result placeWhole(DeclaredResource job, List<Task> tasks, Urgency urgency) {
+    private Result placeWhole(DeclaredResource job, List<Task> tasks, Urgency urgency, boolean bold) {
         Spread spread = Spread.of(job);
         List<WorkerView> taken = new ArrayList<>();
         List<Binding> planned = new ArrayList<>();
         for (Task task : tasks) {
-            WorkerView view = scheduler.choose(views, job, spread, urgency, false);
+            WorkerView view = scheduler.choose(job, spread, urgency, false, bold);
             if (view == null) {
                 taken.forEach(given -> giveBack(job, given));
                 return Result.NO_ROOM;
@@ -221,7 +239,7 @@
     }
 
     private double share(OrganisationAccount account) {
-        return used(account).dominantShare(whole) / account.weight();
+        return used(account).dominantShare(scheduler.whole()) / account.weight();
     }
 
     private static Binding binding(DeclaredResource resource, Task task, Worker worker) {
--- a/core/src/main/java/org/wasabimount/core/placement/Scheduler.java
+++ b/core/src/main/java/org/wasabimount/core/placement/Scheduler.java
@@ -1,8 +1,6 @@
 package org.wasabimount.core.placement;
 
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
 
@@ -26,10 +24,12 @@
 
     private final PlacementPolicy policy;
     private final Random random;
-    private final Map<Worker, WorkerView> viewByWorker = new LinkedHashMap<>();
     private final RetryDelays delays = new RetryDelays();
     private final Preemption preemption = new Preemption();
+    private CellState viewedState;
+    private long viewedFleetVersion;
     private List<WorkerView> views = List.of();
+    private Capacity whole = Capacity.NONE;
     private JobReservation reservation;
 
     /**
@@ -89,6 +89,11 @@
         return Optional.of("none of the " + fitting + " workers that are large enough has room now");
     }
 
+    /** Returns the sizes of all workers together. */
+    Capacity whole() {
+        return whole;
+    }
+
     RetryDelays delays() {
         return delays;
     }
@@ -97,9 +102,8 @@
         return preemption;
     }
 
-    WorkerView choose(
-            List<WorkerView> candidates, DeclaredResource resource, Spread spread, Urgency urgency, boolean mayHold) {
-        return policy.choose(candidates, resource, new PlacementPolicy.Demand(urgency, mayHold, spread, random));
+    WorkerView choose(DeclaredResource resource, Spread spread, Urgency urgency, boolean avoidEmpty, boolean bold) {
+        return policy.choose(views, resource, new PlacementPolicy.Demand(urgency, avoidEmpty, bold, spread, random));
     }
 
     boolean holdsReservation(DeclaredResource job) {
@@ -136,11 +140,11 @@
     }
 
     private void refreshViews(CellState state, long nowMillis) {
-        if (viewByWorker.size() != state.workers().size()
-                || !viewByWorker.keySet().containsAll(state.workers())) {
-            viewByWorker.clear();
-            state.workers().forEach(worker -> viewByWorker.put(worker, new WorkerView(worker)));
-            views = List.copyOf(viewByWorker.values());
+        if (viewedState != state || viewedFleetVersion != state.fleetVersion()) {
+            viewedState = state;
+            viewedFleetVersion = state.fleetVersion();
+            views = state.workers().stream().map(WorkerView::new).toList();
+            whole = state.workers().stream().map(Worker::size).reduce(Capacity.NONE, Capacity::plus);
         }
         views.forEach(view -> view.refresh(nowMillis, reserved(view.worker())));
     }
--- a/core/src/main/java/org/wasabimount/core/placement/Spread.java
+++ b/core/src/main/java/org/wasabimount/core/placement/Spread.java
@@ -5,9 +5,10 @@
 
 import org.wasabimount.core.FailureDomainId;
 import org.wasabimount.core.cell.DeclaredResource;
+import org.wasabimount.core.cell.WorkKind;
 import org.wasabimount.core.cell.Worker;
 
-/** How many tasks of one resource each domain, rack and worker holds. */
+/** How many tasks of one service each domain, rack and worker holds; nothing for other work. */
 final class Spread {
 
     private static final double DOMAIN_WEIGHT = 10_000;
@@ -20,6 +21,9 @@
 
     static Spread of(DeclaredResource resource) {
         Spread spread = new Spread();
+        if (resource.kind() != WorkKind.SERVICE) {
+            return spread;
+        }
         resource.tasks().stream().filter(task -> task.worker() != null).forEach(task -> spread.add(task.worker()));
         return spread;
     }
--- a/core/src/main/java/org/wasabimount/core/placement/WorkerView.java
+++ b/core/src/main/java/org/wasabimount/core/placement/WorkerView.java
@@ -13,6 +13,8 @@
     private long freeCpuMillis;
     private long freeMemoryMegabytes;
     private long freeAccelerators;
+    private double perCpuMilli;
+    private double perMegabyte;
     private int startsLeft;
     private boolean accepts;
     private boolean reserved;
@@ -42,6 +44,8 @@
         startsLeft = worker.openStarts(nowMillis);
         accepts = worker.acceptsTasks(nowMillis);
         reserved = reservedForJob;
+        perCpuMilli = inverse(size.cpuMillis());
+        perMegabyte = inverse(size.memoryMegabytes());
     }
 
     Capacity free() {
@@ -50,7 +54,9 @@
 
     /** Tells whether nothing is committed here, nor given away in this round. */
     boolean empty() {
-        return worker.size().equals(free());
+        return freeCpuMillis == worker.size().cpuMillis()
+                && freeMemoryMegabytes == worker.size().memoryMegabytes()
+                && freeAccelerators == worker.size().accelerators();
     }
 
     boolean accepts() {
@@ -69,12 +75,18 @@
         return startsLeft > 0;
     }
 
-    /** Returns how many tasks of a size fit, up to a limit; zero for a worker under suspicion without a start left. */
-    long places(Capacity size, long limit) {
-        if (!accepts || reserved || !worker.trusted() && startsLeft == 0) {
+    /** Tells whether a task of a job may be bound here; a job is not bound by starts where that is no risk. */
+    boolean hasJobStart(boolean bold) {
+        return hasStart() || worker.trusted() && (worker.proven() || bold);
+    }
+
+    /** Returns how many tasks of a job fit, up to a limit. */
+    long places(Capacity size, long limit, boolean bold) {
+        if (!accepts || reserved) {
             return 0;
         }
-        return worker.trusted() ? Math.min(limit, size.timesIn(free())) : Math.min(startsLeft, size.timesIn(free()));
+        boolean unbound = worker.trusted() && (worker.proven() || bold);
+        return Math.min(unbound ? limit : startsLeft, size.timesIn(free()));
     }
 
     void take(Capacity demand) {
@@ -93,7 +105,7 @@
 
     /** Returns the share of processors that stays free after a demand. */
     double cpuLeft(Capacity demand) {
-        return share(freeCpuMillis - demand.cpuMillis(), worker.size().cpuMillis());
+        return (freeCpuMillis - demand.cpuMillis()) * perCpuMilli;
     }
 
     /**
@@ -101,14 +113,13 @@
      * accelerators that the demand would strand.
      */
     double waste(Capacity demand) {
-        double cpu = cpuLeft(demand);
-        double memory = share(
-                freeMemoryMegabytes - demand.memoryMegabytes(), worker.size().memoryMegabytes());
+        double cpu = (freeCpuMillis - demand.cpuMillis()) * perCpuMilli;
+        double memory = (freeMemoryMegabytes - demand.memoryMegabytes()) * perMegabyte;
         double stranded = demand.accelerators() == 0 && freeAccelerators > 0 ? STRANDED_WEIGHT : 0.0;
         return cpu + memory + IMBALANCE_WEIGHT * Math.abs(cpu - memory) + stranded;
     }
 
-    private static double share(long part, long whole) {
-        return whole == 0 ? 0 : (double) part / whole;
+    private static double inverse(long whole) {
+        return whole == 0 ? 0 : 1.0 / whole;
     }
 }
--- /dev/null
+++ b/core/src/test/java/org/wasabimount/core/log/ReplicaTest.java
@@ -0,0 +1,148 @@
+package org.wasabimount.core.log;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+
+import org.testng.annotations.Test;
+import org.wasabimount.protocol.log.AppendReply;
+import org.wasabimount.protocol.log.HardState;
+import org.wasabimount.protocol.log.LogEntry;
+import org.wasabimount.protocol.log.LogMessage;
+import org.wasabimount.protocol.log.LogSnapshot;
+import org.wasabimount.protocol.log.Membership;
+import org.wasabimount.protocol.log.VoteReply;
+import org.wasabimount.protocol.log.VoteRequest;
+
+import com.google.protobuf.ByteString;
+
+/** Single rules of the replica that a random walk seldom reaches. */
+public class ReplicaTest {
+
+    private static final ReplicaSettings SETTINGS = ReplicaSettings.of("group", "vm0/0", 400, 1);
+    private static final long AFTER_TIMEOUT_MILLIS = 1_000;
+
+    @Test
+    public void doesNotCommitEntryOfOlderTermByCounting() {
+        Replica leader = leaderWithOldEntry();
+        accept(leader, "vm1/0", 1);
+        assertEquals(leader.commitIndex(), 0);
+        accept(leader, "vm1/0", 2);
+        assertEquals(leader.commitIndex(), 2);
+    }
+
+    @Test
+    public void decidesOnlyAfterItsOwnEntryIsCommitted() {
+        Replica leader = leaderWithOldEntry();
+        accept(leader, "vm1/0", 1);
+        assertFalse(leader.mayDecide(AFTER_TIMEOUT_MILLIS + 1));
+        accept(leader, "vm1/0", 2);
+        assertTrue(leader.mayDecide(AFTER_TIMEOUT_MILLIS + 1));
+    }
+
+    @Test
+    public void stopsDecidingWhenItsLeaseEnds() {
+        Replica leader = leaderWithOldEntry();
+        accept(leader, "vm1/0", 2);
+        assertFalse(leader.mayDecide(AFTER_TIMEOUT_MILLIS + 400));
+    }
+
+    @Test
+    public void ignoresVoteRequestWhileItHearsALeader() {
+        Replica follower = follower();
+        follower.receive(
+                message("vm1/0", 5)
+                        .setAppendRequest(org.wasabimount.protocol.log.AppendRequest.getDefaultInstance())
+                        .build(),
+                100);
+        follower.receive(
+                message("vm2/0", 9)
+                        .setVoteRequest(VoteRequest.newBuilder().setLastIndex(9).setLastTerm(9))
+                        .build(),
+                200);
+        assertEquals(follower.term(), 5);
+    }
+
+    @Test
+    public void refusesVoteForOlderLog() {
+        Replica follower = follower();
+        follower.receive(
+                message("vm2/0", 9)
+                        .setVoteRequest(VoteRequest.getDefaultInstance())
+                        .build(),
+                AFTER_TIMEOUT_MILLIS);
+        List<LogMessage> replies = follower.drain().afterSync();
+        assertFalse(replies.get(0).getVoteReply().getGranted());
+    }
+
+    @Test
+    public void dropsMessagesForAnotherIdentity() {
+        Replica follower = follower();
+        follower.receive(
+                message("vm1/0", 5)
+                        .setTo("vm0/1")
+                        .setAppendRequest(org.wasabimount.protocol.log.AppendRequest.getDefaultInstance())
+                        .build(),
+                100);
+        assertEquals(follower.term(), 3);
+    }
+
+    private static Replica follower() {
+        Membership membership = Membership.newBuilder()
+                .addAllVoters(List.of("vm0/0", "vm1/0", "vm2/0"))
+                .build();
+        LogEntry old = LogEntry.newBuilder()
+                .setIndex(1)
+                .setTerm(2)
+                .setKind(LogEntry.Kind.COMMAND)
+                .setData(ByteString.copyFromUtf8("old"))
+                .build();
+        LogSnapshot first = LogSnapshot.newBuilder().setMembership(membership).build();
+        HardState hardState = HardState.newBuilder().setTerm(3).build();
+        return new Replica(SETTINGS, new PersistedLog(hardState, first, List.of(old)), 0);
+    }
+
+    private static Replica leaderWithOldEntry() {
+        Replica replica = follower();
+        replica.tick(AFTER_TIMEOUT_MILLIS);
+        flush(replica);
+        replica.receive(
+                message("vm1/0", 4)
+                        .setVoteReply(VoteReply.newBuilder().setPreVote(true).setGranted(true))
+                        .build(),
+                AFTER_TIMEOUT_MILLIS);
+        flush(replica);
+        replica.receive(
+                message("vm1/0", 4)
+                        .setVoteReply(VoteReply.newBuilder().setGranted(true))
+                        .build(),
+                AFTER_TIMEOUT_MILLIS);
+        flush(replica);
+        assertEquals(replica.role(), Replica.Role.LEADER);
+        return replica;
+    }
+
+    private static void accept(Replica leader, String from, long matchIndex) {
+        AppendReply reply = AppendReply.newBuilder()
+                .setAccepted(true)
+                .setMatchIndex(matchIndex)
+                .setRound(1)
+                .build();
+        leader.receive(message(from, leader.term()).setAppendReply(reply).build(), AFTER_TIMEOUT_MILLIS);
+    }
+
+    private static void flush(Replica replica) {
+        replica.drain();
+        replica.persisted(replica.lastIndex());
+    }
+
+    private static LogMessage.Builder message(String from, long term) {
+        return LogMessage.newBuilder()
+                .setGroup("group")
+                .setFrom(from)
+                .setTo("vm0/0")
+                .setTerm(term);
+    }
+}
--- a/core/src/test/java/org/wasabimount/core/placement/SchedulerTest.java
+++ b/core/src/test/java/org/wasabimount/core/placement/SchedulerTest.java
@@ -190,6 +190,9 @@
         worker("w0", "domain-0", WORKER);
         declare(ResourceKind.JOB, "weights", new Capacity(250, 500, 0), 16);
         round();
+        assertEquals(count(TaskState.BOUND), 0);
+        nowMillis += 2_000;
+        round();
         assertEquals(count(TaskState.BOUND), 16);
     }
 
--- a/protocol/src/main/java/org/wasabimount/protocol/cell/WorkerState.java
+++ b/protocol/src/main/java/org/wasabimount/protocol/cell/WorkerState.java
@@ -475,6 +475,44 @@
     return internalGetMutableFailures();
   }
 
+  public static final int PROVEN_FIELD_NUMBER = 11;
+  private boolean proven_;
+  /**
+   * <pre>
+   * True once a task ended well here.
+   * </pre>
+   *
+   * <code>bool proven = 11;</code>
+   * @return The proven.
+   */
+  @java.lang.Override
+  public boolean getProven() {
+    return proven_;
+  }
+  /**
+   * <pre>
+   * True once a task ended well here.
+   * </pre>
+   *
+   * <code>bool proven = 11;</code>
+   * @param value The proven to set.
+   */
+  private void setProven(boolean value) {
+    
+    proven_ = value;
+  }
+  /**
+   * <pre>
+   * True once a task ended well here.
+   * </pre>
+   *
+   * <code>bool proven = 11;</code>
+   */
+  private void clearProven() {
+
+    proven_ = false;
+  }
+
   public static org.wasabimount.protocol.cell.WorkerState parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -1053,6 +1091,46 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * True once a task ended well here.
+     * </pre>
+     *
+     * <code>bool proven = 11;</code>
+     * @return The proven.
+     */
+    @java.lang.Override
+    public boolean getProven() {
+      return instance.getProven();
+    }
+    /**
+     * <pre>
+     * True once a task ended well here.
+     * </pre>
+     *
+     * <code>bool proven = 11;</code>
+     * @param value The proven to set.
+     * @return This builder for chaining.
+     */
+    public Builder setProven(boolean value) {
+      copyOnWrite();
+      instance.setProven(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * True once a task ended well here.
+     * </pre>
+     *
+     * <code>bool proven = 11;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearProven() {
+      copyOnWrite();
+      instance.clearProven();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:wasabimount.cell.WorkerState)
   }
   @java.lang.Override
@@ -1081,10 +1159,12 @@
             "quarantinedUntilMillis_",
             "failures_",
             FailuresDefaultEntryHolder.defaultEntry,
+            "proven_",
           };
           java.lang.String info =
-              "\u0000\n\u0000\u0001\u0001\n\n\u0001\u0000\u0000\u0001\u0208\u0002\u0208\u0003\u0208" +
-              "\u0004\u0208\u0005\u1009\u0000\u0006\u0007\u0007\u0007\b\u0007\t\u0002\n2";
+              "\u0000\u000b\u0000\u0001\u0001\u000b\u000b\u0001\u0000\u0000\u0001\u0208\u0002\u0208" +
+              "\u0003\u0208\u0004\u0208\u0005\u1009\u0000\u0006\u0007\u0007\u0007\b\u0007\t\u0002" +
+              "\n2\u000b\u0007";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/protocol/src/main/java/org/wasabimount/protocol/cell/WorkerStateOrBuilder.java
+++ b/protocol/src/main/java/org/wasabimount/protocol/cell/WorkerStateOrBuilder.java
@@ -146,4 +146,14 @@
 
   int getFailuresOrThrow(
       java.lang.String key);
+
+  /**
+   * <pre>
+   * True once a task ended well here.
+   * </pre>
+   *
+   * <code>bool proven = 11;</code>
+   * @return The proven.
+   */
+  boolean getProven();
 }
