--- /dev/null
+++ b/bench/src/main/java/org/wasabimount/bench/cell/CellAccess.java
@@ -0,0 +1,230 @@
+package org.wasabimount.bench.cell;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import org.wasabimount.client.HttpClient;
+import org.wasabimount.client.HttpMessage;
+import org.wasabimount.client.HttpResult;
+import org.wasabimount.daemon.cell.Directory;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+
+/** An operator's access to a local cell over its public interface. */
+public final class CellAccess implements AutoCloseable {
+
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final long TIMEOUT_MILLIS = 10_000;
+    private static final int MAX_ANSWER_BYTES = 256 << 20;
+    private static final int OK = 200;
+
+    private final LocalCell cell;
+    private final XnioWorker ioThreads;
+    private final HttpClient client;
+    private final AtomicInteger turn = new AtomicInteger();
+
+    /**
+     * Creates an access.
+     *
+     * @param cell the cell
+     * @throws IOException if no I/O threads can be made
+     */
+    public CellAccess(LocalCell cell) throws IOException {
+        this.cell = cell;
+        this.ioThreads = Xnio.getInstance()
+                .createWorker(OptionMap.builder()
+                        .set(Options.WORKER_IO_THREADS, 2)
+                        .set(Options.TCP_NODELAY, true)
+                        .set(Options.THREAD_DAEMON, true)
+                        .getMap());
+        this.client = new HttpClient(ioThreads, MAX_ANSWER_BYTES);
+    }
+
+    /**
+     * Returns the client.
+     *
+     * @return the client
+     */
+    public HttpClient client() {
+        return client;
+    }
+
+    /**
+     * Returns the credential that {@link #organisation} gives to an organisation.
+     *
+     * @param organisation the organisation
+     * @return the credential
+     */
+    public static String credential(String organisation) {
+        return organisation + ":secret-of-" + organisation;
+    }
+
+    /**
+     * Waits until every daemon is ready.
+     *
+     * @param timeoutMillis how long to wait
+     * @return whether all were ready in time
+     */
+    public boolean awaitReady(long timeoutMillis) {
+        return cell.awaitReady(
+                client, cell.daemons().stream().map(LocalDaemon::name).toList(), timeoutMillis);
+    }
+
+    /**
+     * Declares an organisation with a quota that is no limit.
+     *
+     * @param name its name
+     * @param weight its weight
+     */
+    public void organisation(String name, int weight) {
+        StringBuilder hash = new StringBuilder();
+        for (byte part : Directory.hash("secret-of-" + name).toByteArray()) {
+            hash.append(String.format("%02x", part));
+        }
+        String body = "{\"weight\":" + weight + ",\"quota\":{\"cpuMillis\":1000000000,\"memoryMegabytes\":1000000000,"
+                + "\"accelerators\":1000000},\"secretHashes\":[\"" + hash + "\"]}";
+        HttpMessage put = message("PUT", "/admin/organisations/" + name, body, LocalCell.ADMIN_SECRET);
+        boolean done = LocalCell.await(
+                () -> client.call(cell.daemons().get(0).httpAddress(), put, TIMEOUT_MILLIS)
+                        .is(OK),
+                TIMEOUT_MILLIS);
+        if (!done) {
+            throw new IllegalStateException("organisation " + name + " could not be declared");
+        }
+        // Every daemon must know the credential before it is used there.
+        HttpMessage list = message("GET", "/v1/resources", "", credential(name));
+        LocalCell.await(
+                () -> cell.daemons().stream()
+                        .allMatch(daemon -> client.call(daemon.httpAddress(), list, TIMEOUT_MILLIS)
+                                .is(OK)),
+                TIMEOUT_MILLIS);
+    }
+
+    /**
+     * Declares a batch through the next daemon.
+     *
+     * @param organisation the organisation
+     * @param name the batch's name
+     * @param number makes the request's id
+     * @return completed with the answer
+     */
+    public CompletableFuture<HttpResult> putBatch(String organisation, String name, int number) {
+        LocalDaemon daemon = cell.daemons()
+                .get(Math.floorMod(turn.getAndIncrement(), cell.daemons().size()));
+        return client.send(daemon.httpAddress(), batch(organisation, name, number), TIMEOUT_MILLIS, true);
+    }
+
+    /**
+     * Declares a batch through one daemon and waits.
+     *
+     * @param daemon the daemon
+     * @param organisation the organisation
+     * @param name the batch's name
+     * @param number makes the request's id
+     * @param timeoutMillis how long to wait
+     * @return the answer
+     */
+    public HttpResult putBatchAt(LocalDaemon daemon, String organisation, String name, int number, long timeoutMillis) {
+        return client.call(daemon.httpAddress(), batch(organisation, name, number), timeoutMillis);
+    }
+
+    /**
+     * Finds the leader of the cell's group.
+     *
+     * @return the daemon that leads
+     */
+    public LocalDaemon leader() {
+        LocalDaemon[] found = new LocalDaemon[1];
+        LocalCell.await(
+                () -> {
+                    found[0] = findLeader();
+                    return found[0] != null;
+                },
+                TIMEOUT_MILLIS);
+        return found[0];
+    }
+
+    /**
+     * Reads the status of the cell through one daemon.
+     *
+     * @param daemon the daemon
+     * @return the status, or an empty object if there is no answer
+     */
+    public JsonNode status(LocalDaemon daemon) {
+        return json(client.call(
+                daemon.httpAddress(), message("GET", "/admin/status", "", LocalCell.ADMIN_SECRET), TIMEOUT_MILLIS));
+    }
+
+    /**
+     * Tells whether an organisation has a batch.
+     *
+     * @param organisation the organisation
+     * @param name the batch's name
+     * @return completed with whether it was found
+     */
+    public CompletableFuture<Boolean> hasBatch(String organisation, String name) {
+        HttpMessage get = message("GET", "/v1/batches/" + name, "", credential(organisation));
+        LocalDaemon daemon = cell.daemons()
+                .get(Math.floorMod(turn.getAndIncrement(), cell.daemons().size()));
+        return client.send(daemon.httpAddress(), get, TIMEOUT_MILLIS, true).thenApply(result -> result.is(OK));
+    }
+
+    /**
+     * Writes a message with a credential.
+     *
+     * @param method the method
+     * @param path the path
+     * @param body the body
+     * @param credential the credential
+     * @return the message
+     */
+    public static HttpMessage message(String method, String path, String body, String credential) {
+        return HttpMessage.of(method, path, body.getBytes(java.nio.charset.StandardCharsets.UTF_8))
+                .with("Authorization", "Bearer " + credential)
+                .with("Content-Type", "application/json");
+    }
+
+    @Override
+    public void close() {
+        ioThreads.shutdownNow();
+    }
+
+    private LocalDaemon findLeader() {
+        List<LocalDaemon> alive = cell.daemons().stream()
+                .filter(daemon -> daemon.process().isAlive())
+                .toList();
+        for (LocalDaemon daemon : alive) {
+            String leader = status(daemon)
+                    .path("vm")
+                    .path("groups")
+                    .path("cell")
+                    .path("leader")
+                    .asText();
+            if (leader.contains("/")) {
+                return cell.daemon(leader.substring(0, leader.indexOf('/')));
+            }
+        }
+        return null;
+    }
+
+    private static HttpMessage batch(String organisation, String name, int number) {
+        String body = "{\"taskSize\":{\"cpuMillis\":100},\"taskCount\":1}";
+        return message("PUT", "/v1/batches/" + name, body, credential(organisation))
+                .with("Request-Id", name + "-" + number);
+    }
+
+    private static JsonNode json(HttpResult result) {
+        try {
+            return result.is(OK) ? MAPPER.readTree(result.answer().body()) : MAPPER.createObjectNode();
+        } catch (IOException e) {
+            return MAPPER.createObjectNode();
+        }
+    }
+}
--- a/bench/src/main/java/org/wasabimount/bench/cell/LocalCell.java
+++ b/bench/src/main/java/org/wasabimount/bench/cell/LocalCell.java
@@ -9,6 +9,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
@@ -36,6 +37,7 @@
     /** The secret of workers and backend servers. */
     public static final String PLATFORM_SECRET = "demo-platform-secret";
 
+    private static final AtomicInteger CELLS = new AtomicInteger();
     private static final int HTTP_PORT = 8100;
     private static final int PEER_PORT = 7100;
     private static final long POLL_MILLIS = 50;
@@ -48,6 +50,7 @@
     private final Map<String, String> domainByVm = new LinkedHashMap<>();
     private final Map<String, String> peerAddresses = new LinkedHashMap<>();
     private final Map<String, String> extraSettings = new LinkedHashMap<>();
+    private final Map<String, Map<String, String>> linkAddresses = new LinkedHashMap<>();
     private final String network;
 
     private LocalCell(Path top, Path folder, List<String> domains) {
@@ -55,7 +58,8 @@
         this.folder = folder;
         this.domains = domains;
         long pid = ProcessHandle.current().pid();
-        this.network = "127." + (100 + pid / BLOCK % 100) + "." + pid % BLOCK + ".";
+        int number = CELLS.incrementAndGet();
+        this.network = "127." + (100 + (pid / BLOCK + 7 * number) % 100) + "." + pid % BLOCK + ".";
     }
 
     /**
@@ -105,7 +109,7 @@
         deleteTree(folder);
         for (LocalDaemon daemon : daemons.values()) {
             Files.createDirectories(daemon.settingsFile().getParent());
-            Files.writeString(daemon.settingsFile(), settings(daemon, Map.of()));
+            Files.writeString(daemon.settingsFile(), settings(daemon));
             daemon.format(true);
         }
         for (LocalDaemon daemon : daemons.values()) {
@@ -115,15 +119,14 @@
     }
 
     /**
-     * Writes a daemon's settings anew, with other addresses for some peers.
+     * Gives daemons other addresses for their peers, for example of links that can be cut.
      *
-     * @param vm the daemon's VM
-     * @param addresses peer addresses by VM, for example of links that can be cut
-     * @throws IOException if the file can't be written
+     * @param addresses for each VM, peer addresses by VM
+     * @return this
      */
-    public void rewrite(String vm, Map<String, String> addresses) throws IOException {
-        LocalDaemon daemon = daemons.get(vm);
-        Files.writeString(daemon.settingsFile(), settings(daemon, addresses));
+    public LocalCell peerLinks(Map<String, Map<String, String>> addresses) {
+        linkAddresses.putAll(addresses);
+        return this;
     }
 
     /**
@@ -236,7 +239,8 @@
         }
     }
 
-    private String settings(LocalDaemon daemon, Map<String, String> addresses) {
+    private String settings(LocalDaemon daemon) {
+        Map<String, String> addresses = linkAddresses.getOrDefault(daemon.name(), Map.of());
         String voters = domains.stream().map(domain -> domain + "-1").collect(Collectors.joining(", "));
         StringBuilder text = new StringBuilder();
         text.append("vm: ").append(daemon.name()).append('\n');
--- a/bench/src/main/java/org/wasabimount/bench/demo/DemoMain.java
+++ b/bench/src/main/java/org/wasabimount/bench/demo/DemoMain.java
@@ -188,7 +188,7 @@
 
     private boolean leads(LocalDaemon daemon) {
         Run status = at(daemon.httpAddress(), LocalCell.ADMIN_SECRET, "status", "-o", "json");
-        return status.out().contains("\"cell\" : \"" + daemon.name() + "/");
+        return status.out().replaceAll("\\s", "").contains("\"cell\":{\"leader\":\"" + daemon.name() + "/");
     }
 
     private boolean awaitPhase(String kind, String name, String phase) {
--- /dev/null
+++ b/bench/src/main/java/org/wasabimount/bench/overhead/DaemonCost.java
@@ -0,0 +1,81 @@
+package org.wasabimount.bench.overhead;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+
+import org.wasabimount.bench.cell.LocalDaemon;
+import org.wasabimount.client.HttpClient;
+import org.wasabimount.client.HttpMessage;
+import org.wasabimount.client.HttpResult;
+
+/**
+ * What the daemons of a cell have spent so far, as the operating system and their metrics count it.
+ *
+ * @param cpuSeconds processor seconds of all daemons
+ * @param httpBytes bytes exchanged over HTTP by all daemons
+ * @param peerBytes bytes sent to other daemons by all daemons
+ * @param maxResidentMegabytes the largest resident size of one daemon
+ * @param atNanos when it was read
+ */
+record DaemonCost(double cpuSeconds, double httpBytes, double peerBytes, double maxResidentMegabytes, long atNanos) {
+
+    private static final double TICKS_PER_SECOND = 100;
+    private static final double KILOBYTES_PER_MEGABYTE = 1_024;
+    private static final long TIMEOUT_MILLIS = 5_000;
+    private static final int USER_TICKS_FIELD = 11;
+    private static final int SYSTEM_TICKS_FIELD = 12;
+
+    static DaemonCost read(HttpClient client, List<LocalDaemon> daemons) throws IOException {
+        double cpu = 0;
+        double http = 0;
+        double peer = 0;
+        double resident = 0;
+        for (LocalDaemon daemon : daemons) {
+            long pid = daemon.process().pid();
+            String stat = Files.readString(Path.of("/proc", Long.toString(pid), "stat"));
+            String[] fields = stat.substring(stat.lastIndexOf(')') + 2).split(" ");
+            cpu += (Double.parseDouble(fields[USER_TICKS_FIELD]) + Double.parseDouble(fields[SYSTEM_TICKS_FIELD]))
+                    / TICKS_PER_SECOND;
+            resident = Math.max(resident, residentMegabytes(pid));
+            HttpResult metrics =
+                    client.call(daemon.httpAddress(), HttpMessage.of("GET", "/metrics", new byte[0]), TIMEOUT_MILLIS);
+            String text = metrics.is(200) ? metrics.answer().text() : "";
+            http += value(text, "wasabimount_http_received_bytes") + value(text, "wasabimount_http_sent_bytes");
+            peer += value(text, "wasabimount_peer_sent_bytes");
+        }
+        return new DaemonCost(cpu, http, peer, resident, System.nanoTime());
+    }
+
+    /** Returns processors used since an earlier reading, as a part of one core, over all daemons. */
+    double coresSince(DaemonCost earlier) {
+        return (cpuSeconds - earlier.cpuSeconds) / secondsSince(earlier);
+    }
+
+    double httpBytesPerSecondSince(DaemonCost earlier) {
+        return (httpBytes - earlier.httpBytes) / secondsSince(earlier);
+    }
+
+    double peerBytesPerSecondSince(DaemonCost earlier) {
+        return (peerBytes - earlier.peerBytes) / secondsSince(earlier);
+    }
+
+    private double secondsSince(DaemonCost earlier) {
+        return (atNanos - earlier.atNanos) / 1e9;
+    }
+
+    private static double residentMegabytes(long pid) throws IOException {
+        return Files.readAllLines(Path.of("/proc", Long.toString(pid), "status")).stream()
+                .filter(line -> line.startsWith("VmRSS:"))
+                .mapToDouble(line -> Double.parseDouble(line.replaceAll("[^0-9]", "")) / KILOBYTES_PER_MEGABYTE)
+                .sum();
+    }
+
+    private static double value(String metrics, String name) {
+        return metrics.lines()
+                .filter(line -> line.startsWith(name + " "))
+                .mapToDouble(line -> Double.parseDouble(line.substring(name.length() + 1)))
+                .sum();
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/wasabimount/bench/overhead/Slope.java
@@ -0,0 +1,30 @@
+package org.wasabimount.bench.overhead;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** A straight line through measured points, by least squares. */
+final class Slope {
+
+    private final List<double[]> points = new ArrayList<>();
+
+    Slope add(double size, double cost) {
+        points.add(new double[] {size, cost});
+        return this;
+    }
+
+    /** Returns the cost of one more. */
+    double perUnit() {
+        double meanSize =
+                points.stream().mapToDouble(point -> point[0]).average().orElse(0);
+        double meanCost =
+                points.stream().mapToDouble(point -> point[1]).average().orElse(0);
+        double covariance = points.stream()
+                .mapToDouble(point -> (point[0] - meanSize) * (point[1] - meanCost))
+                .sum();
+        double variance = points.stream()
+                .mapToDouble(point -> (point[0] - meanSize) * (point[0] - meanSize))
+                .sum();
+        return variance == 0 ? 0 : covariance / variance;
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/wasabimount/bench/routing/RoutingPhase.java
@@ -0,0 +1,124 @@
+package org.wasabimount.bench.routing;
+
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+
+import org.HdrHistogram.ConcurrentHistogram;
+import org.HdrHistogram.Histogram;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+
+/** What the callers saw in one phase of load. */
+final class RoutingPhase {
+
+    private static final long MAX_MILLIS = 60_000;
+
+    private final String name;
+    private final double seconds;
+    private final Histogram totalMillis = new ConcurrentHistogram(MAX_MILLIS, 3);
+    private final Histogram refusalMillis = new ConcurrentHistogram(MAX_MILLIS, 3);
+    private final AtomicLong sent = new AtomicLong();
+    private final AtomicLong good = new AtomicLong();
+    private final AtomicLong wrong = new AtomicLong();
+    private final AtomicLong repeatableSent = new AtomicLong();
+    private final AtomicLong repeatableFailed = new AtomicLong();
+    private final Map<String, AtomicInteger> otherByCode = new TreeMap<>();
+    private final Map<String, AtomicInteger> goodByOrganisation = new TreeMap<>();
+    private final Map<String, AtomicInteger> refusedByOrganisation = new TreeMap<>();
+
+    RoutingPhase(String name, double seconds) {
+        this.name = name;
+        this.seconds = seconds;
+    }
+
+    String name() {
+        return name;
+    }
+
+    void sent(boolean repeatable) {
+        sent.incrementAndGet();
+        if (repeatable) {
+            repeatableSent.incrementAndGet();
+        }
+    }
+
+    void good(String organisation, long millis) {
+        good.incrementAndGet();
+        totalMillis.recordValue(Math.min(MAX_MILLIS, millis));
+        count(goodByOrganisation, organisation);
+    }
+
+    void wrong() {
+        wrong.incrementAndGet();
+    }
+
+    void other(String organisation, String code, boolean repeatable, boolean refusedUnsent, long millis) {
+        count(otherByCode, code);
+        if (refusedUnsent) {
+            refusalMillis.recordValue(Math.min(MAX_MILLIS, millis));
+            count(refusedByOrganisation, organisation);
+        } else if (repeatable) {
+            repeatableFailed.incrementAndGet();
+        }
+    }
+
+    long wrongAnswers() {
+        return wrong.get();
+    }
+
+    double goodput() {
+        return good.get() / seconds;
+    }
+
+    /** Returns the share of repeatable requests that failed after they were sent. */
+    double lostShare() {
+        return (double) repeatableFailed.get() / Math.max(1, repeatableSent.get());
+    }
+
+    long refused(String organisation) {
+        return value(refusedByOrganisation, organisation);
+    }
+
+    long good(String organisation) {
+        return value(goodByOrganisation, organisation);
+    }
+
+    long p99Millis() {
+        return totalMillis.getValueAtPercentile(99);
+    }
+
+    ObjectNode json() {
+        ObjectNode json = new ObjectMapper()
+                .createObjectNode()
+                .put("phase", name)
+                .put("offeredPerSecond", Math.round(sent.get() / seconds))
+                .put("goodPerSecond", Math.round(goodput()))
+                .put("p50Millis", totalMillis.getValueAtPercentile(50))
+                .put("p99Millis", totalMillis.getValueAtPercentile(99))
+                .put("p999Millis", totalMillis.getValueAtPercentile(99.9))
+                .put("refusalP99Millis", refusalMillis.getValueAtPercentile(99))
+                .put("lostShare", lostShare())
+                .put("wrong", wrong.get());
+        ObjectNode codes = json.putObject("notAnswered");
+        otherByCode.forEach((code, count) -> codes.put(code, count.get()));
+        ObjectNode shares = json.putObject("goodByOrganisation");
+        goodByOrganisation.forEach((organisation, count) -> shares.put(organisation, count.get()));
+        return json;
+    }
+
+    private static void count(Map<String, AtomicInteger> counts, String key) {
+        synchronized (counts) {
+            counts.computeIfAbsent(key, absent -> new AtomicInteger()).incrementAndGet();
+        }
+    }
+
+    private static long value(Map<String, AtomicInteger> counts, String key) {
+        synchronized (counts) {
+            AtomicInteger count = counts.get(key);
+            return count == null ? 0 : count.get();
+        }
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/wasabimount/bench/standin/CuttableLink.java
@@ -0,0 +1,137 @@
+package org.wasabimount.bench.standin;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+
+/**
+ * A TCP link in one direction that can be cut silently: connections stay open and new ones are accepted, but nothing
+ * comes through any more.
+ */
+public final class CuttableLink implements AutoCloseable {
+
+    private static final int BUFFER_BYTES = 16 << 10;
+    private static final int CONNECT_MILLIS = 1_000;
+    private static final long POLL_MILLIS = 20;
+
+    private final ServerSocket listener;
+    private final InetSocketAddress target;
+    private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
+    private volatile boolean cut;
+    private volatile boolean closed;
+
+    /**
+     * Opens a link.
+     *
+     * @param listen where the sender connects
+     * @param target where the receiver listens
+     * @throws IOException if the address can't be bound
+     */
+    public CuttableLink(InetSocketAddress listen, InetSocketAddress target) throws IOException {
+        this.listener = new ServerSocket();
+        this.target = target;
+        listener.setReuseAddress(true);
+        listener.bind(new InetSocketAddress(InetAddress.getByName(listen.getHostString()), listen.getPort()));
+        start(this::accept, "link-accept");
+    }
+
+    /** Cuts the link. */
+    public void cut() {
+        cut = true;
+    }
+
+    /** Heals the link; connections that lived through the cut are closed, as their lost bytes can't be made up. */
+    public void heal() {
+        sockets.forEach(CuttableLink::closeQuietly);
+        sockets.clear();
+        cut = false;
+    }
+
+    @Override
+    public void close() throws IOException {
+        closed = true;
+        listener.close();
+        sockets.forEach(CuttableLink::closeQuietly);
+    }
+
+    private void accept() {
+        while (!closed) {
+            try {
+                Socket sender = listener.accept();
+                sockets.add(sender);
+                start(() -> join(sender), "link");
+            } catch (IOException e) {
+                // The listener was closed, or a sender went away before it was accepted.
+            }
+        }
+    }
+
+    private void join(Socket sender) {
+        try {
+            awaitOpen(sender);
+            Socket receiver = new Socket();
+            receiver.setTcpNoDelay(true);
+            sender.setTcpNoDelay(true);
+            receiver.connect(target, CONNECT_MILLIS);
+            sockets.add(receiver);
+            start(() -> pump(receiver, sender), "link-back");
+            pump(sender, receiver);
+        } catch (IOException e) {
+            closeQuietly(sender);
+        }
+    }
+
+    private void pump(Socket from, Socket to) {
+        byte[] buffer = new byte[BUFFER_BYTES];
+        try {
+            InputStream in = from.getInputStream();
+            OutputStream out = to.getOutputStream();
+            int count = in.read(buffer);
+            while (count >= 0) {
+                awaitOpen(from);
+                out.write(buffer, 0, count);
+                count = in.read(buffer);
+            }
+        } catch (IOException e) {
+            // Both ends are closed below.
+        }
+        closeQuietly(from);
+        closeQuietly(to);
+        sockets.remove(from);
+        sockets.remove(to);
+    }
+
+    private void awaitOpen(Socket socket) throws IOException {
+        while (cut) {
+            if (closed || socket.isClosed()) {
+                throw new IOException("closed while the link was cut");
+            }
+            try {
+                Thread.sleep(POLL_MILLIS);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+                throw new IOException("interrupted", e);
+            }
+        }
+    }
+
+    private static void start(Runnable task, String name) {
+        Thread thread = new Thread(task, name);
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    private static void closeQuietly(Socket socket) {
+        try {
+            socket.close();
+        } catch (IOException e) {
+            // It is closed as far as this side is concerned.
+        }
+    }
+}
--- /dev/null
+++ b/bench/src/test/java/org/wasabimount/bench/scenario/ScenarioCell.java
@@ -0,0 +1,149 @@
+package org.wasabimount.bench.scenario;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.UUID;
+
+import org.wasabimount.bench.cell.CellAccess;
+import org.wasabimount.bench.cell.LocalCell;
+import org.wasabimount.bench.cell.LocalDaemon;
+import org.wasabimount.bench.standin.CuttableLink;
+import org.wasabimount.bench.standin.StandInBackend;
+import org.wasabimount.bench.standin.StandIns;
+import org.wasabimount.client.HttpMessage;
+import org.wasabimount.client.HttpResult;
+
+/** A cell with cuttable links between its daemons, and short ways to use it. */
+final class ScenarioCell implements AutoCloseable {
+
+    static final long PATIENCE_MILLIS = 60_000;
+    private static final List<String> DOMAINS = List.of("d1", "d2", "d3");
+    private static final int FIRST_LINK_HOST = 200;
+    private static final int LINK_PORT = 7_200;
+    private static final int FIRST_BACKEND_HOST = 100;
+    private static final int BACKEND_PORT = 9_100;
+    private static final long CALL_MILLIS = 5_000;
+
+    private final LocalCell cell;
+    private final CellAccess access;
+    private final StandIns standIns;
+    private final Map<String, CuttableLink> links = new LinkedHashMap<>();
+
+    ScenarioCell() throws IOException {
+        Path top = Path.of("..").toAbsolutePath().normalize();
+        Path folder = Path.of("target", "scenarios", UUID.randomUUID().toString());
+        cell = LocalCell.of(top, folder, DOMAINS, 1);
+        Map<String, Map<String, String>> addresses = openLinks();
+        cell.peerLinks(addresses).start();
+        access = new CellAccess(cell);
+        standIns = new StandIns(cell.httpAddresses(), LocalCell.PLATFORM_SECRET);
+    }
+
+    LocalCell cell() {
+        return cell;
+    }
+
+    CellAccess access() {
+        return access;
+    }
+
+    List<StandInBackend> backends() {
+        return standIns.backends();
+    }
+
+    List<LocalDaemon> others(LocalDaemon daemon) {
+        return cell.daemons().stream().filter(other -> other != daemon).toList();
+    }
+
+    void addBackends(long serviceMillis) {
+        for (String domain : DOMAINS) {
+            int number = standIns.backends().size();
+            standIns.backend(new StandInBackend.Settings(
+                    "backend-" + domain,
+                    "org",
+                    "echo",
+                    false,
+                    domain,
+                    new InetSocketAddress(cell.address(FIRST_BACKEND_HOST + number), BACKEND_PORT),
+                    8,
+                    serviceMillis));
+        }
+    }
+
+    void cutOff(LocalDaemon daemon, boolean outgoing, boolean incoming) {
+        links.forEach((name, link) -> {
+            boolean from = name.startsWith(daemon.name() + ">");
+            boolean to = name.endsWith(">" + daemon.name());
+            if (from && outgoing || to && incoming) {
+                link.cut();
+            }
+        });
+    }
+
+    void heal() {
+        links.values().forEach(CuttableLink::heal);
+    }
+
+    HttpResult declare(LocalDaemon daemon, String name) {
+        return access.putBatchAt(daemon, "org", name, 0, 2_000);
+    }
+
+    HttpResult call(LocalDaemon daemon, String body, String key) {
+        HttpMessage message = CellAccess.message(
+                        key == null ? "PUT" : "POST", "/call/echo/", body, CellAccess.credential("org"))
+                .with("Request-Timeout-Millis", Long.toString(CALL_MILLIS));
+        return access.client()
+                .call(
+                        daemon.httpAddress(),
+                        key == null ? message : message.with("Idempotency-Key", key),
+                        2 * CALL_MILLIS);
+    }
+
+    long runs(String key) {
+        return backends().stream()
+                .map(backend -> backend.runsByKey().get(key))
+                .filter(count -> count != null)
+                .mapToLong(count -> count.get())
+                .sum();
+    }
+
+    static String newKey() {
+        UUID random = UUID.randomUUID();
+        long most = System.currentTimeMillis() << 16 | 0x7000L | random.getMostSignificantBits() & 0xfff;
+        return new UUID(most, random.getLeastSignificantBits()).toString();
+    }
+
+    @Override
+    public void close() throws IOException {
+        standIns.close();
+        access.close();
+        cell.close();
+        for (CuttableLink link : new ArrayList<>(links.values())) {
+            link.close();
+        }
+    }
+
+    private Map<String, Map<String, String>> openLinks() throws IOException {
+        Map<String, Map<String, String>> addresses = new HashMap<>();
+        int host = FIRST_LINK_HOST;
+        for (LocalDaemon from : cell.daemons()) {
+            Map<String, String> own = new HashMap<>();
+            for (LocalDaemon to : others(from)) {
+                InetSocketAddress listen = new InetSocketAddress(cell.address(host), LINK_PORT);
+                String[] target = cell.peerAddress(to.name()).split(":");
+                InetSocketAddress real = new InetSocketAddress(target[0], Integer.parseInt(target[1]));
+                links.put(from.name() + ">" + to.name(), new CuttableLink(listen, real));
+                own.put(to.name(), cell.address(host) + ":" + LINK_PORT);
+                host++;
+            }
+            addresses.put(from.name(), own);
+        }
+        return addresses;
+    }
+}
--- a/cli/src/main/java/org/wasabimount/cli/Command.java
+++ b/cli/src/main/java/org/wasabimount/cli/Command.java
@@ -46,8 +46,17 @@
         @Override
         void run(Invocation invocation) throws CliException, IOException {
             List<String> names = invocation.arguments();
-            String path = names.size() == 2 ? path(names.get(0), names.get(1)) : "/v1/resources";
-            invocation.print(invocation.read(path));
+            if (names.size() == 2) {
+                invocation.print(invocation.read(path(names.get(0), names.get(1))));
+                return;
+            }
+            String after = "";
+            do {
+                JsonNode page = invocation.read("/v1/resources" + after);
+                invocation.print(page);
+                String next = page.path("next").asText();
+                after = next.isEmpty() ? "" : "?after=" + next;
+            } while (!after.isEmpty());
         }
     },
     /** Shows changes as they come. */
--- a/core/src/main/java/org/wasabimount/core/cell/CellState.java
+++ b/core/src/main/java/org/wasabimount/core/cell/CellState.java
@@ -9,8 +9,10 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.NavigableMap;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeMap;
 
 import org.wasabimount.core.Names;
 import org.wasabimount.core.Refusal;
@@ -23,6 +25,7 @@
 import org.wasabimount.protocol.cell.Configuration;
 import org.wasabimount.protocol.cell.DeleteResource;
 import org.wasabimount.protocol.cell.GetResource;
+import org.wasabimount.protocol.cell.ListResources;
 import org.wasabimount.protocol.cell.LoseWorker;
 import org.wasabimount.protocol.cell.Organisation;
 import org.wasabimount.protocol.cell.PutConfiguration;
@@ -42,9 +45,10 @@
     private static final String PLATFORM = "";
 
     private static final int MAX_WATCH_EVENTS = 500;
+    private static final int MAX_PAGE_RESOURCES = 500;
 
     private final Map<String, OrganisationAccount> organisations = new LinkedHashMap<>();
-    private final Map<String, DeclaredResource> resources = new LinkedHashMap<>();
+    private final NavigableMap<String, DeclaredResource> resources = new TreeMap<>();
     private final Map<String, Worker> workers = new LinkedHashMap<>();
     private final Set<DeclaredResource> waiting = new LinkedHashSet<>();
     private final History history = new History();
@@ -110,7 +114,7 @@
     public Reply query(CellQuery query) {
         return switch (query.getBodyCase()) {
             case GET -> get(query.getGet());
-            case LIST -> list(query.getList().getOrganisation());
+            case LIST -> list(query.getList());
             case WATCH -> watch(query.getWatch());
             case STATUS -> ok().setStatus(status()).build();
             case CONFIGURATION -> ok().setConfiguration(configuration).build();
@@ -495,12 +499,20 @@
                 .orElse(refuse(ResultCode.NOT_FOUND, "there is no such resource"));
     }
 
-    private Reply list(String organisation) {
-        List<Resource> own = resources.values().stream()
-                .filter(resource -> resource.organisation().name().equals(organisation))
-                .map(DeclaredResource::toSummary)
+    private Reply list(ListResources list) {
+        String prefix = list.getOrganisation() + "/";
+        String after = list.getAfter().startsWith(prefix) ? list.getAfter() : prefix;
+        List<DeclaredResource> page = resources.tailMap(after, false).values().stream()
+                .takeWhile(resource -> resource.id().startsWith(prefix))
+                .limit(MAX_PAGE_RESOURCES + 1L)
                 .toList();
-        return ok().setResources(ResourceList.newBuilder().setRevision(revision).addAllResources(own))
+        boolean more = page.size() > MAX_PAGE_RESOURCES;
+        List<DeclaredResource> shown = more ? page.subList(0, MAX_PAGE_RESOURCES) : page;
+        return ok().setResources(ResourceList.newBuilder()
+                        .setRevision(revision)
+                        .addAllResources(
+                                shown.stream().map(DeclaredResource::toSummary).toList())
+                        .setNext(more ? shown.get(shown.size() - 1).id() : ""))
                 .build();
     }
 
--- a/core/src/main/java/org/wasabimount/core/routing/RequestRouter.java
+++ b/core/src/main/java/org/wasabimount/core/routing/RequestRouter.java
@@ -6,8 +6,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
-import java.util.Set;
-import java.util.stream.Collectors;
 
 import org.wasabimount.core.BackendServerId;
 import org.wasabimount.core.FailureDomainId;
@@ -25,8 +23,7 @@
 public final class RequestRouter {
 
     private static final int MAX_ATTEMPTS = 3;
-    private static final long MIN_TRY_MILLIS = 1_000;
-    private static final double TRY_FACTOR = 10;
+    private static final long NO_SERVER_RETRY_MILLIS = 1_000;
     private static final long FORGET_AFTER_TERMS = 20;
     private static final long MIN_RETRY_AFTER_MILLIS = 100;
 
@@ -97,12 +94,13 @@
      * Tells the router which entry VMs are alive, itself included.
      *
      * @param alive each live entry VM with its failure domain
+     * @param nowMillis monotonic time
      */
-    public void entryVms(Map<VmId, FailureDomainId> alive) {
+    public void entryVms(Map<VmId, FailureDomainId> alive, long nowMillis) {
         entryVms = alive.entrySet().stream()
                 .map(entry -> new SlotShare.EntryVm(entry.getKey(), entry.getValue()))
                 .toList();
-        shareAllSlots();
+        pools.values().forEach(pool -> shareSlots(pool, nowMillis, true));
     }
 
     /**
@@ -119,11 +117,14 @@
             server = new BackendServer(announcement, madeMillis);
             servers.put(id, server);
             pool(server.pool()).servers().add(server);
-            shareAllSlots();
+            shareSlots(pool(server.pool()), nowMillis, true);
         } else {
             PoolKey before = server.pool();
+            int slotsBefore = server.announcement().getSlots();
             server.update(announcement, madeMillis);
             movePool(server, before);
+            boolean resized = slotsBefore != server.announcement().getSlots() || !before.equals(server.pool());
+            shareSlots(pool(server.pool()), nowMillis, resized);
         }
         dispatch(pool(server.pool()), nowMillis);
     }
@@ -140,7 +141,11 @@
                 || found.get()
                         .present(nowMillis, limits.announcementTermMillis())
                         .isEmpty()) {
-            giveUp(request, ResultCode.NO_BACKEND_SERVER, "no server of the service is announced", MIN_TRY_MILLIS);
+            giveUp(
+                    request,
+                    ResultCode.NO_BACKEND_SERVER,
+                    "no server of the service is announced",
+                    NO_SERVER_RETRY_MILLIS);
             return;
         }
         ServicePool pool = found.get();
@@ -169,6 +174,8 @@
         attempt.server().finished(result, tookMillis, nowMillis, attempt.pool().mayEject(nowMillis));
         if (!result.failure()) {
             attempt.pool().answered(tookMillis);
+        } else if (result == AttemptResult.TIMED_OUT) {
+            attempt.pool().timedOut(tookMillis);
         }
         conclude(attempt, result, nowMillis);
         dispatch(attempt.pool(), nowMillis);
@@ -189,7 +196,10 @@
             servers.remove(server.id());
             pool(server.pool()).servers().remove(server);
         });
-        pools.values().forEach(pool -> dispatch(pool, nowMillis));
+        pools.values().forEach(pool -> {
+            shareSlots(pool, nowMillis, false);
+            dispatch(pool, nowMillis);
+        });
     }
 
     /**
@@ -242,15 +252,10 @@
             pool(before).servers().remove(server);
             pool(server.pool()).servers().add(server);
         }
-        shareAllSlots();
     }
 
-    private void shareAllSlots() {
-        pools.values().forEach(pool -> {
-            Set<FailureDomainId> domains =
-                    pool.servers().stream().map(BackendServer::domain).collect(Collectors.toSet());
-            pool.servers().forEach(server -> server.shareSlots(SlotShare.share(server, self, entryVms, domains)));
-        });
+    private void shareSlots(ServicePool pool, long nowMillis, boolean always) {
+        pool.shareSlots(self, entryVms, nowMillis, limits.announcementTermMillis(), always);
     }
 
     private void admit(RoutedRequest request, ServicePool pool, long nowMillis) {
@@ -309,14 +314,13 @@
         lastAttempt++;
         attempts.put(lastAttempt, new Attempt(request, server, pool, nowMillis));
         long remainingMillis = Math.max(1, request.deadlineMillis() - nowMillis);
-        long tryMillis = Math.max(MIN_TRY_MILLIS, (long) (TRY_FACTOR * pool.serviceTimeMillis()));
         boolean bounded = policy.admits() && request.repeatable();
         actions.add(new RoutingAction.Dispatch(
                 request,
                 lastAttempt,
                 server.id(),
                 server.announcement().getAddress(),
-                bounded ? Math.min(remainingMillis, tryMillis) : remainingMillis));
+                bounded ? Math.min(remainingMillis, pool.tryMillis()) : remainingMillis));
     }
 
     private void conclude(Attempt attempt, AttemptResult result, long nowMillis) {
--- a/core/src/main/java/org/wasabimount/core/routing/ServicePool.java
+++ b/core/src/main/java/org/wasabimount/core/routing/ServicePool.java
@@ -2,9 +2,13 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import java.util.function.ToIntFunction;
+import java.util.stream.Collectors;
 
+import org.wasabimount.core.FailureDomainId;
 import org.wasabimount.core.OrganisationId;
+import org.wasabimount.core.VmId;
 
 /** The servers of one service, the requests that wait for them, and how fast they work. */
 final class ServicePool {
@@ -12,10 +16,16 @@
     private static final double MAX_EJECTED_SHARE = 0.34;
     private static final double SERVICE_TIME_WEIGHT = 0.05;
     private static final double FIRST_SERVICE_TIME_MILLIS = 10;
+    private static final double MIN_TRY_MILLIS = 1_000;
+    private static final double MAX_TRY_MILLIS = 600_000;
+    private static final double TRY_FACTOR = 10;
+    private static final double TRY_DECAY = 0.95;
 
     private final FairQueue queue = new FairQueue();
     private final List<BackendServer> servers = new ArrayList<>();
     private double serviceTimeMillis = FIRST_SERVICE_TIME_MILLIS;
+    private double tryFloorMillis = MIN_TRY_MILLIS;
+    private Set<FailureDomainId> sharedDomains = Set.of();
 
     FairQueue queue() {
         return queue;
@@ -37,6 +47,28 @@
 
     void answered(long tookMillis) {
         serviceTimeMillis += SERVICE_TIME_WEIGHT * (Math.max(1, tookMillis) - serviceTimeMillis);
+        tryFloorMillis = Math.max(MIN_TRY_MILLIS, TRY_DECAY * tryFloorMillis);
+    }
+
+    /** Notes a try that was ended: the service may be slower than any answer so far has shown. */
+    void timedOut(long tookMillis) {
+        tryFloorMillis = Math.min(MAX_TRY_MILLIS, Math.max(tryFloorMillis, 2.0 * tookMillis));
+    }
+
+    /** Returns after how long a try is ended so that another server can be tried. */
+    long tryMillis() {
+        return (long) Math.max(tryFloorMillis, TRY_FACTOR * serviceTimeMillis);
+    }
+
+    /** Divides the slots of the present servers anew if the domains that have one changed, or if told to. */
+    void shareSlots(VmId self, List<SlotShare.EntryVm> entryVms, long nowMillis, long termMillis, boolean always) {
+        Set<FailureDomainId> domains = present(nowMillis, termMillis).stream()
+                .map(BackendServer::domain)
+                .collect(Collectors.toSet());
+        if (always || !domains.equals(sharedDomains)) {
+            sharedDomains = domains;
+            servers.forEach(server -> server.shareSlots(SlotShare.share(server, self, entryVms, domains)));
+        }
     }
 
     boolean mayEject(long nowMillis) {
--- a/daemon/src/main/java/org/wasabimount/daemon/Daemon.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/Daemon.java
@@ -78,8 +78,8 @@
                 settings.routingPolicy(),
                 settings.vm().hashCode());
         this.routing = new RoutingThread(router, client, clock, metrics);
-        this.gateway =
-                new OperationGateway(network, groups::execute, groups::knownLeader, groups::votersOf, timers, clock);
+        this.gateway = new OperationGateway(
+                network, groups::execute, groups::knownLeader, groups::votersOf, this::heardLately, timers, clock);
         this.gossiper = new Gossiper(settings, groups, network, routing, () -> draining, clock);
         UnrepeatableCalls unrepeatable =
                 new UnrepeatableCalls(routing, gateway, settings.domains(), clock, Clock.wall());
@@ -210,6 +210,10 @@
         }
     }
 
+    private boolean heardLately(VmId vm) {
+        return gossiper.heardLately(vm);
+    }
+
     private ObjectNode status() {
         ObjectNode json = new ObjectMapper().createObjectNode();
         json.put("vm", settings.vm().name());
@@ -218,8 +222,14 @@
         json.put("draining", draining);
         json.put("openCalls", routing.openCalls());
         json.put("links", network.connectedLinks() + "/" + network.peers().size());
-        ObjectNode leaders = json.putObject("leaders");
-        groups.all().forEach((name, group) -> leaders.put(name, group.leader()));
+        ObjectNode groupStatus = json.putObject("groups");
+        groups.all()
+                .forEach((name, group) -> groupStatus
+                        .putObject(name)
+                        .put("leader", group.leader())
+                        .put("commitIndex", group.commitIndex())
+                        .put("voters", String.join(" ", group.membership().getVotersList()))
+                        .put("learners", String.join(" ", group.membership().getLearnersList())));
         json.putPOJO(
                 "entryVms", gossiper.alive().keySet().stream().map(VmId::name).toList());
         return json;
@@ -230,6 +240,8 @@
         metrics.gauge("wasabimount_peer_sent_bytes", "Bytes of frames sent to other daemons", network::sentBytes);
         metrics.gauge(
                 "wasabimount_peer_received_bytes", "Bytes of frames taken from other daemons", network::receivedBytes);
+        metrics.gauge("wasabimount_http_received_bytes", "Bytes that HTTP clients sent", http::receivedBytes);
+        metrics.gauge("wasabimount_http_sent_bytes", "Bytes that HTTP clients were sent", http::sentBytes);
         metrics.gauge("wasabimount_peer_links", "Links to other daemons that are up", network::connectedLinks);
         metrics.gauge(
                 "wasabimount_placed_tasks",
--- a/daemon/src/main/java/org/wasabimount/daemon/Gossiper.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/Gossiper.java
@@ -2,6 +2,7 @@
 
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.BooleanSupplier;
 
@@ -33,6 +34,7 @@
     private final BooleanSupplier draining;
     private final Clock clock;
     private final Map<VmId, Long> heardMillis = new ConcurrentHashMap<>();
+    private final Set<VmId> drainingVms = ConcurrentHashMap.newKeySet();
 
     Gossiper(
             DaemonSettings settings,
@@ -67,21 +69,26 @@
 
     /** Takes another VM's round. */
     void receive(VmId from, Gossip gossip) {
+        heardMillis.put(from, clock.millis());
         if (gossip.getDraining()) {
-            heardMillis.remove(from);
+            drainingVms.add(from);
         } else {
-            heardMillis.put(from, clock.millis());
+            drainingVms.remove(from);
         }
         routing.announcedElsewhere(gossip.getBackendsList());
         groups.replicaHeard(ReplicaIdentity.parse(gossip.getReplica()));
     }
 
+    /** Tells whether another VM was heard within the last seconds. */
+    boolean heardLately(VmId vm) {
+        return heardMillis.getOrDefault(vm, Long.MIN_VALUE) >= clock.millis() - ALIVE_MILLIS;
+    }
+
     /** Returns the VMs that may serve requests, this one included unless it is draining. */
     Map<VmId, FailureDomainId> alive() {
-        long oldest = clock.millis() - ALIVE_MILLIS;
         Map<VmId, FailureDomainId> alive = new LinkedHashMap<>();
         settings.allVms().forEach((vm, domain) -> {
-            if (vm.equals(settings.vm()) || heardMillis.getOrDefault(vm, Long.MIN_VALUE) >= oldest) {
+            if (vm.equals(settings.vm()) || heardLately(vm) && !drainingVms.contains(vm)) {
                 alive.put(vm, domain);
             }
         });
--- a/daemon/src/main/java/org/wasabimount/daemon/http/HttpApi.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/http/HttpApi.java
@@ -119,6 +119,7 @@
                 .setServerOption(UndertowOptions.MAX_HEADER_SIZE, MAX_HEADER_BYTES)
                 .setServerOption(UndertowOptions.MAX_HEADERS, MAX_HEADERS)
                 .setServerOption(UndertowOptions.MAX_PARAMETERS, MAX_PARAMETERS)
+                .setServerOption(UndertowOptions.ENABLE_STATISTICS, true)
                 .setServerOption(UndertowOptions.IDLE_TIMEOUT, IDLE_TIMEOUT_MILLIS)
                 .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, PARSE_TIMEOUT_MILLIS)
                 .build();
@@ -129,6 +130,28 @@
         server.start();
     }
 
+    /**
+     * Returns the bytes that clients sent.
+     *
+     * @return bytes since the start
+     */
+    public long receivedBytes() {
+        return server.getListenerInfo().stream()
+                .mapToLong(listener -> listener.getConnectorStatistics().getBytesReceived())
+                .sum();
+    }
+
+    /**
+     * Returns the bytes that clients were sent.
+     *
+     * @return bytes since the start
+     */
+    public long sentBytes() {
+        return server.getListenerInfo().stream()
+                .mapToLong(listener -> listener.getConnectorStatistics().getBytesSent())
+                .sum();
+    }
+
     /** Closes the port and every connection. */
     public void stop() {
         server.stop();
--- a/daemon/src/main/java/org/wasabimount/daemon/http/ResourceJson.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/http/ResourceJson.java
@@ -182,6 +182,9 @@
         ObjectNode json = JsonFields.MAPPER.createObjectNode().put("revision", list.getRevision());
         ArrayNode resources = json.putArray("resources");
         list.getResourcesList().forEach(resource -> resources.add(write(resource)));
+        if (!list.getNext().isEmpty()) {
+            json.put("next", list.getNext());
+        }
         return json;
     }
 
--- a/daemon/src/main/java/org/wasabimount/daemon/http/ResourceRoute.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/http/ResourceRoute.java
@@ -54,6 +54,7 @@
         } else if (path.length == 1 && path[0].equals("resources") && method.equals(Methods.GET)) {
             ListResources list = ListResources.newBuilder()
                     .setOrganisation(organisation.name())
+                    .setAfter(HttpExchanges.query(exchange, "after").orElse(""))
                     .build();
             query(exchange, CellQuery.newBuilder().setList(list), reply -> ResourceJson.write(reply.getResources()));
         } else if (path.length == 2) {
--- a/daemon/src/main/java/org/wasabimount/daemon/log/GroupThread.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/log/GroupThread.java
@@ -19,6 +19,7 @@
 import org.wasabimount.protocol.log.LogEntry;
 import org.wasabimount.protocol.log.LogMessage;
 import org.wasabimount.protocol.log.LogSnapshot;
+import org.wasabimount.protocol.log.Membership;
 
 import com.google.protobuf.ByteString;
 import com.lmax.disruptor.BlockingWaitStrategy;
@@ -55,6 +56,8 @@
     private volatile boolean leading;
     private volatile boolean caughtUp;
     private volatile long syncCount;
+    private volatile Membership membership = Membership.getDefaultInstance();
+    private volatile long commitIndex;
 
     private record Proposal(long term, CompletableFuture<Reply> reply) {}
 
@@ -210,6 +213,24 @@
         return caughtUp;
     }
 
+    /**
+     * Returns the members in force as last seen, from any thread.
+     *
+     * @return the voters and learners
+     */
+    public Membership membership() {
+        return membership;
+    }
+
+    /**
+     * Returns the commit index as last seen, from any thread.
+     *
+     * @return the last index known to be on a majority
+     */
+    public long commitIndex() {
+        return commitIndex;
+    }
+
     /**
      * Returns how many batches were synced.
      *
@@ -303,6 +324,8 @@
             proposals.clear();
         }
         leading = nowLeading;
+        membership = replica.membership();
+        commitIndex = replica.commitIndex();
         leader = replica.leader();
         boolean current = nowLeading ? replica.mayDecide(clock.millis()) : replica.caughtUpWithLeader();
         caughtUp = caughtUp || current;
--- a/daemon/src/main/java/org/wasabimount/daemon/peer/OperationGateway.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/peer/OperationGateway.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Function;
+import java.util.function.Predicate;
 
 import org.wasabimount.core.Clock;
 import org.wasabimount.core.ResultCode;
@@ -35,6 +36,7 @@
     private final Function<Operation, Optional<CompletableFuture<Reply>>> local;
     private final Function<String, String> knownLeader;
     private final Function<String, List<VmId>> voters;
+    private final Predicate<VmId> heardLately;
     private final ScheduledExecutorService timers;
     private final Clock clock;
     private final Map<Long, CompletableFuture<Reply>> open = new ConcurrentHashMap<>();
@@ -48,6 +50,8 @@
      * @param local carries an operation out here, or returns nothing if the group has no replica here
      * @param knownLeader the leader's identity of a group that has a replica here, or an empty string
      * @param voters the VMs that may lead a group
+     * @param heardLately tells whether a VM was heard within the last seconds; nothing is passed on to any other, so that
+     *     a silent cut gives a refusal instead of an unknown outcome
      * @param timers runs retries and timeouts
      * @param clock monotonic time
      */
@@ -56,12 +60,14 @@
             Function<Operation, Optional<CompletableFuture<Reply>>> local,
             Function<String, String> knownLeader,
             Function<String, List<VmId>> voters,
+            Predicate<VmId> heardLately,
             ScheduledExecutorService timers,
             Clock clock) {
         this.network = network;
         this.local = local;
         this.knownLeader = knownLeader;
         this.voters = voters;
+        this.heardLately = heardLately;
         this.timers = timers;
         this.clock = clock;
     }
@@ -192,18 +198,21 @@
         private Optional<VmId> target(String leaderIdentity) {
             String identity = leaderIdentity.isEmpty() ? knownLeader.apply(group) : leaderIdentity;
             if (!identity.isEmpty()) {
-                return Optional.of(ReplicaIdentity.parse(identity).vm()).filter(network.peers()::contains);
+                return Optional.of(ReplicaIdentity.parse(identity).vm()).filter(this::reachable);
             }
             VmId hint = leaderHints.get(group);
-            if (hint != null) {
+            if (hint != null && reachable(hint)) {
                 return Optional.of(hint);
             }
-            List<VmId> candidates = voters.apply(group).stream()
-                    .filter(network.peers()::contains)
-                    .toList();
+            List<VmId> candidates =
+                    voters.apply(group).stream().filter(this::reachable).toList();
             return candidates.isEmpty() ? Optional.empty() : Optional.of(candidates.get(tries % candidates.size()));
         }
 
+        private boolean reachable(VmId vm) {
+            return network.peers().contains(vm) && heardLately.test(vm);
+        }
+
         private void answeredThere(VmId from, Reply reply) {
             ResultCode code = ResultCode.of(reply.getResultCode());
             if (code == ResultCode.NOT_LEADER) {
--- a/daemon/src/main/java/org/wasabimount/daemon/routing/RoutingThread.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/routing/RoutingThread.java
@@ -180,7 +180,7 @@
      * @param alive the VMs with their domains, this one included
      */
     public void entryVms(Map<VmId, FailureDomainId> alive) {
-        submit(() -> router.entryVms(alive));
+        submit(() -> router.entryVms(alive, clock.millis()));
     }
 
     /** Lets time pass. */
--- a/protocol/src/main/java/org/wasabimount/protocol/cell/ListResources.java
+++ b/protocol/src/main/java/org/wasabimount/protocol/cell/ListResources.java
@@ -16,6 +16,7 @@
     ListResourcesOrBuilder {
   private ListResources() {
     organisation_ = "";
+    after_ = "";
   }
   public static final int ORGANISATION_FIELD_NUMBER = 1;
   private java.lang.String organisation_;
@@ -64,6 +65,73 @@
 
   }
 
+  public static final int AFTER_FIELD_NUMBER = 2;
+  private java.lang.String after_;
+  /**
+   * <pre>
+   * Lists only what follows this id, in the order of ids.
+   * </pre>
+   *
+   * <code>string after = 2;</code>
+   * @return The after.
+   */
+  @java.lang.Override
+  public java.lang.String getAfter() {
+    return after_;
+  }
+  /**
+   * <pre>
+   * Lists only what follows this id, in the order of ids.
+   * </pre>
+   *
+   * <code>string after = 2;</code>
+   * @return The bytes for after.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getAfterBytes() {
+    return com.google.protobuf.ByteString.copyFromUtf8(after_);
+  }
+  /**
+   * <pre>
+   * Lists only what follows this id, in the order of ids.
+   * </pre>
+   *
+   * <code>string after = 2;</code>
+   * @param value The after to set.
+   */
+  private void setAfter(
+      java.lang.String value) {
+    java.util.Objects.requireNonNull(value);
+
+    after_ = value;
+  }
+  /**
+   * <pre>
+   * Lists only what follows this id, in the order of ids.
+   * </pre>
+   *
+   * <code>string after = 2;</code>
+   */
+  private void clearAfter() {
+
+    after_ = getDefaultInstance().getAfter();
+  }
+  /**
+   * <pre>
+   * Lists only what follows this id, in the order of ids.
+   * </pre>
+   *
+   * <code>string after = 2;</code>
+   * @param value The bytes for after to set.
+   */
+  private void setAfterBytes(
+      com.google.protobuf.ByteString value) {
+    checkByteStringIsUtf8(value);
+    after_ = value.toStringUtf8();
+
+  }
+
   public static org.wasabimount.protocol.cell.ListResources parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -210,6 +278,75 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * Lists only what follows this id, in the order of ids.
+     * </pre>
+     *
+     * <code>string after = 2;</code>
+     * @return The after.
+     */
+    @java.lang.Override
+    public java.lang.String getAfter() {
+      return instance.getAfter();
+    }
+    /**
+     * <pre>
+     * Lists only what follows this id, in the order of ids.
+     * </pre>
+     *
+     * <code>string after = 2;</code>
+     * @return The bytes for after.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getAfterBytes() {
+      return instance.getAfterBytes();
+    }
+    /**
+     * <pre>
+     * Lists only what follows this id, in the order of ids.
+     * </pre>
+     *
+     * <code>string after = 2;</code>
+     * @param value The after to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAfter(
+        java.lang.String value) {
+      copyOnWrite();
+      instance.setAfter(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Lists only what follows this id, in the order of ids.
+     * </pre>
+     *
+     * <code>string after = 2;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearAfter() {
+      copyOnWrite();
+      instance.clearAfter();
+      return this;
+    }
+    /**
+     * <pre>
+     * Lists only what follows this id, in the order of ids.
+     * </pre>
+     *
+     * <code>string after = 2;</code>
+     * @param value The bytes for after to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAfterBytes(
+        com.google.protobuf.ByteString value) {
+      copyOnWrite();
+      instance.setAfterBytes(value);
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:wasabimount.cell.ListResources)
   }
   @java.lang.Override
@@ -227,9 +364,11 @@
       case BUILD_MESSAGE_INFO: {
           java.lang.Object[] objects = new java.lang.Object[] {
             "organisation_",
+            "after_",
           };
           java.lang.String info =
-              "\u0000\u0001\u0000\u0000\u0001\u0001\u0001\u0000\u0000\u0000\u0001\u0208";
+              "\u0000\u0002\u0000\u0000\u0001\u0002\u0002\u0000\u0000\u0000\u0001\u0208\u0002\u0208" +
+              "";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/protocol/src/main/java/org/wasabimount/protocol/cell/ListResourcesOrBuilder.java
+++ b/protocol/src/main/java/org/wasabimount/protocol/cell/ListResourcesOrBuilder.java
@@ -21,4 +21,24 @@
    */
   com.google.protobuf.ByteString
       getOrganisationBytes();
+
+  /**
+   * <pre>
+   * Lists only what follows this id, in the order of ids.
+   * </pre>
+   *
+   * <code>string after = 2;</code>
+   * @return The after.
+   */
+  java.lang.String getAfter();
+  /**
+   * <pre>
+   * Lists only what follows this id, in the order of ids.
+   * </pre>
+   *
+   * <code>string after = 2;</code>
+   * @return The bytes for after.
+   */
+  com.google.protobuf.ByteString
+      getAfterBytes();
 }
--- a/protocol/src/main/java/org/wasabimount/protocol/cell/ResourceList.java
+++ b/protocol/src/main/java/org/wasabimount/protocol/cell/ResourceList.java
@@ -16,6 +16,7 @@
     ResourceListOrBuilder {
   private ResourceList() {
     resources_ = emptyProtobufList();
+    next_ = "";
   }
   public static final int REVISION_FIELD_NUMBER = 1;
   private long revision_;
@@ -137,6 +138,73 @@
     resources_.remove(index);
   }
 
+  public static final int NEXT_FIELD_NUMBER = 3;
+  private java.lang.String next_;
+  /**
+   * <pre>
+   * Id to continue after; empty on the last page.
+   * </pre>
+   *
+   * <code>string next = 3;</code>
+   * @return The next.
+   */
+  @java.lang.Override
+  public java.lang.String getNext() {
+    return next_;
+  }
+  /**
+   * <pre>
+   * Id to continue after; empty on the last page.
+   * </pre>
+   *
+   * <code>string next = 3;</code>
+   * @return The bytes for next.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getNextBytes() {
+    return com.google.protobuf.ByteString.copyFromUtf8(next_);
+  }
+  /**
+   * <pre>
+   * Id to continue after; empty on the last page.
+   * </pre>
+   *
+   * <code>string next = 3;</code>
+   * @param value The next to set.
+   */
+  private void setNext(
+      java.lang.String value) {
+    java.util.Objects.requireNonNull(value);
+
+    next_ = value;
+  }
+  /**
+   * <pre>
+   * Id to continue after; empty on the last page.
+   * </pre>
+   *
+   * <code>string next = 3;</code>
+   */
+  private void clearNext() {
+
+    next_ = getDefaultInstance().getNext();
+  }
+  /**
+   * <pre>
+   * Id to continue after; empty on the last page.
+   * </pre>
+   *
+   * <code>string next = 3;</code>
+   * @param value The bytes for next to set.
+   */
+  private void setNextBytes(
+      com.google.protobuf.ByteString value) {
+    checkByteStringIsUtf8(value);
+    next_ = value.toStringUtf8();
+
+  }
+
   public static org.wasabimount.protocol.cell.ResourceList parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -364,6 +432,75 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * Id to continue after; empty on the last page.
+     * </pre>
+     *
+     * <code>string next = 3;</code>
+     * @return The next.
+     */
+    @java.lang.Override
+    public java.lang.String getNext() {
+      return instance.getNext();
+    }
+    /**
+     * <pre>
+     * Id to continue after; empty on the last page.
+     * </pre>
+     *
+     * <code>string next = 3;</code>
+     * @return The bytes for next.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getNextBytes() {
+      return instance.getNextBytes();
+    }
+    /**
+     * <pre>
+     * Id to continue after; empty on the last page.
+     * </pre>
+     *
+     * <code>string next = 3;</code>
+     * @param value The next to set.
+     * @return This builder for chaining.
+     */
+    public Builder setNext(
+        java.lang.String value) {
+      copyOnWrite();
+      instance.setNext(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Id to continue after; empty on the last page.
+     * </pre>
+     *
+     * <code>string next = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearNext() {
+      copyOnWrite();
+      instance.clearNext();
+      return this;
+    }
+    /**
+     * <pre>
+     * Id to continue after; empty on the last page.
+     * </pre>
+     *
+     * <code>string next = 3;</code>
+     * @param value The bytes for next to set.
+     * @return This builder for chaining.
+     */
+    public Builder setNextBytes(
+        com.google.protobuf.ByteString value) {
+      copyOnWrite();
+      instance.setNextBytes(value);
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:wasabimount.cell.ResourceList)
   }
   @java.lang.Override
@@ -383,10 +520,11 @@
             "revision_",
             "resources_",
             org.wasabimount.protocol.cell.Resource.class,
+            "next_",
           };
           java.lang.String info =
-              "\u0000\u0002\u0000\u0000\u0001\u0002\u0002\u0000\u0001\u0000\u0001\u0002\u0002\u001b" +
-              "";
+              "\u0000\u0003\u0000\u0000\u0001\u0003\u0003\u0000\u0001\u0000\u0001\u0002\u0002\u001b" +
+              "\u0003\u0208";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/protocol/src/main/java/org/wasabimount/protocol/cell/ResourceListOrBuilder.java
+++ b/protocol/src/main/java/org/wasabimount/protocol/cell/ResourceListOrBuilder.java
@@ -29,4 +29,24 @@
    * <code>repeated .wasabimount.cell.Resource resources = 2;</code>
    */
   int getResourcesCount();
+
+  /**
+   * <pre>
+   * Id to continue after; empty on the last page.
+   * </pre>
+   *
+   * <code>string next = 3;</code>
+   * @return The next.
+   */
+  java.lang.String getNext();
+  /**
+   * <pre>
+   * Id to continue after; empty on the last page.
+   * </pre>
+   *
+   * <code>string next = 3;</code>
+   * @return The bytes for next.
+   */
+  com.google.protobuf.ByteString
+      getNextBytes();
 }
