--- /dev/null
+++ b/core/src/main/java/org/wasabimount/core/cell/BindingCheck.java
@@ -0,0 +1,84 @@
+package org.wasabimount.core.cell;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import org.wasabimount.core.Refusal;
+import org.wasabimount.core.ResultCode;
+import org.wasabimount.protocol.cell.Binding;
+
+/**
+ * Checks bindings against the state in which they are applied: a decision on older state must neither overcommit a
+ * worker, nor exceed a quota, nor start half a job.
+ */
+final class BindingCheck {
+
+    private final CellState state;
+    private final long nowMillis;
+    private final Map<Worker, Capacity> demand = new HashMap<>();
+    private final Map<OrganisationAccount, Capacity> charge = new HashMap<>();
+    private final Map<DeclaredResource, Integer> together = new HashMap<>();
+    private final Set<Task> seen = new HashSet<>();
+
+    private BindingCheck(CellState state, long nowMillis) {
+        this.state = state;
+        this.nowMillis = nowMillis;
+    }
+
+    static Optional<Refusal> check(CellState state, List<Binding> bindings, long nowMillis) {
+        BindingCheck check = new BindingCheck(state, nowMillis);
+        for (Binding binding : bindings) {
+            Optional<Refusal> wrong = check.add(binding);
+            if (wrong.isPresent()) {
+                return wrong;
+            }
+        }
+        return check.sums();
+    }
+
+    private Optional<Refusal> add(Binding binding) {
+        Worker worker = state.worker(binding.getWorker()).orElse(null);
+        Task task = state.task(binding.getTask()).orElse(null);
+        if (task == null || task.state() != TaskState.PENDING || task.owner().deleting() || !seen.add(task)) {
+            return stale("task " + binding.getTask() + " does not wait");
+        }
+        if (worker == null
+                || !worker.incarnation().equals(binding.getIncarnation())
+                || !worker.acceptsTasks(nowMillis)) {
+            return stale("worker " + binding.getWorker() + " takes no task");
+        }
+        Capacity size = task.owner().taskSize();
+        demand.merge(worker, size, Capacity::plus);
+        charge.merge(task.owner().account(), size, Capacity::plus);
+        together.merge(task.owner(), 1, Integer::sum);
+        return Optional.empty();
+    }
+
+    private Optional<Refusal> sums() {
+        boolean overcommits = demand.entrySet().stream()
+                .anyMatch(entry -> !entry.getValue().fitsIn(entry.getKey().free()));
+        if (overcommits) {
+            return stale("a worker has too little room");
+        }
+        boolean overQuota = charge.entrySet().stream()
+                .anyMatch(entry -> !entry.getKey()
+                        .used()
+                        .plus(entry.getValue())
+                        .fitsIn(entry.getKey().quota()));
+        if (overQuota) {
+            return Optional.of(Refusal.of(ResultCode.OVER_QUOTA, "the quota is used up"));
+        }
+        boolean halfStarted = together.entrySet().stream()
+                .anyMatch(entry -> entry.getKey().kind().allAtOnce()
+                        && entry.getValue() != entry.getKey().tasks().size());
+        return halfStarted ? stale("a job starts all its tasks at once") : Optional.empty();
+    }
+
+    private static Optional<Refusal> stale(String detail) {
+        return Optional.of(Refusal.of(ResultCode.VERSION_CONFLICT, detail));
+    }
+}
--- a/core/src/main/java/org/wasabimount/core/cell/CellState.java
+++ b/core/src/main/java/org/wasabimount/core/cell/CellState.java
@@ -3,8 +3,6 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Collections;
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -434,7 +432,7 @@
     }
 
     private Reply bindTasks(List<Binding> bindings, long nowMillis) {
-        Optional<Refusal> wrong = checkBindings(bindings, nowMillis);
+        Optional<Refusal> wrong = BindingCheck.check(this, bindings, nowMillis);
         if (wrong.isPresent()) {
             return refuse(wrong.get());
         }
@@ -448,51 +446,6 @@
         return ok().build();
     }
 
-    private Optional<Refusal> checkBindings(List<Binding> bindings, long nowMillis) {
-        Map<Worker, Capacity> demand = new HashMap<>();
-        Map<OrganisationAccount, Capacity> charge = new HashMap<>();
-        Map<DeclaredResource, Integer> together = new HashMap<>();
-        Set<Task> seen = new HashSet<>();
-        for (Binding binding : bindings) {
-            Worker worker = workers.get(binding.getWorker());
-            Task task = task(binding.getTask()).orElse(null);
-            if (task == null
-                    || task.state() != TaskState.PENDING
-                    || task.owner().deleting()
-                    || !seen.add(task)) {
-                return stale("task " + binding.getTask() + " does not wait");
-            }
-            if (worker == null
-                    || !worker.incarnation().equals(binding.getIncarnation())
-                    || !worker.acceptsTasks(nowMillis)) {
-                return stale("worker " + binding.getWorker() + " takes no task");
-            }
-            Capacity size = task.owner().taskSize();
-            demand.merge(worker, size, Capacity::plus);
-            charge.merge(task.owner().account(), size, Capacity::plus);
-            together.merge(task.owner(), 1, Integer::sum);
-        }
-        if (demand.entrySet().stream()
-                .anyMatch(entry -> !entry.getValue().fitsIn(entry.getKey().free()))) {
-            return stale("a worker has too little room");
-        }
-        if (charge.entrySet().stream()
-                .anyMatch(entry -> !entry.getKey()
-                        .used()
-                        .plus(entry.getValue())
-                        .fitsIn(entry.getKey().quota()))) {
-            return Optional.of(Refusal.of(ResultCode.OVER_QUOTA, "the quota is used up"));
-        }
-        boolean halfStarted = together.entrySet().stream()
-                .anyMatch(entry -> entry.getKey().kind().allAtOnce()
-                        && entry.getValue() != entry.getKey().tasks().size());
-        return halfStarted ? stale("a job starts all its tasks at once") : Optional.empty();
-    }
-
-    private static Optional<Refusal> stale(String detail) {
-        return Optional.of(Refusal.of(ResultCode.VERSION_CONFLICT, detail));
-    }
-
     private Reply get(GetResource get) {
         return find(get)
                 .map(resource -> ok().setResource(resource.toFull()).build())
--- /dev/null
+++ b/core/src/main/java/org/wasabimount/core/log/MembershipHistory.java
@@ -0,0 +1,78 @@
+package org.wasabimount.core.log;
+
+import java.util.HashSet;
+import java.util.Set;
+import java.util.TreeMap;
+
+import org.wasabimount.protocol.log.LogEntry;
+import org.wasabimount.protocol.log.LogSnapshot;
+import org.wasabimount.protocol.log.Membership;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+
+/** The memberships named by the held part of a log; the last one is in force, committed or not. */
+final class MembershipHistory {
+
+    private final TreeMap<Long, Membership> byIndex = new TreeMap<>();
+
+    MembershipHistory(LogSnapshot snapshot) {
+        reset(snapshot);
+    }
+
+    Membership current() {
+        return byIndex.lastEntry().getValue();
+    }
+
+    long lastChangeIndex() {
+        return byIndex.lastKey();
+    }
+
+    Membership at(long index) {
+        return byIndex.floorEntry(index).getValue();
+    }
+
+    boolean isVoter(String id) {
+        return current().getVotersList().contains(id);
+    }
+
+    boolean hasQuorum(Set<String> supporters) {
+        long count =
+                current().getVotersList().stream().filter(supporters::contains).count();
+        return count > current().getVotersCount() / 2;
+    }
+
+    /** Tells whether one voter at most is added or removed, so that any two majorities overlap. */
+    boolean oneVoterApart(Membership next) {
+        Set<String> before = new HashSet<>(current().getVotersList());
+        Set<String> after = new HashSet<>(next.getVotersList());
+        long removed = before.stream().filter(id -> !after.contains(id)).count();
+        long added = after.stream().filter(id -> !before.contains(id)).count();
+        return removed + added <= 1 && !after.isEmpty();
+    }
+
+    /** Notes an appended entry if it changes the membership. */
+    void note(LogEntry entry) {
+        if (entry.getKind() != LogEntry.Kind.MEMBERSHIP) {
+            return;
+        }
+        try {
+            byIndex.put(entry.getIndex(), Membership.parseFrom(entry.getData()));
+        } catch (InvalidProtocolBufferException e) {
+            throw new IllegalStateException("membership entry " + entry.getIndex() + " is unreadable", e);
+        }
+    }
+
+    void truncateFrom(long index) {
+        byIndex.tailMap(index, true).clear();
+    }
+
+    /** Forgets memberships that no held index needs any more. */
+    void compactTo(long baseIndex) {
+        byIndex.headMap(byIndex.floorKey(baseIndex), false).clear();
+    }
+
+    void reset(LogSnapshot snapshot) {
+        byIndex.clear();
+        byIndex.put(snapshot.getIndex(), snapshot.getMembership());
+    }
+}
--- a/core/src/main/java/org/wasabimount/core/log/Replica.java
+++ b/core/src/main/java/org/wasabimount/core/log/Replica.java
@@ -6,9 +6,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Random;
 import java.util.Set;
-import java.util.TreeMap;
+import java.util.function.ToLongFunction;
 import java.util.stream.Stream;
 
 import org.wasabimount.protocol.log.AppendReply;
@@ -24,7 +25,6 @@
 import org.wasabimount.protocol.log.VoteRequest;
 
 import com.google.protobuf.ByteString;
-import com.google.protobuf.InvalidProtocolBufferException;
 
 /**
  * One replica of a replicated log, as a pure state machine after Raft with pre-vote, leader lease and learners.
@@ -36,15 +36,14 @@
 
     private static final int MAX_IN_FLIGHT = 16;
     private static final int SNAPSHOT_RESEND_HEARTBEATS = 25;
-    private static final int KEPT_ROUNDS = 256;
 
     private final ReplicaSettings settings;
     private final Random random;
     private final EntryLog log;
-    private final TreeMap<Long, Membership> memberships = new TreeMap<>();
+    private final MembershipHistory memberships;
     private final Map<String, PeerProgress> peers = new HashMap<>();
     private final Set<String> votes = new HashSet<>();
-    private final TreeMap<Long, Long> roundSentMillis = new TreeMap<>();
+    private final HeartbeatRounds rounds = new HeartbeatRounds();
 
     private LogSnapshot snapshot;
     private Role role = Role.FOLLOWER;
@@ -58,7 +57,6 @@
     private long leaderContactMillis;
     private long electionDueMillis;
     private long heartbeatDueMillis;
-    private long round;
     private long leaseUntilMillis;
     private long leaderSinceMillis;
     private boolean transferring;
@@ -98,8 +96,8 @@
                 persisted.entries().stream()
                         .filter(entry -> entry.getIndex() > snapshot.getIndex())
                         .toList());
-        this.memberships.put(snapshot.getIndex(), snapshot.getMembership());
-        log.slice(log.baseIndex() + 1, log.lastIndex()).forEach(this::noteMembership);
+        this.memberships = new MembershipHistory(snapshot);
+        log.slice(log.baseIndex() + 1, log.lastIndex()).forEach(memberships::note);
         this.commitIndex = snapshot.getIndex();
         this.appliedIndex = snapshot.getIndex();
         this.persistedIndex = log.lastIndex();
@@ -167,7 +165,7 @@
      * @return the membership
      */
     public Membership membership() {
-        return memberships.lastEntry().getValue();
+        return memberships.current();
     }
 
     /**
@@ -176,7 +174,7 @@
      * @return false while a change of members is open
      */
     public boolean membershipCommitted() {
-        return memberships.lastKey() <= commitIndex;
+        return memberships.lastChangeIndex() <= commitIndex;
     }
 
     /**
@@ -232,7 +230,7 @@
      * @return the entry's index, or -1 if the change is not allowed now
      */
     public long changeMembership(Membership next, long nowMillis) {
-        if (!mayDecide(nowMillis) || !membershipCommitted() || !oneVoterApart(membership(), next)) {
+        if (!mayDecide(nowMillis) || !membershipCommitted() || !memberships.oneVoterApart(next)) {
             return -1;
         }
         return append(LogEntry.Kind.MEMBERSHIP, next.toByteString());
@@ -282,8 +280,7 @@
         snapshot = taken;
         long base = Math.max(log.baseIndex(), taken.getIndex() - keptEntries);
         log.compactTo(base);
-        Long floor = memberships.floorKey(base);
-        memberships.headMap(floor, false).clear();
+        memberships.compactTo(base);
     }
 
     /**
@@ -293,7 +290,7 @@
      * @return the membership
      */
     public Membership membershipAt(long index) {
-        return memberships.floorEntry(index).getValue();
+        return memberships.at(index);
     }
 
     /**
@@ -336,7 +333,7 @@
             if (nowMillis >= heartbeatDueMillis) {
                 heartbeat(nowMillis);
             }
-        } else if (nowMillis >= electionDueMillis && isVoter(settings.self())) {
+        } else if (nowMillis >= electionDueMillis && memberships.isVoter(settings.self())) {
             campaign(nowMillis, true, false);
         }
     }
@@ -433,7 +430,7 @@
             case APPEND_REPLY -> noteAppendReply(message);
             case SNAPSHOT_REQUEST -> installSnapshot(message, nowMillis);
             case TIMEOUT_NOW -> {
-                if (isVoter(settings.self())) {
+                if (memberships.isVoter(settings.self())) {
                     campaign(nowMillis, false, true);
                 }
             }
@@ -450,7 +447,7 @@
         if (!preVote) {
             setHardState(term + 1, settings.self());
         }
-        if (hasQuorum(votes)) {
+        if (memberships.hasQuorum(votes)) {
             wonRound(nowMillis);
             return;
         }
@@ -502,7 +499,7 @@
     private void countPreVote(LogMessage message, long nowMillis) {
         if (role == Role.PRE_CANDIDATE && message.getTerm() == term + 1) {
             votes.add(message.getFrom());
-            if (hasQuorum(votes)) {
+            if (memberships.hasQuorum(votes)) {
                 wonRound(nowMillis);
             }
         }
@@ -512,7 +509,7 @@
         VoteReply answer = message.getVoteReply();
         if (role == Role.CANDIDATE && !answer.getPreVote() && answer.getGranted()) {
             votes.add(message.getFrom());
-            if (hasQuorum(votes)) {
+            if (memberships.hasQuorum(votes)) {
                 wonRound(nowMillis);
             }
         }
@@ -524,7 +521,7 @@
         transferring = false;
         leaseUntilMillis = Long.MIN_VALUE;
         peers.clear();
-        roundSentMillis.clear();
+        rounds.clear();
         if (newTerm > term) {
             setHardState(newTerm, "");
         }
@@ -552,11 +549,7 @@
     }
 
     private void heartbeat(long nowMillis) {
-        round++;
-        roundSentMillis.put(round, nowMillis);
-        if (roundSentMillis.size() > KEPT_ROUNDS) {
-            roundSentMillis.pollFirstEntry();
-        }
+        rounds.begin(nowMillis);
         heartbeatDueMillis = nowMillis + settings.heartbeatMillis();
         extendLease();
         for (Map.Entry<String, PeerProgress> peer : peers.entrySet()) {
@@ -586,7 +579,7 @@
                 .setPreviousTerm(log.term(previous))
                 .setCommitIndex(commitIndex)
                 .addAllEntries(batch)
-                .setRound(round)
+                .setRound(rounds.current())
                 .build();
         progress.nextIndex += batch.size();
         progress.inFlight++;
@@ -601,7 +594,7 @@
             progress.snapshotSentMillis = nowMillis;
             SnapshotRequest request = SnapshotRequest.newBuilder()
                     .setSnapshot(snapshot)
-                    .setRound(round)
+                    .setRound(rounds.current())
                     .build();
             beforeSync.add(message(peer).setSnapshotRequest(request).build());
         } else {
@@ -609,7 +602,7 @@
             AppendRequest empty = AppendRequest.newBuilder()
                     .setPreviousIndex(snapshot.getIndex())
                     .setPreviousTerm(snapshot.getTerm())
-                    .setRound(round)
+                    .setRound(rounds.current())
                     .build();
             beforeSync.add(message(peer).setAppendRequest(empty).build());
         }
@@ -660,11 +653,11 @@
                 throw new IllegalStateException("leader contradicts committed index " + index);
             }
             log.truncateFrom(index);
-            memberships.tailMap(index, true).clear();
+            memberships.truncateFrom(index);
             persistedIndex = Math.min(persistedIndex, index - 1);
         }
         log.append(entry);
-        noteMembership(entry);
+        memberships.note(entry);
     }
 
     private void installSnapshot(LogMessage message, long nowMillis) {
@@ -676,8 +669,7 @@
         LogSnapshot received = message.getSnapshotRequest().getSnapshot();
         if (received.getIndex() > commitIndex) {
             log.resetTo(received.getIndex(), received.getTerm());
-            memberships.clear();
-            memberships.put(received.getIndex(), received.getMembership());
+            memberships.reset(received);
             snapshot = received;
             installed = received;
             commitIndex = received.getIndex();
@@ -713,21 +705,21 @@
     }
 
     private void extendLease() {
-        long ackedRound = quorumValue(progress -> progress.ackedRound, round);
-        Map.Entry<Long, Long> sent = roundSentMillis.floorEntry(ackedRound);
-        if (sent == null || transferring) {
+        long ackedRound = quorumValue(progress -> progress.ackedRound, rounds.current());
+        OptionalLong sentMillis = rounds.sentMillis(ackedRound);
+        if (sentMillis.isEmpty() || transferring) {
             return;
         }
-        long until = sent.getValue() + settings.electionTimeoutMillis() - settings.leaseMarginMillis();
+        long until = sentMillis.getAsLong() + settings.electionTimeoutMillis() - settings.leaseMarginMillis();
         leaseUntilMillis = Math.max(leaseUntilMillis, until);
-        electionDueMillis = Math.max(electionDueMillis, sent.getValue() + 2 * settings.electionTimeoutMillis());
+        electionDueMillis = Math.max(electionDueMillis, sentMillis.getAsLong() + 2 * settings.electionTimeoutMillis());
     }
 
     private void advanceCommit() {
         long candidate = quorumValue(progress -> progress.matchIndex, persistedIndex);
         if (candidate > commitIndex && log.term(candidate) == term) {
             commitIndex = candidate;
-            if (!isVoter(settings.self()) && memberships.lastKey() <= commitIndex) {
+            if (!memberships.isVoter(settings.self()) && memberships.lastChangeIndex() <= commitIndex) {
                 role = Role.FOLLOWER;
                 leader = "";
             }
@@ -735,7 +727,7 @@
     }
 
     /** Returns the highest value that a majority of the voters has reached. */
-    private long quorumValue(java.util.function.ToLongFunction<PeerProgress> value, long own) {
+    private long quorumValue(ToLongFunction<PeerProgress> value, long own) {
         long[] reached = membership().getVotersList().stream()
                 .mapToLong(id -> id.equals(settings.self()) ? own : value.applyAsLong(peers.get(id)))
                 .sorted()
@@ -751,22 +743,11 @@
                 .setData(data)
                 .build();
         log.append(entry);
-        noteMembership(entry);
+        memberships.note(entry);
         refreshPeers();
         return entry.getIndex();
     }
 
-    private void noteMembership(LogEntry entry) {
-        if (entry.getKind() != LogEntry.Kind.MEMBERSHIP) {
-            return;
-        }
-        try {
-            memberships.put(entry.getIndex(), Membership.parseFrom(entry.getData()));
-        } catch (InvalidProtocolBufferException e) {
-            throw new IllegalStateException("membership entry " + entry.getIndex() + " is unreadable", e);
-        }
-    }
-
     private void refreshPeers() {
         Set<String> others = new HashSet<>(membership().getVotersList());
         others.addAll(membership().getLearnersList());
@@ -775,29 +756,10 @@
         others.forEach(id -> peers.computeIfAbsent(id, absent -> new PeerProgress(log.lastIndex() + 1)));
     }
 
-    private static boolean oneVoterApart(Membership current, Membership next) {
-        Set<String> before = new HashSet<>(current.getVotersList());
-        Set<String> after = new HashSet<>(next.getVotersList());
-        long removed = before.stream().filter(id -> !after.contains(id)).count();
-        long added = after.stream().filter(id -> !before.contains(id)).count();
-        return removed + added <= 1 && !after.isEmpty();
-    }
-
     private boolean ownTermCommitted() {
         return log.term(commitIndex) == term;
     }
 
-    private boolean hasQuorum(Set<String> supporters) {
-        long count = membership().getVotersList().stream()
-                .filter(supporters::contains)
-                .count();
-        return count > membership().getVotersCount() / 2;
-    }
-
-    private boolean isVoter(String id) {
-        return membership().getVotersList().contains(id);
-    }
-
     private Stream<String> otherVoters() {
         return membership().getVotersList().stream().filter(id -> !id.equals(settings.self()));
     }
