--- a/bench/src/test/java/org/wasabimount/bench/scenario/ScenarioCell.java
+++ b/bench/src/test/java/org/wasabimount/bench/scenario/ScenarioCell.java
@@ -15,9 +15,11 @@
 import org.wasabimount.bench.cell.LocalDaemon;
 import org.wasabimount.bench.standin.CuttableLink;
 import org.wasabimount.bench.standin.StandInBackend;
+import org.wasabimount.bench.standin.StandInWorker;
 import org.wasabimount.bench.standin.StandIns;
 import org.wasabimount.client.HttpMessage;
 import org.wasabimount.client.HttpResult;
+import org.wasabimount.core.cell.Capacity;
 
 /** A cell with cuttable links between its daemons, and short ways to use it. */
 final class ScenarioCell implements AutoCloseable {
@@ -76,6 +78,12 @@
         }
     }
 
+    void addWorker(long cpuMillis) {
+        standIns.worker(
+                new StandInWorker.Settings("worker", "d1", "rack", new Capacity(cpuMillis, 4_096, 0), false),
+                line -> {});
+    }
+
     void cutOff(LocalDaemon daemon, boolean outgoing, boolean incoming) {
         links.forEach((name, link) -> {
             boolean from = name.startsWith(daemon.name() + ">");
--- a/bench/src/test/java/org/wasabimount/bench/scenario/ScenarioSteps.java
+++ b/bench/src/test/java/org/wasabimount/bench/scenario/ScenarioSteps.java
@@ -7,6 +7,7 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.StreamSupport;
@@ -361,6 +362,88 @@
         assertEquals(cutOff, List.of());
     }
 
+    @When("the configuration is changed {int} times")
+    public void changeConfiguration(int times) {
+        for (int change = 0; change < times; change++) {
+            String body = "{\"values\":{\"routing.queue-limit\":\"" + (100 + change) + "\"}}";
+            HttpMessage put = CellAccess.message("PUT", "/admin/configuration", body, LocalCell.ADMIN_SECRET)
+                    .with("Request-Id", "configuration-" + System.nanoTime());
+            await(
+                    "the configuration can't be changed",
+                    () -> running()
+                            .anyMatch(daemon -> scenario.access()
+                                    .client()
+                                    .call(daemon.httpAddress(), put, 10_000)
+                                    .is(200)));
+        }
+    }
+
+    @Then("within {int} seconds every daemon has configuration version {int}")
+    public void configurationInForce(int seconds, int version) {
+        assertTrue(LocalCell.await(
+                () -> scenario.cell().daemons().stream().allMatch(daemon -> configurationVersion(daemon) == version),
+                seconds * 1_000L));
+    }
+
+    @Then("the restarted daemon never shows a version below {int}")
+    public void neverReverts(int version) {
+        for (int look = 0; look < 20; look++) {
+            int shown = configurationVersion(struck);
+            assertTrue(shown >= version, "it shows version " + shown);
+        }
+    }
+
+    private int configurationVersion(LocalDaemon daemon) {
+        return scenario.access()
+                .status(daemon)
+                .path("vm")
+                .path("configurationVersion")
+                .asInt();
+    }
+
+    @Given("a worker with {int} thousandths of a processor")
+    public void addWorker(int cpuMillis) {
+        scenario.addWorker(cpuMillis);
+        await(
+                "the worker is not known",
+                () -> scenario.access()
+                                .status(scenario.cell().daemons().get(0))
+                                .path("workers")
+                                .size()
+                        == 1);
+    }
+
+    @Then("these requests are refused")
+    public void refused(List<Map<String, String>> requests) {
+        for (Map<String, String> request : requests) {
+            HttpResult result = scenario.access()
+                    .client()
+                    .call(scenario.cell().daemons().get(0).httpAddress(), badRequest(request), 10_000);
+            String wanted = "\"code\":" + request.get("code");
+            assertTrue(text(result).contains(wanted), request + " is answered " + text(result));
+        }
+    }
+
+    @Then("a list for {string} shows nothing")
+    public void listIsEmpty(String organisation) {
+        HttpMessage list = CellAccess.message("GET", "/v1/resources", "", CellAccess.credential(organisation));
+        HttpResult result =
+                scenario.access().client().call(scenario.cell().daemons().get(0).httpAddress(), list, 10_000);
+        assertTrue(text(result).contains("\"resources\":[]"), text(result));
+    }
+
+    private static HttpMessage badRequest(Map<String, String> request) {
+        String credential = Map.of("wrong", "org:wrong", "none", "")
+                .getOrDefault(request.get("credential"), CellAccess.credential(request.get("credential")));
+        String body = request.get("body") == null ? "" : request.get("body");
+        HttpMessage message = CellAccess.message(
+                request.get("method"),
+                request.get("path"),
+                body.equals("OVERSIZE") ? "x".repeat(2 << 20) : body,
+                credential);
+        return body.equals("KEYED") ? message.with("Idempotency-Key", "not-a-uuid") : message;
+    }
+
     private java.util.stream.Stream<LocalDaemon> running() {
         return scenario.cell().daemons().stream()
                 .filter(daemon -> daemon != struck && daemon.process().isAlive());
--- a/bench/src/test/resources/org/wasabimount/bench/scenario/failures.feature
+++ b/bench/src/test/resources/org/wasabimount/bench/scenario/failures.feature
@@ -83,3 +83,12 @@
     Given a backend server in each domain that takes 300 milliseconds
     When a daemon is stopped gracefully under load
     Then no call through it was cut off or lost
+
+  Scenario: An accepted configuration is in force everywhere and never reverts
+    When the configuration is changed 3 times
+    Then within 10 seconds every daemon has configuration version 3
+    When a follower is killed
+    And the configuration is changed 2 times
+    And the killed daemon is started again
+    Then every daemon is ready
+    And the restarted daemon never shows a version below 5
--- a/core/src/main/java/org/wasabimount/core/log/ReplicaSettings.java
+++ b/core/src/main/java/org/wasabimount/core/log/ReplicaSettings.java
@@ -29,7 +29,7 @@
 
     private static final int DEFAULT_BATCH_ENTRIES = 512;
     private static final long DEFAULT_BATCH_BYTES = 1 << 20;
-    private static final int HEARTBEATS_PER_TIMEOUT = 5;
+    private static final int HEARTBEATS_PER_TIMEOUT = 4;
     private static final int MARGIN_DIVISOR = 10;
 
     /**
--- a/core/src/main/java/org/wasabimount/core/placement/Scheduler.java
+++ b/core/src/main/java/org/wasabimount/core/placement/Scheduler.java
@@ -86,7 +86,14 @@
         if (fitting == 0) {
             return Optional.of("no worker is large enough for one task");
         }
-        return Optional.of("none of the " + fitting + " workers that are large enough has room now");
+        long accepting = state.workers().stream()
+                .filter(worker -> resource.taskSize().fitsIn(worker.size()))
+                .filter(worker -> worker.acceptsTasks(nowMillis))
+                .count();
+        return Optional.of(
+                accepting == 0
+                        ? "all " + fitting + " workers that are large enough are lost, leaving or in quarantine"
+                        : "none of the " + accepting + " workers that are large enough has room now");
     }
 
     /** Returns the sizes of all workers together. */
--- a/core/src/test/java/org/wasabimount/core/placement/SchedulerTest.java
+++ b/core/src/test/java/org/wasabimount/core/placement/SchedulerTest.java
@@ -13,6 +13,7 @@
 import org.wasabimount.core.cell.TaskState;
 import org.wasabimount.core.cell.Worker;
 import org.wasabimount.protocol.cell.CellCommand;
+import org.wasabimount.protocol.cell.LoseWorker;
 import org.wasabimount.protocol.cell.Organisation;
 import org.wasabimount.protocol.cell.PutOrganisation;
 import org.wasabimount.protocol.cell.PutResource;
@@ -225,6 +226,18 @@
         assertEquals(state.task("org/batches/codes/1").orElseThrow().state(), TaskState.PENDING);
     }
 
+    @Test
+    public void explainsThatWorkersAreLost() {
+        worker("w0", "domain-0", WORKER);
+        declare(ResourceKind.BATCH, "codes", new Capacity(1_000, 1_000, 0), 1);
+        apply(CellCommand.newBuilder()
+                .setLoseWorker(LoseWorker.newBuilder().setWorker("w0").setIncarnation("1")));
+        var waiting = state.resources().iterator().next();
+        assertEquals(
+                scheduler.explain(state, waiting, nowMillis).orElseThrow(),
+                "all 1 workers that are large enough are lost, leaving or in quarantine");
+    }
+
     private int endAll(String worker, TaskPhase phase) {
         var held = java.util.List.copyOf(state.worker(worker).orElseThrow().tasks());
         held.forEach(task -> report(task.id(), phase));
--- a/daemon/src/main/java/org/wasabimount/daemon/Daemon.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/Daemon.java
@@ -32,7 +32,7 @@
 public final class Daemon {
 
     private static final System.Logger LOG = System.getLogger("wasabimount.daemon");
-    private static final long TICK_MILLIS = 20;
+    private static final long TICK_MILLIS = 50;
     private static final long GOSSIP_MILLIS = 500;
     private static final long IDLE_CHECK_MILLIS = 1_000;
     private static final long BALANCER_GRACE_MILLIS = 1_500;
@@ -219,6 +219,8 @@
         json.put("vm", settings.vm().name());
         json.put("domain", settings.domain().name());
         json.put("replica", groups.identity().toString());
+        json.put(
+                "configurationVersion", groups.directory().get().configuration().getVersion());
         json.put("draining", draining);
         json.put("openCalls", routing.openCalls());
         json.put("links", network.connectedLinks() + "/" + network.peers().size());
