--- a/core/src/test/java/org/wasabimount/core/cell/CellFuzzTest.java
+++ b/core/src/test/java/org/wasabimount/core/cell/CellFuzzTest.java
@@ -10,7 +10,7 @@
 public class CellFuzzTest {
 
     private static final long SEED = Long.getLong("fuzz.seed", 20261203L);
-    private static final int EXAMPLES = Integer.getInteger("fuzz.examples", 200);
+    private static final int EXAMPLES = Integer.getInteger("fuzz.examples", 500);
     private static final int STEPS = Integer.getInteger("fuzz.steps", 1_000);
     private static final int WORKERS = 4;
 
