--- /dev/null
+++ b/core/src/main/java/org/wasabimount/core/dispatch/LeaseClock.java
@@ -0,0 +1,67 @@
+package org.wasabimount.core.dispatch;
+
+/**
+ * What is known of a worker's steady clock and of the lease that it may hold.
+ *
+ * <p>The worker's clock may run up to 2% slow. So a bound is taken from the moment of the last reading and widened with
+ * its age.
+ */
+final class LeaseClock {
+
+    /** The slowest that a worker's clock may run, from the platform's contract. */
+    private static final double SLOWEST_RATE = 0.98;
+
+    /** Covers rounding to whole milliseconds on both sides. */
+    private static final long MARGIN_MILLIS = 20;
+
+    private final long leaseMillis;
+    private final long bornMillis;
+    private boolean known;
+    private long readingMillis;
+    private long readAtMillis;
+    private long leaseUntilMillis = Long.MIN_VALUE;
+
+    /** Begins without a reading: an earlier leader may have granted a whole lease until now. */
+    LeaseClock(long leaseMillis, long nowMillis) {
+        this.leaseMillis = leaseMillis;
+        this.bornMillis = nowMillis;
+    }
+
+    void read(long clockMillis, long nowMillis) {
+        if (!known || clockMillis >= atLeast(nowMillis)) {
+            readingMillis = clockMillis;
+            readAtMillis = nowMillis;
+        }
+        if (!known) {
+            known = true;
+            // Whatever an earlier leader granted was granted before this moment.
+            leaseUntilMillis = clockMillis + leaseMillis;
+        }
+    }
+
+    boolean known() {
+        return known;
+    }
+
+    /** Returns the end of a lease that begins now, on the worker's clock, and notes that it was granted. */
+    long grant(long nowMillis) {
+        if (!known) {
+            return 0;
+        }
+        long until = atLeast(nowMillis) + leaseMillis;
+        leaseUntilMillis = Math.max(leaseUntilMillis, until);
+        return until;
+    }
+
+    /** Tells whether every lease ever granted is surely over. */
+    boolean lapsed(long nowMillis) {
+        if (!known) {
+            return nowMillis - bornMillis > leaseMillis / SLOWEST_RATE + MARGIN_MILLIS;
+        }
+        return atLeast(nowMillis) > leaseUntilMillis + MARGIN_MILLIS;
+    }
+
+    private long atLeast(long nowMillis) {
+        return readingMillis + (long) ((nowMillis - readAtMillis) * SLOWEST_RATE);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/wasabimount/core/dispatch/PlacementRound.java
@@ -0,0 +1,165 @@
+package org.wasabimount.core.dispatch;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import java.util.function.Predicate;
+import java.util.stream.Collectors;
+
+import org.wasabimount.core.cell.Capacity;
+import org.wasabimount.core.job.JobTask;
+import org.wasabimount.core.job.LifeId;
+import org.wasabimount.core.job.RunId;
+import org.wasabimount.protocol.job.JobCommand;
+import org.wasabimount.protocol.job.PlaceRuns;
+import org.wasabimount.protocol.job.Placement;
+
+/** One pass over the ready steps, in order: places what fits, asks for advice, and keeps room for gangs. */
+final class PlacementRound {
+
+    /** Steps that are looked at in one round; those behind them rarely find room that these left. */
+    private static final int MAX_STEPS = 120;
+
+    /** Steps that may hold valid tickets without having room yet; more would only wear out the advice service. */
+    private static final int MAX_RENEWING = 10;
+
+    /** Share of the workers' cores that may be kept for gangs; the rest goes on working in any case. */
+    private static final double MAX_RESERVED_SHARE = 0.5;
+
+    private final WorkerDesk workers;
+    private final AdviceDesk advice;
+    private final Consumer<DispatchAction> out;
+    private final long nowMillis;
+    private final Placer placer;
+    private final List<WorkerLink> usable;
+    private double reservableCpuMillis;
+    private int renewing;
+
+    PlacementRound(WorkerDesk workers, AdviceDesk advice, Consumer<DispatchAction> out, long nowMillis) {
+        this.workers = workers;
+        this.advice = advice;
+        this.out = out;
+        this.nowMillis = nowMillis;
+        this.usable =
+                workers.links().stream().filter(link -> link.usable(nowMillis)).toList();
+        this.placer = new Placer(usable);
+        this.reservableCpuMillis = MAX_RESERVED_SHARE
+                * usable.stream()
+                        .mapToLong(link -> link.entry().capacity().cpuMillis())
+                        .sum();
+    }
+
+    void run(List<ReadyStep> ready) {
+        ready.stream().limit(MAX_STEPS).forEach(this::consider);
+    }
+
+    private void consider(ReadyStep step) {
+        Predicate<WorkerLink> fits =
+                link -> link.entry().life().getPool().equals(step.queue().getPool())
+                        && link.has(step.step().getRequiredLabel())
+                        && !failedThere(step, link);
+        Predicate<WorkerLink> allowed = step.advised() ? fits.and(link -> hasTicket(step, link)) : fits;
+        Map<JobTask, WorkerLink> chosen = placer.choose(step, allowed);
+        if (!chosen.isEmpty()) {
+            place(step, chosen);
+        }
+        if (chosen.size() < step.waiting().size()) {
+            waitOn(step, fits);
+        }
+    }
+
+    private boolean failedThere(ReadyStep step, WorkerLink link) {
+        return step.waiting().stream()
+                .anyMatch(task -> workers.failedOn(task.id(), link.entry().id()));
+    }
+
+    private boolean hasTicket(ReadyStep step, WorkerLink link) {
+        return advice.ticket(step.id(), link.entry().id(), nowMillis).isPresent();
+    }
+
+    private void place(ReadyStep step, Map<JobTask, WorkerLink> chosen) {
+        int gangRun = 1 + step.waiting().stream().mapToInt(JobTask::run).max().orElse(0);
+        PlaceRuns.Builder command = PlaceRuns.newBuilder();
+        chosen.forEach((task, link) -> {
+            RunId run = new RunId(task.id(), step.gang() ? gangRun : task.run() + 1);
+            LifeId life = link.entry().id();
+            workers.propose(run, link, advice.ticket(step.id(), life, nowMillis).orElse(""));
+            command.addPlacements(Placement.newBuilder()
+                    .setTask(task.id().toKey())
+                    .setRun(run.number())
+                    .setWorker(life.worker())
+                    .setBornMillis(life.bornMillis()));
+        });
+        out.accept(new DispatchAction.Propose(
+                JobCommand.newBuilder().setPlace(command).build()));
+    }
+
+    private void waitOn(ReadyStep step, Predicate<WorkerLink> fits) {
+        Predicate<WorkerLink> mayRun = step.advised()
+                ? fits.and(link -> advice.good(step.id(), link.entry().id()))
+                : fits;
+        boolean asked = !step.advised() || advice.answered(step.id());
+        if (asked && step.gang()) {
+            waitForGang(step, mayRun);
+        } else if (step.advised()) {
+            renew(step, fits);
+        }
+    }
+
+    private void waitForGang(ReadyStep step, Predicate<WorkerLink> mayRun) {
+        List<WorkerLink> targets = placer.reserve(step, mayRun, nowMillis);
+        if (targets.isEmpty()) {
+            renew(
+                    step,
+                    link -> mayRun.test(link)
+                            || !advice.bad(step.id(), link.entry().id()));
+            return;
+        }
+        Map<WorkerLink, Long> counts = targets.stream()
+                .collect(Collectors.groupingBy(link -> link, LinkedHashMap::new, Collectors.counting()));
+        long readyInMillis = counts.entrySet().stream()
+                .mapToLong(target ->
+                        placer.millisUntil(target.getKey(), step.size().times(target.getValue()), nowMillis))
+                .max()
+                .orElse(Long.MAX_VALUE);
+        keepRoom(step.size(), targets);
+        double askMillis = step.advised() ? JobPlan.adviceMillis(step.queue(), counts.size()) : 0;
+        if (step.advised() && readyInMillis <= askMillis) {
+            ask(step, List.copyOf(counts.keySet()), askMillis);
+        }
+    }
+
+    private void keepRoom(Capacity size, List<WorkerLink> targets) {
+        double wanted = (double) size.cpuMillis() * targets.size();
+        if (wanted <= reservableCpuMillis) {
+            reservableCpuMillis -= wanted;
+            targets.forEach(link -> placer.take(link, size));
+        }
+    }
+
+    /** Asks again about the workers that may run a step, or about all while nothing is known. */
+    private void renew(ReadyStep step, Predicate<WorkerLink> fits) {
+        boolean first = !advice.answered(step.id());
+        if (!first && renewing >= MAX_RENEWING) {
+            return;
+        }
+        List<WorkerLink> worthAsking = usable.stream()
+                .filter(fits)
+                .filter(link -> !advice.bad(step.id(), link.entry().id()) && !hasTicket(step, link))
+                .filter(link -> first || step.size().fitsIn(placer.room(link)))
+                .toList();
+        if (worthAsking.isEmpty()) {
+            return;
+        }
+        renewing += first ? 0 : 1;
+        ask(step, worthAsking, JobPlan.adviceMillis(step.queue(), worthAsking.size()));
+    }
+
+    private void ask(ReadyStep step, List<WorkerLink> named, double costMillis) {
+        if (!advice.asking(step.id())) {
+            List<LifeId> lives = named.stream().map(link -> link.entry().id()).toList();
+            advice.ask(step.id(), lives, costMillis, nowMillis).ifPresent(out);
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/wasabimount/core/dispatch/Placer.java
@@ -0,0 +1,164 @@
+package org.wasabimount.core.dispatch;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Predicate;
+import java.util.stream.Collectors;
+
+import org.wasabimount.core.cell.Capacity;
+import org.wasabimount.core.job.JobTask;
+
+/**
+ * Chooses workers for the tasks of one step.
+ *
+ * <p>The load it answers: tasks from a fraction of a worker to a third of it, some in gangs, each step on its own part
+ * of the workers. Single tasks go where they leave the least room, so that larger ones still find some; gangs go where
+ * there is most.
+ */
+final class Placer {
+
+    private final Map<WorkerLink, Capacity> rooms = new LinkedHashMap<>();
+
+    Placer(List<WorkerLink> usable) {
+        usable.forEach(link -> rooms.put(link, link.room()));
+    }
+
+    /** Returns the room that is left on a worker after what was placed and reserved in this round. */
+    Capacity room(WorkerLink link) {
+        return rooms.getOrDefault(link, Capacity.NONE);
+    }
+
+    /** Takes room on a worker, for a task or to keep it for a gang; reserved room may be owed and below zero. */
+    void take(WorkerLink link, Capacity size) {
+        rooms.computeIfPresent(link, (key, room) -> room.minus(size));
+    }
+
+    /** Chooses workers for as many tasks as fit, or for all of a gang or none. */
+    Map<JobTask, WorkerLink> choose(ReadyStep step, Predicate<WorkerLink> allowed) {
+        List<WorkerLink> candidates = rooms.keySet().stream()
+                .filter(allowed)
+                .filter(link -> step.size().fitsIn(room(link)))
+                .toList();
+        if (candidates.isEmpty()) {
+            return Map.of();
+        }
+        return step.gang() ? together(step, candidates) : oneByOne(step, candidates);
+    }
+
+    private Map<JobTask, WorkerLink> oneByOne(ReadyStep step, List<WorkerLink> candidates) {
+        Map<JobTask, WorkerLink> chosen = new LinkedHashMap<>();
+        Map<WorkerLink, Integer> counts = countsOf(step);
+        Comparator<WorkerLink> tightest = Comparator.<WorkerLink, Boolean>comparing(link -> !nearData(step, link))
+                .thenComparingDouble(link -> freeShare(link));
+        for (JobTask task : step.waiting()) {
+            Optional<WorkerLink> best = candidates.stream()
+                    .filter(link -> step.size().fitsIn(room(link)) && belowLimit(step, counts, link))
+                    .min(tightest);
+            if (best.isEmpty()) {
+                break;
+            }
+            take(best.get(), step.size());
+            counts.merge(best.get(), 1, Integer::sum);
+            chosen.put(task, best.get());
+        }
+        return chosen;
+    }
+
+    private Map<JobTask, WorkerLink> together(ReadyStep step, List<WorkerLink> candidates) {
+        if (step.step().getColocated()) {
+            Optional<Map<JobTask, WorkerLink>> onOneRack =
+                    candidates.stream().collect(Collectors.groupingBy(WorkerLink::rack)).values().stream()
+                            .map(rack -> allOn(step, rack))
+                            .filter(chosen -> !chosen.isEmpty())
+                            .findFirst();
+            if (onOneRack.isPresent()) {
+                onOneRack.get().values().forEach(link -> take(link, step.size()));
+                return onOneRack.get();
+            }
+        }
+        Map<JobTask, WorkerLink> chosen = allOn(step, candidates);
+        chosen.values().forEach(link -> take(link, step.size()));
+        return chosen;
+    }
+
+    private Map<JobTask, WorkerLink> allOn(ReadyStep step, List<WorkerLink> candidates) {
+        Map<WorkerLink, Integer> counts = countsOf(step);
+        List<WorkerLink> roomiest = new ArrayList<>(candidates);
+        roomiest.sort(Comparator.<WorkerLink, Boolean>comparing(link -> !nearData(step, link))
+                .thenComparing(Comparator.comparingDouble(this::freeShare).reversed()));
+        Map<JobTask, WorkerLink> chosen = new LinkedHashMap<>();
+        int next = 0;
+        for (WorkerLink link : roomiest) {
+            long fits = step.size().timesIn(room(link));
+            while (fits > 0 && next < step.waiting().size() && belowLimit(step, counts, link)) {
+                chosen.put(step.waiting().get(next++), link);
+                counts.merge(link, 1, Integer::sum);
+                fits--;
+            }
+        }
+        return next == step.waiting().size() ? chosen : Map.of();
+    }
+
+    /** Chooses the workers on which room is kept for a gang: those that could take it soonest. */
+    List<WorkerLink> reserve(ReadyStep step, Predicate<WorkerLink> allowed, long nowMillis) {
+        Map<WorkerLink, Integer> counts = countsOf(step);
+        Map<WorkerLink, Integer> wanted = new HashMap<>();
+        List<WorkerLink> candidates = rooms.keySet().stream()
+                .filter(allowed)
+                .filter(link -> step.size().fitsIn(link.entry().capacity()))
+                .toList();
+        List<WorkerLink> targets = new ArrayList<>();
+        for (int task = 0; task < step.waiting().size(); task++) {
+            Optional<WorkerLink> soonest = candidates.stream()
+                    .filter(link -> belowLimit(step, counts, link))
+                    .filter(link -> step.size()
+                            .times(wanted.getOrDefault(link, 0) + 1L)
+                            .fitsIn(link.entry().capacity()))
+                    .min(Comparator.comparingLong(link ->
+                            millisUntil(link, step.size().times(wanted.getOrDefault(link, 0) + 1L), nowMillis)));
+            if (soonest.isEmpty()) {
+                return List.of();
+            }
+            wanted.merge(soonest.get(), 1, Integer::sum);
+            counts.merge(soonest.get(), 1, Integer::sum);
+            targets.add(soonest.get());
+        }
+        return targets;
+    }
+
+    /** Returns when a worker has room beside what was taken in this round, at the earliest. */
+    long millisUntil(WorkerLink link, Capacity size, long nowMillis) {
+        Capacity taken = link.room().minus(room(link));
+        return link.millisUntilRoom(size.plus(taken), nowMillis);
+    }
+
+    private Map<WorkerLink, Integer> countsOf(ReadyStep step) {
+        Map<WorkerLink, Integer> counts = new HashMap<>();
+        if (step.step().getMaxPerWorker() > 0) {
+            rooms.keySet()
+                    .forEach(link -> counts.put(link, (int) link.runs().stream()
+                            .filter(run -> run.id().task().stepId().equals(step.id()))
+                            .count()));
+        }
+        return counts;
+    }
+
+    private static boolean belowLimit(ReadyStep step, Map<WorkerLink, Integer> counts, WorkerLink link) {
+        int limit = step.step().getMaxPerWorker();
+        return limit == 0 || counts.getOrDefault(link, 0) < limit;
+    }
+
+    private static boolean nearData(ReadyStep step, WorkerLink link) {
+        String rack = step.step().getDataRack();
+        return rack.isEmpty() || link.rack().equals(rack);
+    }
+
+    private double freeShare(WorkerLink link) {
+        return room(link).dominantShare(link.entry().capacity());
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/wasabimount/core/dispatch/ReadyStep.java
@@ -0,0 +1,39 @@
+package org.wasabimount.core.dispatch;
+
+import java.util.List;
+
+import org.wasabimount.core.cell.Capacity;
+import org.wasabimount.core.job.Job;
+import org.wasabimount.core.job.JobTask;
+import org.wasabimount.core.job.StepId;
+import org.wasabimount.protocol.job.Queue;
+import org.wasabimount.protocol.job.Step;
+
+/**
+ * A step whose turn has come, with the tasks that wait.
+ *
+ * @param job the job
+ * @param queue the queue in force, or the one that the job came in by if that is gone
+ * @param id the step's id
+ * @param waiting the tasks that may be placed
+ * @param latestStartMillis the monotonic time after which the job is late
+ * @param late true if that time has passed
+ */
+record ReadyStep(Job job, Queue queue, StepId id, List<JobTask> waiting, long latestStartMillis, boolean late) {
+
+    Step step() {
+        return job.step(id.step());
+    }
+
+    Capacity size() {
+        return Capacity.of(step().getSize());
+    }
+
+    boolean advised() {
+        return queue.hasAdvice();
+    }
+
+    boolean gang() {
+        return step().getGang();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/wasabimount/core/dispatch/RunControl.java
@@ -0,0 +1,182 @@
+package org.wasabimount.core.dispatch;
+
+import org.wasabimount.core.cell.Capacity;
+import org.wasabimount.core.job.LifeId;
+import org.wasabimount.core.job.RunId;
+import org.wasabimount.protocol.job.Step;
+
+/** What the leader knows and wants of one run that was given to a worker. */
+final class RunControl {
+
+    /** What is assumed to be left of a run that takes longer than declared, in milliseconds. */
+    private static final long SOON_MILLIS = 100;
+
+    /** How far a run is. */
+    enum State {
+        /** Its placement is not committed yet; room is held for it. */
+        PROPOSED,
+        /** An earlier leader placed it; the worker has not said yet whether it runs. */
+        INHERITED,
+        /** Its start is to be sent, or sent again. */
+        TO_START,
+        /** Its start is on the way. */
+        STARTING,
+        /** The worker has it. */
+        RUNNING,
+        /** Its stop is to be sent, or sent again. */
+        TO_STOP,
+        /** Its stop is on the way. */
+        STOPPING,
+        /** Its stop was taken: the next list says whether it was there. */
+        SETTLING,
+        /** It surely is not there, which is being committed. */
+        LOSING;
+
+        boolean ending() {
+            return compareTo(TO_STOP) >= 0;
+        }
+    }
+
+    private final RunId id;
+    private final LifeId life;
+    private final Step step;
+    private final Capacity size;
+    private State state;
+    private String ticket = "";
+    private String saved = "";
+    private boolean unanswered;
+    private int tries;
+    private long dueMillis;
+    private long startedMillis;
+    private long settledMillis;
+    private int percent;
+    private long progressMillis;
+
+    RunControl(RunId id, LifeId life, Step step, State state) {
+        this.id = id;
+        this.life = life;
+        this.step = step;
+        this.size = Capacity.of(step.getSize());
+        this.state = state;
+        this.unanswered = state == State.INHERITED;
+    }
+
+    RunId id() {
+        return id;
+    }
+
+    LifeId life() {
+        return life;
+    }
+
+    Step step() {
+        return step;
+    }
+
+    Capacity size() {
+        return size;
+    }
+
+    State state() {
+        return state;
+    }
+
+    String ticket() {
+        return ticket;
+    }
+
+    String saved() {
+        return saved;
+    }
+
+    /** Tells whether an order for the run may still be carried out without the leader's knowledge. */
+    boolean unanswered() {
+        return unanswered;
+    }
+
+    int tries() {
+        return tries;
+    }
+
+    long startedMillis() {
+        return startedMillis;
+    }
+
+    int percent() {
+        return percent;
+    }
+
+    /** Returns when the run last got further. */
+    long progressMillis() {
+        return progressMillis;
+    }
+
+    RunControl withTicket(String given) {
+        ticket = given;
+        return this;
+    }
+
+    boolean due(long nowMillis) {
+        return nowMillis >= dueMillis;
+    }
+
+    void startAt(long whenMillis) {
+        state = State.TO_START;
+        dueMillis = whenMillis;
+    }
+
+    void starting() {
+        state = State.STARTING;
+        tries++;
+    }
+
+    void unanswered(boolean may) {
+        unanswered = unanswered || may;
+    }
+
+    void runs(long nowMillis) {
+        state = State.RUNNING;
+        startedMillis = nowMillis;
+        progressMillis = nowMillis;
+    }
+
+    void stopAt(long whenMillis) {
+        state = State.TO_STOP;
+        dueMillis = whenMillis;
+    }
+
+    void stopping() {
+        state = State.STOPPING;
+    }
+
+    void settle(long nowMillis) {
+        state = State.SETTLING;
+        settledMillis = nowMillis;
+    }
+
+    /** Tells whether a list that was asked for at a time can say that the run is not there. */
+    boolean settledBy(long askedMillis) {
+        return state == State.SETTLING && askedMillis >= settledMillis;
+    }
+
+    void losing() {
+        state = State.LOSING;
+    }
+
+    void progress(String newest, int newPercent, long nowMillis) {
+        if (!newest.isEmpty()) {
+            saved = newest;
+        }
+        if (newPercent > percent) {
+            percent = newPercent;
+            progressMillis = nowMillis;
+        }
+    }
+
+    /** Returns how long the run probably still takes. */
+    long leftMillis(long nowMillis) {
+        long elapsed = nowMillis - startedMillis;
+        long expected = step.getEstimateMillis();
+        return Math.max(SOON_MILLIS, expected - elapsed);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/wasabimount/core/dispatch/WorkerDesk.java
@@ -0,0 +1,496 @@
+package org.wasabimount.core.dispatch;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+
+import org.wasabimount.core.job.Job;
+import org.wasabimount.core.job.JobTable;
+import org.wasabimount.core.job.JobTask;
+import org.wasabimount.core.job.LifeId;
+import org.wasabimount.core.job.RunId;
+import org.wasabimount.core.job.StepId;
+import org.wasabimount.core.job.TaskId;
+import org.wasabimount.core.job.WorkerEntry;
+import org.wasabimount.protocol.job.End;
+import org.wasabimount.protocol.job.EndKind;
+import org.wasabimount.protocol.job.EndRuns;
+import org.wasabimount.protocol.job.EndWorker;
+import org.wasabimount.protocol.job.JobCommand;
+import org.wasabimount.protocol.job.LoseRuns;
+import org.wasabimount.protocol.job.Step;
+
+/**
+ * Carries committed placements to the workers: leases, starts, stops, and the ends that workers list.
+ *
+ * <p>The load it answers: orders without an answer, which may be carried out seconds later; workers that vanish and come
+ * back as another life; and a leader that takes over runs it did not start. A run is given up only when the worker's
+ * list, the end of its lease or a new life proves that it is over.
+ */
+final class WorkerDesk {
+
+    private static final System.Logger LOG = System.getLogger("wasabimount.worker");
+
+    /** How long a worker may hold back its list until something ends, in milliseconds; the protocol's maximum. */
+    private static final long LIST_WAIT_MILLIS = 2_000;
+
+    /** Pause before a call that failed is made again, in milliseconds; a fraction of the shortest objective. */
+    private static final long RETRY_MILLIS = 200;
+
+    /** Starts without an answer after which the run is stopped instead. */
+    private static final int MAX_STARTS = 4;
+
+    /** Silence after which a worker whose lease is over is forgotten, in milliseconds; several missed announcements. */
+    private static final long FORGET_WORKER_MILLIS = 15_000;
+
+    /** How long after its start's answer a run must be in every list, in milliseconds; covers answers that overtake. */
+    private static final long LISTED_AFTER_MILLIS = 500;
+
+    private final DispatchSettings settings;
+    private final JobTable table;
+    private final long fence;
+    private final Consumer<DispatchAction> out;
+    private final Map<LifeId, WorkerLink> links = new LinkedHashMap<>();
+    private final Set<TaskId> proposing = new HashSet<>();
+    private final Map<TaskId, Set<LifeId>> failedOn = new HashMap<>();
+
+    WorkerDesk(DispatchSettings settings, JobTable table, long fence, Consumer<DispatchAction> out, long nowMillis) {
+        this.settings = settings;
+        this.table = table;
+        this.fence = fence;
+        this.out = out;
+        table.workers().forEach(worker -> adopt(worker, nowMillis));
+    }
+
+    private void adopt(WorkerEntry worker, long nowMillis) {
+        WorkerLink link = new WorkerLink(worker, settings.leaseMillis(), nowMillis);
+        links.put(worker.id(), link);
+        for (var id : table.placedOn(worker.id())) {
+            JobTask task = table.task(id).orElseThrow();
+            link.add(new RunControl(
+                    new RunId(id, task.run()), worker.id(), step(id.stepId()), RunControl.State.INHERITED));
+        }
+    }
+
+    Collection<WorkerLink> links() {
+        return links.values();
+    }
+
+    Optional<WorkerLink> link(LifeId life) {
+        return Optional.ofNullable(links.get(life));
+    }
+
+    void seen(WorkerEntry worker, long nowMillis) {
+        WorkerLink link = links.get(worker.id());
+        if (link == null) {
+            links.put(worker.id(), new WorkerLink(worker, settings.leaseMillis(), nowMillis));
+        } else {
+            link.entry(worker);
+        }
+    }
+
+    void ended(LifeId life) {
+        links.remove(life);
+    }
+
+    /** Holds room for a run whose placement is being committed. */
+    void propose(RunId run, WorkerLink link, String ticket) {
+        proposing.add(run.task());
+        link.add(new RunControl(run, link.entry().id(), step(run.task().stepId()), RunControl.State.PROPOSED)
+                .withTicket(ticket));
+    }
+
+    /** Takes back the room of a placement that changed nothing. */
+    void refused(RunId run, LifeId life) {
+        proposing.remove(run.task());
+        link(life).ifPresent(link -> {
+            RunControl control = link.run(run);
+            if (control != null && control.state() == RunControl.State.PROPOSED) {
+                link.remove(run);
+            }
+        });
+    }
+
+    /** Tells whether a placement of the task is being committed. */
+    boolean proposing(TaskId task) {
+        return proposing.contains(task);
+    }
+
+    /** Tells whether the task has failed on a worker. */
+    boolean failedOn(TaskId task, LifeId life) {
+        return failedOn.getOrDefault(task, Set.of()).contains(life);
+    }
+
+    void placed(RunId run, LifeId life, long nowMillis) {
+        proposing.remove(run.task());
+        control(run, life).ifPresent(control -> control.startAt(nowMillis));
+    }
+
+    void released(RunId run, LifeId life, long nowMillis) {
+        link(life).ifPresent(link -> link.remove(run));
+        JobTask task = table.task(run.task()).orElse(null);
+        boolean brokenGang =
+                task != null && !task.done() && step(run.task().stepId()).getGang();
+        if (brokenGang) {
+            stopGang(run, nowMillis);
+        }
+    }
+
+    void jobEnded(Job job, long nowMillis) {
+        failedOn.keySet().removeIf(task -> task.job().equals(job.id()));
+        runs().filter(control -> control.id().task().job().equals(job.id()))
+                .filter(control ->
+                        !table.task(control.id().task()).map(JobTask::done).orElse(false))
+                .forEach(control -> stop(control, nowMillis));
+    }
+
+    /** Sends what is due: leases, starts, stops. */
+    void tick(long nowMillis) {
+        List.copyOf(links.values()).forEach(link -> {
+            if (link.holdDue(nowMillis)) {
+                hold(link, nowMillis);
+            }
+            if (link.misses() > 0 && link.clock().lapsed(nowMillis)) {
+                loseAll(link, nowMillis);
+                if (link.silentMillis(nowMillis) > FORGET_WORKER_MILLIS) {
+                    endLife(link, "it was silent for " + FORGET_WORKER_MILLIS + " ms");
+                }
+            }
+            List.copyOf(link.runs()).forEach(control -> send(link, control, nowMillis));
+        });
+    }
+
+    private void hold(WorkerLink link, long nowMillis) {
+        link.holdSent();
+        // The first list is wanted at once: without it nothing may be placed.
+        long waitMillis = link.listed() ? LIST_WAIT_MILLIS : 0;
+        out.accept(new DispatchAction.Hold(
+                link.entry(), link.clock().grant(nowMillis), fence, link.entry().offset(), waitMillis));
+    }
+
+    private void send(WorkerLink link, RunControl control, long nowMillis) {
+        if (!control.due(nowMillis)) {
+            return;
+        }
+        if (control.state() == RunControl.State.TO_START) {
+            start(link, control, nowMillis);
+        } else if (control.state() == RunControl.State.TO_STOP) {
+            control.stopping();
+            out.accept(new DispatchAction.Stop(control.id(), link.entry(), fence));
+        }
+    }
+
+    private void start(WorkerLink link, RunControl control, long nowMillis) {
+        Optional<Job> job = table.job(control.id().task().job());
+        if (job.isEmpty() || !job.get().open() || control.tries() >= MAX_STARTS) {
+            stop(control, nowMillis);
+            return;
+        }
+        control.starting();
+        out.accept(new DispatchAction.Start(
+                control.id(),
+                link.entry(),
+                job.get().spec().getPayload(),
+                link.clock().grant(nowMillis),
+                fence,
+                savedProgress(job.get(), control),
+                control.ticket()));
+    }
+
+    private static String savedProgress(Job job, RunControl control) {
+        var id = control.id().task();
+        if (!control.step().getGang()) {
+            return job.tasks(id.occurrence(), id.step()).get(id.index()).saved();
+        }
+        // Every task of a gang resumes from the same progress.
+        return job.tasks(id.occurrence(), id.step()).stream()
+                .map(JobTask::saved)
+                .filter(saved -> !saved.isEmpty())
+                .findFirst()
+                .orElse("");
+    }
+
+    void startAnswered(RunId run, LifeId life, OrderAnswer answer, OptionalLong clockMillis, long nowMillis) {
+        WorkerLink link = links.get(life);
+        if (link == null) {
+            return;
+        }
+        clockMillis.ifPresent(clock -> link.clock().read(clock, nowMillis));
+        RunControl control = link.run(run);
+        if (answer == OrderAnswer.OTHER_LIFE) {
+            endLife(link, "another life answers at its address");
+            return;
+        }
+        if (control == null || control.state() != RunControl.State.STARTING) {
+            return;
+        }
+        control.unanswered(answer == OrderAnswer.NO_ANSWER);
+        switch (answer) {
+            case DONE -> control.runs(nowMillis);
+            case NO_ANSWER, NOT_SENT -> control.startAt(nowMillis + RETRY_MILLIS);
+            case SUPERSEDED -> control.settle(nowMillis);
+            case FENCED -> control.startAt(nowMillis + RETRY_MILLIS);
+            default -> notStarted(link, control, answer, nowMillis);
+        }
+    }
+
+    private void notStarted(WorkerLink link, RunControl control, OrderAnswer answer, long nowMillis) {
+        LOG.log(
+                System.Logger.Level.INFO,
+                "START run={0} worker={1} refused={2} unanswered={3}",
+                control.id(),
+                control.life(),
+                answer,
+                control.unanswered());
+        if (answer == OrderAnswer.UNWELL) {
+            link.health().unwell(nowMillis);
+        }
+        if (control.unanswered()) {
+            stop(control, nowMillis);
+        } else {
+            lose(List.of(control));
+        }
+        if (control.step().getGang()) {
+            stopGang(control.id(), nowMillis);
+        }
+    }
+
+    void stopAnswered(RunId run, LifeId life, OrderAnswer answer, OptionalLong clockMillis, long nowMillis) {
+        WorkerLink link = links.get(life);
+        if (link == null) {
+            return;
+        }
+        clockMillis.ifPresent(clock -> link.clock().read(clock, nowMillis));
+        if (answer == OrderAnswer.OTHER_LIFE) {
+            endLife(link, "another life answers at its address");
+            return;
+        }
+        RunControl control = link.run(run);
+        if (control == null || control.state() != RunControl.State.STOPPING) {
+            return;
+        }
+        if (answer == OrderAnswer.DONE || answer == OrderAnswer.SUPERSEDED) {
+            control.settle(nowMillis);
+        } else {
+            control.stopAt(nowMillis + RETRY_MILLIS);
+        }
+    }
+
+    void holdAnswered(LifeId life, HoldAnswer answer, long askedMillis, long nowMillis) {
+        WorkerLink link = links.get(life);
+        if (link == null) {
+            return;
+        }
+        boolean otherLife = answer.outcome() == OrderAnswer.OTHER_LIFE
+                || answer.outcome() == OrderAnswer.DONE
+                        && answer.bornMillis() > 0
+                        && answer.bornMillis() != life.bornMillis();
+        if (otherLife) {
+            endLife(link, "another life answers at its address");
+            return;
+        }
+        if (answer.outcome() != OrderAnswer.DONE) {
+            link.holdAnswered(false, nowMillis + RETRY_MILLIS, nowMillis);
+            if (link.misses() == 1) {
+                LOG.log(System.Logger.Level.INFO, "WORKER lost worker={0} answer={1}", life, answer.outcome());
+            }
+            return;
+        }
+        if (link.misses() > 0) {
+            LOG.log(System.Logger.Level.INFO, "WORKER regained worker={0} misses={1}", life, link.misses());
+        }
+        link.clock().read(answer.clockMillis(), nowMillis);
+        link.holdAnswered(true, nowMillis, nowMillis);
+        link.listed(true);
+        noteEnds(link, answer.ended(), nowMillis);
+        noteRunning(link, answer, askedMillis, nowMillis);
+    }
+
+    private void noteEnds(WorkerLink link, List<HoldAnswer.Ended> ended, long nowMillis) {
+        List<HoldAnswer.Ended> news = ended.stream()
+                .filter(end -> end.offset() > link.proposedOffset())
+                .toList();
+        if (news.isEmpty()) {
+            return;
+        }
+        EndRuns.Builder command = EndRuns.newBuilder()
+                .setWorker(link.entry().id().worker())
+                .setBornMillis(link.entry().id().bornMillis());
+        for (HoldAnswer.Ended end : news) {
+            judge(link, end, nowMillis);
+            command.setOffset(Math.max(command.getOffset(), end.offset()))
+                    .addEnds(End.newBuilder()
+                            .setTask(end.run().task().toKey())
+                            .setRun(end.run().number())
+                            .setKind(end.kind())
+                            .setSaved(end.saved()));
+        }
+        link.proposed(command.getOffset());
+        propose(JobCommand.newBuilder().setEnd(command).build());
+    }
+
+    private void judge(WorkerLink link, HoldAnswer.Ended end, long nowMillis) {
+        if (end.kind() == EndKind.DONE) {
+            link.health().succeeded();
+        } else if (end.kind() == EndKind.FAILED) {
+            boolean failedElsewhere =
+                    table.task(end.run().task()).map(JobTask::failures).orElse(0) > 0;
+            failedOn.computeIfAbsent(end.run().task(), absent -> new HashSet<>())
+                    .add(link.entry().id());
+            if (!failedElsewhere) {
+                link.health().failed(nowMillis);
+            }
+            LOG.log(
+                    System.Logger.Level.INFO,
+                    "RUN failed run={0} worker={1} failedElsewhere={2}",
+                    end.run(),
+                    link.entry().id(),
+                    failedElsewhere);
+        }
+    }
+
+    private void noteRunning(WorkerLink link, HoldAnswer answer, long askedMillis, long nowMillis) {
+        Map<RunId, HoldAnswer.Running> running = answer.running().stream()
+                .collect(Collectors.toMap(HoldAnswer.Running::run, row -> row, (one, other) -> other));
+        Set<RunId> ended = answer.ended().stream().map(HoldAnswer.Ended::run).collect(Collectors.toSet());
+        List<RunControl> absent = new ArrayList<>();
+        for (RunControl control : List.copyOf(link.runs())) {
+            HoldAnswer.Running row = running.get(control.id());
+            if (row != null) {
+                goesOn(control, row, nowMillis);
+            } else if (!ended.contains(control.id())) {
+                missing(control, askedMillis, nowMillis).ifPresent(absent::add);
+            }
+        }
+        lose(absent);
+        running.values().stream().filter(row -> link.run(row.run()) == null).forEach(row -> stopStray(link, row.run()));
+    }
+
+    private void goesOn(RunControl control, HoldAnswer.Running row, long nowMillis) {
+        if (!control.state().ending() && control.state() != RunControl.State.RUNNING) {
+            control.runs(nowMillis);
+        }
+        control.progress(row.saved(), row.percent(), nowMillis);
+        boolean unwanted = !table.job(control.id().task().job()).map(Job::open).orElse(false);
+        if (unwanted && !control.state().ending()) {
+            stop(control, nowMillis);
+        }
+    }
+
+    /** Handles a run that is neither running nor ended in a list; returns it if it surely is not there. */
+    private Optional<RunControl> missing(RunControl control, long askedMillis, long nowMillis) {
+        if (control.settledBy(askedMillis)) {
+            return Optional.of(control);
+        }
+        if (control.state() == RunControl.State.INHERITED) {
+            control.startAt(nowMillis);
+        } else if (control.state() == RunControl.State.RUNNING
+                && askedMillis > control.startedMillis() + LISTED_AFTER_MILLIS) {
+            stop(control, nowMillis);
+        }
+        return Optional.empty();
+    }
+
+    /** Stops a run that the table does not know as current, such as an order of the past carried out late. */
+    private void stopStray(WorkerLink link, RunId run) {
+        LOG.log(
+                System.Logger.Level.INFO,
+                "STOP run={0} worker={1} reason=not placed here",
+                run,
+                link.entry().id());
+        out.accept(new DispatchAction.Stop(run, link.entry(), fence));
+    }
+
+    private void stopGang(RunId member, long nowMillis) {
+        runs().filter(control -> control.id().number() == member.number()
+                        && control.id().task().stepId().equals(member.task().stepId())
+                        && !control.id().equals(member))
+                .forEach(control -> stop(control, nowMillis));
+    }
+
+    private void stop(RunControl control, long nowMillis) {
+        if (control.state().ending() || control.state() == RunControl.State.PROPOSED) {
+            return;
+        }
+        boolean neverSent =
+                control.state() == RunControl.State.TO_START && control.tries() == 0 && !control.unanswered();
+        if (neverSent) {
+            lose(List.of(control));
+        } else {
+            control.stopAt(nowMillis);
+        }
+    }
+
+    private void loseAll(WorkerLink link, long nowMillis) {
+        List<RunControl> gone = link.runs().stream()
+                .filter(control ->
+                        control.state() != RunControl.State.PROPOSED && control.state() != RunControl.State.LOSING)
+                .toList();
+        if (!gone.isEmpty()) {
+            LOG.log(
+                    System.Logger.Level.INFO,
+                    "WORKER lapsed worker={0} runs={1} at={2}",
+                    link.entry().id(),
+                    gone.size(),
+                    nowMillis);
+            lose(gone);
+        }
+    }
+
+    private void lose(List<RunControl> gone) {
+        if (gone.isEmpty()) {
+            return;
+        }
+        LoseRuns.Builder command = LoseRuns.newBuilder();
+        gone.forEach(control -> {
+            control.losing();
+            command.addRuns(control.id().toKey(control.saved()));
+        });
+        propose(JobCommand.newBuilder().setLose(command).build());
+    }
+
+    /** Ends a life that is proved to be over; its runs wait again. */
+    void endLife(WorkerLink link, String reason) {
+        if (link.ending()) {
+            return;
+        }
+        link.end();
+        LOG.log(
+                System.Logger.Level.INFO,
+                "WORKER ended worker={0} runs={1} reason={2}",
+                link.entry().id(),
+                link.runs().size(),
+                reason);
+        propose(JobCommand.newBuilder()
+                .setEndWorker(EndWorker.newBuilder()
+                        .setWorker(link.entry().id().worker())
+                        .setBornMillis(link.entry().id().bornMillis()))
+                .build());
+    }
+
+    private void propose(JobCommand command) {
+        out.accept(new DispatchAction.Propose(command));
+    }
+
+    private Optional<RunControl> control(RunId run, LifeId life) {
+        return link(life).map(link -> link.run(run));
+    }
+
+    private Stream<RunControl> runs() {
+        return List.copyOf(links.values()).stream().flatMap(link -> List.copyOf(link.runs()).stream());
+    }
+
+    private Step step(StepId id) {
+        return table.job(id.job()).orElseThrow().step(id.step());
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/wasabimount/core/job/Job.java
@@ -0,0 +1,233 @@
+package org.wasabimount.core.job;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+
+import org.wasabimount.protocol.job.JobPhase;
+import org.wasabimount.protocol.job.JobSpec;
+import org.wasabimount.protocol.job.JobState;
+import org.wasabimount.protocol.job.Queue;
+import org.wasabimount.protocol.job.Step;
+
+/** One accepted job with its tasks. */
+public final class Job {
+
+    private final JobSpec spec;
+    private final Queue queue;
+    private final long acceptedMillis;
+    private final Map<Integer, List<List<JobTask>>> occurrences = new TreeMap<>();
+    private JobPhase phase = JobPhase.QUEUED;
+    private long endedMillis;
+
+    Job(JobSpec spec, Queue queue, long acceptedMillis) {
+        this.spec = spec;
+        this.queue = queue;
+        this.acceptedMillis = acceptedMillis;
+        IntStream.range(0, Math.max(1, spec.getOccurrences())).forEach(this::addOccurrence);
+    }
+
+    private void addOccurrence(int occurrence) {
+        List<List<JobTask>> steps = new ArrayList<>();
+        for (int step = 0; step < spec.getStepsCount(); step++) {
+            StepId id = new StepId(spec.getId(), occurrence, step);
+            steps.add(IntStream.range(0, spec.getSteps(step).getCount())
+                    .mapToObj(index -> new JobTask(id.task(index)))
+                    .toList());
+        }
+        occurrences.put(occurrence, steps);
+    }
+
+    /**
+     * Returns the job's id.
+     *
+     * @return the id that its client chose
+     */
+    public String id() {
+        return spec.getId();
+    }
+
+    /**
+     * Returns what the client asked for.
+     *
+     * @return the specification
+     */
+    public JobSpec spec() {
+        return spec;
+    }
+
+    /**
+     * Returns the queue as it was when the job was accepted.
+     *
+     * @return the queue
+     */
+    public Queue queue() {
+        return queue;
+    }
+
+    /**
+     * Returns when the job was accepted.
+     *
+     * @return the time of day in milliseconds since 1970
+     */
+    public long acceptedMillis() {
+        return acceptedMillis;
+    }
+
+    /**
+     * Returns when the job ended.
+     *
+     * @return the time of day in milliseconds since 1970, zero before
+     */
+    public long endedMillis() {
+        return endedMillis;
+    }
+
+    /**
+     * Returns how far the job is.
+     *
+     * @return the phase
+     */
+    public JobPhase phase() {
+        return phase;
+    }
+
+    /**
+     * Tells whether the job's tasks may still be started.
+     *
+     * @return false once it is completed, broken down or cancelled
+     */
+    public boolean open() {
+        return phase == JobPhase.QUEUED || phase == JobPhase.ACTIVE;
+    }
+
+    /**
+     * Returns the numbers of the occurrences.
+     *
+     * @return the numbers, one for a job that runs once
+     */
+    public Collection<Integer> occurrences() {
+        return occurrences.keySet();
+    }
+
+    /**
+     * Returns when an occurrence may start.
+     *
+     * @param occurrence the number of the occurrence
+     * @return the time of day in milliseconds since 1970
+     */
+    public long dueMillis(int occurrence) {
+        return spec.getOccurrences() == 0
+                ? acceptedMillis
+                : spec.getFirstDueMillis() + occurrence * spec.getIntervalMillis();
+    }
+
+    /**
+     * Returns the specification of a step.
+     *
+     * @param step the number of the step
+     * @return the specification
+     */
+    public Step step(int step) {
+        return spec.getSteps(step);
+    }
+
+    /**
+     * Returns the tasks of a step.
+     *
+     * @param occurrence the number of the occurrence
+     * @param step the number of the step
+     * @return the tasks by index
+     */
+    public List<JobTask> tasks(int occurrence, int step) {
+        return occurrences.get(occurrence).get(step);
+    }
+
+    /**
+     * Returns every task of the job.
+     *
+     * @return the tasks
+     */
+    public Stream<JobTask> tasks() {
+        return occurrences.values().stream().flatMap(List::stream).flatMap(List::stream);
+    }
+
+    /**
+     * Tells whether the steps that a step waits for are done.
+     *
+     * @param occurrence the number of the occurrence
+     * @param step the number of the step
+     * @return true if the step's tasks may start
+     */
+    public boolean unblocked(int occurrence, int step) {
+        return step(step).getAfterList().stream().allMatch(earlier -> stepDone(occurrence, earlier));
+    }
+
+    /**
+     * Tells whether every task of a step is done.
+     *
+     * @param occurrence the number of the occurrence
+     * @param step the number of the step
+     * @return true if nothing of the step is left to do
+     */
+    public boolean stepDone(int occurrence, int step) {
+        return tasks(occurrence, step).stream().allMatch(JobTask::done);
+    }
+
+    /**
+     * Tells whether a task of the job has been placed on a worker.
+     *
+     * @return true from the first placement on
+     */
+    public boolean started() {
+        return phase != JobPhase.QUEUED;
+    }
+
+    boolean has(TaskId task) {
+        return occurrences.containsKey(task.occurrence())
+                && task.step() < spec.getStepsCount()
+                && task.index() < spec.getSteps(task.step()).getCount();
+    }
+
+    JobTask task(TaskId task) {
+        return tasks(task.occurrence(), task.step()).get(task.index());
+    }
+
+    void activate() {
+        if (phase == JobPhase.QUEUED) {
+            phase = JobPhase.ACTIVE;
+        }
+    }
+
+    void end(JobPhase how, long nowMillis) {
+        phase = how;
+        endedMillis = nowMillis;
+    }
+
+    boolean allDone() {
+        return spec.getStepsList().stream().noneMatch(Step::getLongRunning) && tasks().allMatch(JobTask::done);
+    }
+
+    JobState toState() {
+        JobState.Builder state = JobState.newBuilder()
+                .setSpec(spec)
+                .setQueue(queue)
+                .setPhase(phase)
+                .setAcceptedMillis(acceptedMillis)
+                .setEndedMillis(endedMillis);
+        tasks().filter(task -> !task.untouched()).map(JobTask::toState).forEach(state::addTasks);
+        return state.build();
+    }
+
+    static Job restore(JobState state) {
+        Job job = new Job(state.getSpec(), state.getQueue(), state.getAcceptedMillis());
+        job.phase = state.getPhase();
+        job.endedMillis = state.getEndedMillis();
+        state.getTasksList().forEach(task -> job.task(TaskId.of(task.getTask())).restore(task));
+        return job;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/wasabimount/core/job/JobCheck.java
@@ -0,0 +1,74 @@
+package org.wasabimount.core.job;
+
+import java.util.Optional;
+import java.util.stream.IntStream;
+
+import org.wasabimount.core.Names;
+import org.wasabimount.core.Refusal;
+import org.wasabimount.core.ResultCode;
+import org.wasabimount.protocol.job.JobSpec;
+import org.wasabimount.protocol.job.Step;
+
+/** Checks a submitted job before it may be accepted. */
+public final class JobCheck {
+
+    /** Most characters of a payload; what one entry of the log can carry for every job in a burst. */
+    public static final int MAX_PAYLOAD_CHARACTERS = 4_096;
+
+    /** Most tasks of one job over all its occurrences; each costs memory on every replica. */
+    public static final int MAX_TASKS = 20_000;
+
+    private static final int MAX_OCCURRENCES = 1_000;
+
+    private JobCheck() {}
+
+    /**
+     * Checks a job as a whole.
+     *
+     * @param spec the job
+     * @return why it is refused, empty if it is valid
+     */
+    public static Optional<Refusal> check(JobSpec spec) {
+        if (!Names.valid(spec.getId())) {
+            return refuse(ResultCode.INVALID_VALUE, "\"" + spec.getId() + "\" can't be the id of a job");
+        }
+        if (spec.getPayload().length() > MAX_PAYLOAD_CHARACTERS) {
+            return refuse(ResultCode.TOO_LARGE, "the payload has more than " + MAX_PAYLOAD_CHARACTERS + " characters");
+        }
+        if (spec.getStepsCount() == 0) {
+            return refuse(ResultCode.INVALID_VALUE, "the job has no steps");
+        }
+        if (spec.getOccurrences() < 0 || spec.getOccurrences() > MAX_OCCURRENCES) {
+            return refuse(ResultCode.INVALID_VALUE, "the job has " + spec.getOccurrences() + " occurrences");
+        }
+        long tasks = spec.getStepsList().stream().mapToLong(Step::getCount).sum();
+        if (tasks * Math.max(1, spec.getOccurrences()) > MAX_TASKS) {
+            return refuse(ResultCode.TOO_LARGE, "the job has more than " + MAX_TASKS + " tasks");
+        }
+        return IntStream.range(0, spec.getStepsCount())
+                .mapToObj(number -> problem(number, spec.getSteps(number)))
+                .flatMap(Optional::stream)
+                .findFirst();
+    }
+
+    private static Optional<Refusal> problem(int number, Step step) {
+        String name = "step " + number + " ";
+        if (step.getCount() <= 0) {
+            return refuse(ResultCode.INVALID_VALUE, name + "has no tasks");
+        }
+        boolean negative = step.getSize().getCpuMillis() < 0
+                || step.getSize().getMemoryMegabytes() < 0
+                || step.getSize().getAccelerators() < 0;
+        if (negative) {
+            return refuse(ResultCode.INVALID_VALUE, name + "asks for a negative size");
+        }
+        boolean forward = step.getAfterList().stream().anyMatch(earlier -> earlier < 0 || earlier >= number);
+        return forward
+                ? refuse(ResultCode.INVALID_VALUE, name + "waits for a step that does not come before it")
+                : Optional.empty();
+    }
+
+    private static Optional<Refusal> refuse(ResultCode code, String detail) {
+        return Optional.of(Refusal.of(code, detail));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/wasabimount/core/job/JobTable.java
@@ -0,0 +1,464 @@
+package org.wasabimount.core.job;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Stream;
+
+import org.wasabimount.core.ResultCode;
+import org.wasabimount.protocol.job.AcceptJob;
+import org.wasabimount.protocol.job.End;
+import org.wasabimount.protocol.job.EndKind;
+import org.wasabimount.protocol.job.EndRuns;
+import org.wasabimount.protocol.job.EndWorker;
+import org.wasabimount.protocol.job.JobCommand;
+import org.wasabimount.protocol.job.JobPhase;
+import org.wasabimount.protocol.job.JobSnapshot;
+import org.wasabimount.protocol.job.LoseRuns;
+import org.wasabimount.protocol.job.PlaceRuns;
+import org.wasabimount.protocol.job.Placement;
+import org.wasabimount.protocol.job.Queue;
+import org.wasabimount.protocol.job.QueueTable;
+import org.wasabimount.protocol.job.RunKey;
+import org.wasabimount.protocol.job.WorkerLife;
+import org.wasabimount.protocol.job.WorkerRecord;
+
+/**
+ * The replicated state of jobs, workers and queues, changed by the commands of the log only.
+ *
+ * <p>Every command is checked against the state it meets, so that a command which was decided on older state changes
+ * nothing that it should not. Applying the same commands gives the same state on every replica.
+ */
+public final class JobTable {
+
+    private QueueTable queues = QueueTable.getDefaultInstance();
+    private final Map<String, WorkerEntry> workers = new LinkedHashMap<>();
+    private final Map<String, Job> jobs = new LinkedHashMap<>();
+    private final Map<LifeId, Set<TaskId>> placed = new HashMap<>();
+    private Observer observer = new Observer() {};
+
+    /** Hears of changes as they are applied. */
+    public interface Observer {
+
+        /**
+         * A job was accepted.
+         *
+         * @param job the job
+         */
+        default void accepted(Job job) {}
+
+        /**
+         * A run was given to a worker.
+         *
+         * @param run the run
+         * @param life the worker's life
+         */
+        default void placed(RunId run, LifeId life) {}
+
+        /**
+         * A run is known to be over.
+         *
+         * @param run the run
+         * @param life the life that it was given to
+         */
+        default void released(RunId run, LifeId life) {}
+
+        /**
+         * A job was completed, broken down or cancelled.
+         *
+         * @param job the job
+         */
+        default void ended(Job job) {}
+
+        /**
+         * A worker's life was seen for the first time, or said something new of itself.
+         *
+         * @param worker the worker
+         */
+        default void workerSeen(WorkerEntry worker) {}
+
+        /**
+         * A worker's life is over.
+         *
+         * @param life the life
+         */
+        default void workerEnded(LifeId life) {}
+    }
+
+    /**
+     * Sets who hears of changes.
+     *
+     * @param listener the observer, one at a time
+     */
+    public void observe(Observer listener) {
+        this.observer = listener;
+    }
+
+    /**
+     * Returns the queues and pools in force.
+     *
+     * @return the newest table, with version 0 if there is none yet
+     */
+    public QueueTable queues() {
+        return queues;
+    }
+
+    /**
+     * Returns the queue in force under a name.
+     *
+     * @param name the queue's name
+     * @return the queue, empty if there is none of that name now
+     */
+    public Optional<Queue> queue(String name) {
+        return queues.getQueuesList().stream()
+                .filter(queue -> queue.getName().equals(name))
+                .findFirst();
+    }
+
+    /**
+     * Returns the queue that a request belongs to: the one of its host with the longest matching prefix.
+     *
+     * @param host the host that the request names, without a port
+     * @param path the request's path
+     * @return the queue, empty if there is none
+     */
+    public Optional<Queue> queueAt(String host, String path) {
+        return queues.getQueuesList().stream()
+                .filter(queue -> queue.getHost().equals(host) && path.startsWith(queue.getPathPrefix()))
+                .reduce((one, other) ->
+                        one.getPathPrefix().length() >= other.getPathPrefix().length() ? one : other);
+    }
+
+    /**
+     * Returns a job.
+     *
+     * @param id the job's id
+     * @return the job, empty if there is none or it was forgotten
+     */
+    public Optional<Job> job(String id) {
+        return Optional.ofNullable(jobs.get(id));
+    }
+
+    /**
+     * Returns every job that is remembered.
+     *
+     * @return the jobs, oldest first
+     */
+    public Collection<Job> jobs() {
+        return jobs.values();
+    }
+
+    /**
+     * Returns a worker.
+     *
+     * @param worker the worker's id
+     * @return its current life, empty if there is none
+     */
+    public Optional<WorkerEntry> worker(String worker) {
+        return Optional.ofNullable(workers.get(worker));
+    }
+
+    /**
+     * Returns every worker whose life is not known to be over.
+     *
+     * @return the workers
+     */
+    public Collection<WorkerEntry> workers() {
+        return workers.values();
+    }
+
+    /**
+     * Returns the tasks whose run was given to a life and is not known to be over.
+     *
+     * @param life the life
+     * @return the tasks
+     */
+    public Set<TaskId> placedOn(LifeId life) {
+        return placed.getOrDefault(life, Set.of());
+    }
+
+    /**
+     * Returns the task of an id.
+     *
+     * @param id the id
+     * @return the task, empty if its job is not known or has no such task
+     */
+    public Optional<JobTask> task(TaskId id) {
+        return job(id.job()).filter(job -> job.has(id)).map(job -> job.task(id));
+    }
+
+    /**
+     * Applies one command.
+     *
+     * @param command the command
+     * @return {@link ResultCode#OK}, or why the command changed nothing
+     */
+    public ResultCode apply(JobCommand command) {
+        long nowMillis = command.getTimeMillis();
+        return switch (command.getBodyCase()) {
+            case ACCEPT -> accept(command.getAccept(), nowMillis);
+            case CANCEL -> cancel(command.getCancel().getJob(), nowMillis);
+            case PLACE -> place(command.getPlace());
+            case END -> endRuns(command.getEnd(), nowMillis);
+            case LOSE -> loseRuns(command.getLose());
+            case SEE_WORKER -> seeWorker(command.getSeeWorker().getLife());
+            case END_WORKER -> endWorker(command.getEndWorker());
+            case FORGET -> forget(command.getForget().getJobsList());
+            case PUT_QUEUES -> putQueues(command.getPutQueues());
+            case BODY_NOT_SET -> ResultCode.UNKNOWN_KIND;
+        };
+    }
+
+    /**
+     * Writes the whole state.
+     *
+     * @return the state as a message
+     */
+    public JobSnapshot snapshot() {
+        JobSnapshot.Builder snapshot = JobSnapshot.newBuilder().setQueues(queues);
+        workers.values()
+                .forEach(worker -> snapshot.addWorkers(
+                        WorkerRecord.newBuilder().setLife(worker.life()).setOffset(worker.offset())));
+        jobs.values().forEach(job -> snapshot.addJobs(job.toState()));
+        return snapshot.build();
+    }
+
+    /**
+     * Reads a whole state.
+     *
+     * @param snapshot what {@link #snapshot} wrote
+     * @return the state
+     */
+    public static JobTable restore(JobSnapshot snapshot) {
+        JobTable table = new JobTable();
+        table.queues = snapshot.getQueues();
+        snapshot.getWorkersList()
+                .forEach(worker -> table.workers.put(
+                        worker.getLife().getWorker(), new WorkerEntry(worker.getLife(), worker.getOffset())));
+        snapshot.getJobsList().stream().map(Job::restore).forEach(job -> {
+            table.jobs.put(job.id(), job);
+            job.tasks()
+                    .forEach(task -> task.life()
+                            .ifPresent(life -> table.placedOnMutable(life).add(task.id())));
+        });
+        return table;
+    }
+
+    private ResultCode accept(AcceptJob command, long nowMillis) {
+        if (!jobs.containsKey(command.getSpec().getId())) {
+            Job job = new Job(command.getSpec(), command.getQueue(), nowMillis);
+            jobs.put(job.id(), job);
+            observer.accepted(job);
+        }
+        return ResultCode.OK;
+    }
+
+    private ResultCode cancel(String id, long nowMillis) {
+        Job job = jobs.get(id);
+        if (job == null) {
+            return ResultCode.NOT_FOUND;
+        }
+        endJob(job, JobPhase.CANCELLED, nowMillis);
+        return ResultCode.OK;
+    }
+
+    private void endJob(Job job, JobPhase how, long nowMillis) {
+        if (job.open()) {
+            job.end(how, nowMillis);
+            observer.ended(job);
+        }
+    }
+
+    private ResultCode place(PlaceRuns command) {
+        boolean valid = command.getPlacementsList().stream().allMatch(this::placeable);
+        if (!valid) {
+            return ResultCode.VERSION_CONFLICT;
+        }
+        for (Placement placement : command.getPlacementsList()) {
+            TaskId id = TaskId.of(placement.getTask());
+            LifeId life = new LifeId(placement.getWorker(), placement.getBornMillis());
+            Job job = jobs.get(id.job());
+            job.activate();
+            job.task(id).place(placement.getRun(), life);
+            placedOnMutable(life).add(id);
+            observer.placed(new RunId(id, placement.getRun()), life);
+        }
+        return ResultCode.OK;
+    }
+
+    private boolean placeable(Placement placement) {
+        TaskId id = TaskId.of(placement.getTask());
+        boolean waits = job(id.job()).filter(Job::open).isPresent()
+                && task(id).filter(task -> task.waits() && placement.getRun() > task.run())
+                        .isPresent();
+        return waits
+                && worker(placement.getWorker())
+                        .filter(worker -> worker.id().bornMillis() == placement.getBornMillis())
+                        .isPresent();
+    }
+
+    private ResultCode endRuns(EndRuns command, long nowMillis) {
+        LifeId life = new LifeId(command.getWorker(), command.getBornMillis());
+        WorkerEntry worker = workers.get(command.getWorker());
+        if (worker == null || !worker.id().equals(life) || command.getOffset() <= worker.offset()) {
+            return ResultCode.VERSION_CONFLICT;
+        }
+        worker.advance(command.getOffset());
+        Set<Job> touched = new LinkedHashSet<>();
+        for (End end : command.getEndsList()) {
+            task(TaskId.of(end.getTask())).ifPresent(task -> {
+                Job job = jobs.get(task.id().job());
+                noteEnd(job, task, end, life);
+                touched.add(job);
+            });
+        }
+        touched.forEach(job -> settle(job, nowMillis));
+        return ResultCode.OK;
+    }
+
+    private void noteEnd(Job job, JobTask task, End end, LifeId life) {
+        boolean current = task.runs(end.getRun(), life);
+        if (end.getKind() == EndKind.DONE && (current || task.waits())) {
+            finish(job, task, end.getRun());
+        }
+        if (!current) {
+            return;
+        }
+        task.save(end.getSaved());
+        if (end.getKind() == EndKind.FAILED) {
+            task.fail();
+        }
+        release(task, life);
+    }
+
+    private static void finish(Job job, JobTask task, int run) {
+        boolean gang = job.step(task.id().step()).getGang();
+        if (gang) {
+            // The tasks of a gang end as done together, so the end of one stands for all of its run.
+            job.tasks(task.id().occurrence(), task.id().step()).stream()
+                    .filter(member -> member.run() == run)
+                    .forEach(JobTask::finish);
+        } else {
+            task.finish();
+        }
+    }
+
+    private void settle(Job job, long nowMillis) {
+        if (job.open() && job.allDone()) {
+            endJob(job, JobPhase.COMPLETED, nowMillis);
+            return;
+        }
+        boolean spent = job.queue().getMaxAttempts() > 0
+                && job.tasks()
+                        .filter(task ->
+                                !task.done() && !job.step(task.id().step()).getLongRunning())
+                        .anyMatch(task -> attempts(job, task) >= job.queue().getMaxAttempts());
+        if (job.open() && spent) {
+            endJob(job, JobPhase.BROKEN_DOWN, nowMillis);
+        }
+    }
+
+    /**
+     * Returns how many attempts of a task have failed; in a gang, an attempt of one is an attempt of all.
+     *
+     * @param job the job
+     * @param task one of its tasks
+     * @return the count
+     */
+    public static int attempts(Job job, JobTask task) {
+        boolean gang = job.step(task.id().step()).getGang();
+        return gang
+                ? job.tasks(task.id().occurrence(), task.id().step()).stream()
+                        .mapToInt(JobTask::failures)
+                        .sum()
+                : task.failures();
+    }
+
+    private ResultCode loseRuns(LoseRuns command) {
+        for (RunKey run : command.getRunsList()) {
+            task(TaskId.of(run.getTask()))
+                    .filter(task -> task.run() == run.getRun())
+                    .ifPresent(task -> {
+                        task.save(run.getSaved());
+                        task.life().ifPresent(life -> release(task, life));
+                    });
+        }
+        return ResultCode.OK;
+    }
+
+    private ResultCode seeWorker(WorkerLife life) {
+        WorkerEntry known = workers.get(life.getWorker());
+        boolean stale = known != null && known.id().bornMillis() > life.getBornMillis()
+                || othersAt(life).anyMatch(other -> other.id().bornMillis() > life.getBornMillis());
+        if (stale) {
+            return ResultCode.VERSION_CONFLICT;
+        }
+        boolean sameLife = known != null && known.id().bornMillis() == life.getBornMillis();
+        if (known != null && !sameLife) {
+            end(known);
+        }
+        // Two processes cannot listen at one address, so the earlier one is gone.
+        othersAt(life).toList().forEach(this::end);
+        WorkerEntry entry = new WorkerEntry(life, sameLife ? known.offset() : 0);
+        workers.put(life.getWorker(), entry);
+        observer.workerSeen(entry);
+        return ResultCode.OK;
+    }
+
+    private Stream<WorkerEntry> othersAt(WorkerLife life) {
+        return workers.values().stream()
+                .filter(other -> other.life().getAddress().equals(life.getAddress())
+                        && !other.life().getWorker().equals(life.getWorker()));
+    }
+
+    private ResultCode endWorker(EndWorker command) {
+        WorkerEntry worker = workers.get(command.getWorker());
+        if (worker == null || worker.id().bornMillis() != command.getBornMillis()) {
+            return ResultCode.VERSION_CONFLICT;
+        }
+        end(worker);
+        return ResultCode.OK;
+    }
+
+    private void end(WorkerEntry worker) {
+        new ArrayList<>(placedOn(worker.id())).forEach(id -> release(task(id).orElseThrow(), worker.id()));
+        placed.remove(worker.id());
+        workers.remove(worker.life().getWorker());
+        observer.workerEnded(worker.id());
+    }
+
+    private ResultCode forget(List<String> ids) {
+        for (String id : ids) {
+            boolean idle = job(id).filter(job -> !job.open()
+                            && job.tasks().allMatch(task -> task.life().isEmpty()))
+                    .isPresent();
+            if (idle) {
+                jobs.remove(id);
+            }
+        }
+        return ResultCode.OK;
+    }
+
+    private ResultCode putQueues(QueueTable next) {
+        if (next.getVersion() > queues.getVersion()) {
+            queues = next;
+        }
+        return ResultCode.OK;
+    }
+
+    private void release(JobTask task, LifeId life) {
+        task.release();
+        placedOnMutable(life).remove(task.id());
+        observer.released(new RunId(task.id(), task.run()), life);
+    }
+
+    private Set<TaskId> placedOnMutable(LifeId life) {
+        return placed.computeIfAbsent(life, absent -> new LinkedHashSet<>());
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/wasabimount/core/job/JobTask.java
@@ -0,0 +1,135 @@
+package org.wasabimount.core.job;
+
+import java.util.Optional;
+
+import org.wasabimount.protocol.job.TaskState;
+
+/** One task of a job: where its last run is, and what became of the runs before. */
+public final class JobTask {
+
+    private final TaskId id;
+    private boolean done;
+    private int run;
+    private LifeId life;
+    private int failures;
+    private String saved = "";
+
+    JobTask(TaskId id) {
+        this.id = id;
+    }
+
+    /**
+     * Returns the task's id.
+     *
+     * @return the id
+     */
+    public TaskId id() {
+        return id;
+    }
+
+    /**
+     * Tells whether a run has ended as done.
+     *
+     * @return true from then on
+     */
+    public boolean done() {
+        return done;
+    }
+
+    /**
+     * Returns the number of the last run.
+     *
+     * @return the number, zero if the task was never placed
+     */
+    public int run() {
+        return run;
+    }
+
+    /**
+     * Returns the worker that the last run was given to.
+     *
+     * @return the worker's life, empty once the run is known to be over
+     */
+    public Optional<LifeId> life() {
+        return Optional.ofNullable(life);
+    }
+
+    /**
+     * Tells whether the task waits to be placed.
+     *
+     * @return true if it is not done and no run may be going on
+     */
+    public boolean waits() {
+        return !done && life == null;
+    }
+
+    /**
+     * Returns how many runs have failed.
+     *
+     * @return the count
+     */
+    public int failures() {
+        return failures;
+    }
+
+    /**
+     * Returns the saved progress that the next run may resume from.
+     *
+     * @return the progress as the worker named it, empty if there is none
+     */
+    public String saved() {
+        return saved;
+    }
+
+    void place(int number, LifeId on) {
+        run = number;
+        life = on;
+    }
+
+    boolean runs(int number, LifeId on) {
+        return run == number && on.equals(life);
+    }
+
+    void release() {
+        life = null;
+    }
+
+    void finish() {
+        done = true;
+    }
+
+    void fail() {
+        failures++;
+    }
+
+    void save(String progress) {
+        if (!progress.isEmpty()) {
+            saved = progress;
+        }
+    }
+
+    boolean untouched() {
+        return run == 0 && !done;
+    }
+
+    TaskState toState() {
+        TaskState.Builder state = TaskState.newBuilder()
+                .setTask(id.toKey())
+                .setDone(done)
+                .setRun(run)
+                .setFailures(failures)
+                .setSaved(saved);
+        if (life != null) {
+            state.setWorker(life.worker()).setBornMillis(life.bornMillis());
+        }
+        return state.build();
+    }
+
+    void restore(TaskState state) {
+        done = state.getDone();
+        run = state.getRun();
+        failures = state.getFailures();
+        saved = state.getSaved();
+        life = state.getWorker().isEmpty() ? null : new LifeId(state.getWorker(), state.getBornMillis());
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/wasabimount/core/job/LifeId.java
@@ -0,0 +1,27 @@
+package org.wasabimount.core.job;
+
+import org.wasabimount.protocol.job.WorkerLife;
+
+/**
+ * Names one life of a worker, from one start to its end.
+ *
+ * @param worker the worker's id, which a later life may have again
+ * @param bornMillis when the life began, in milliseconds since 1970
+ */
+public record LifeId(String worker, long bornMillis) {
+
+    /**
+     * Returns the id of a life.
+     *
+     * @param life the life
+     * @return its id
+     */
+    public static LifeId of(WorkerLife life) {
+        return new LifeId(life.getWorker(), life.getBornMillis());
+    }
+
+    @Override
+    public String toString() {
+        return worker + "@" + bornMillis;
+    }
+}
--- a/core/src/main/java/org/wasabimount/core/log/MembershipPlan.java
+++ b/core/src/main/java/org/wasabimount/core/log/MembershipPlan.java
@@ -2,7 +2,9 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Predicate;
 
+import org.wasabimount.core.VmId;
 import org.wasabimount.protocol.log.Membership;
 
 /**
@@ -35,9 +37,7 @@
             return Optional.of(withLearner(current, replica));
         }
         boolean caughtUp = leader.matchIndex(id) + MAX_LAG_ENTRIES >= leader.lastIndex() && leader.matchIndex(id) > 0;
-        Optional<String> formerSelf = current.getVotersList().stream()
-                .filter(voter -> ReplicaIdentity.parse(voter).vm().equals(replica.vm()))
-                .findFirst();
+        Optional<String> formerSelf = formerSelf(current, replica);
         if (!caughtUp || !mayVote) {
             return Optional.empty();
         }
@@ -47,6 +47,43 @@
         return Optional.of(promoted(current, id));
     }
 
+    /**
+     * What a group without a list of its members is to look like.
+     *
+     * @param voters how many replicas are to vote
+     * @param gone tells which VMs have been silent for so long that their vote may go to another
+     */
+    public record Wish(int voters, Predicate<VmId> gone) {}
+
+    /**
+     * Plans the next step for a replica of a group that is told only how many voters it is to have.
+     *
+     * @param leader the group's leader
+     * @param replica the replica that was heard of
+     * @param wish what the group is to look like
+     * @return the members after the step, or nothing if there is none to take now
+     */
+    public static Optional<Membership> next(Replica leader, ReplicaIdentity replica, Wish wish) {
+        Membership current = leader.membership();
+        boolean missing = current.getVotersCount() < wish.voters()
+                || formerSelf(current, replica).isPresent();
+        Optional<String> gone = current.getVotersList().stream()
+                .filter(voter -> wish.gone().test(ReplicaIdentity.parse(voter).vm()))
+                .findFirst();
+        boolean learns = current.getLearnersList().contains(replica.toString());
+        if (missing || gone.isEmpty() || !learns) {
+            return next(leader, replica, missing);
+        }
+        boolean caughtUp = leader.matchIndex(replica.toString()) + MAX_LAG_ENTRIES >= leader.lastIndex();
+        return caughtUp ? Optional.of(withoutVoter(current, gone.get())) : Optional.empty();
+    }
+
+    private static Optional<String> formerSelf(Membership current, ReplicaIdentity replica) {
+        return current.getVotersList().stream()
+                .filter(voter -> ReplicaIdentity.parse(voter).vm().equals(replica.vm()))
+                .findFirst();
+    }
+
     private static Membership withLearner(Membership current, ReplicaIdentity replica) {
         List<String> others = current.getLearnersList().stream()
                 .filter(learner -> !ReplicaIdentity.parse(learner).vm().equals(replica.vm()))
--- a/daemon/src/main/java/org/wasabimount/daemon/LogSetup.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/LogSetup.java
@@ -16,13 +16,18 @@
 import ch.qos.logback.core.encoder.EncoderBase;
 
 /** Sets up the log library as the settings say. */
-final class LogSetup {
+public final class LogSetup {
 
     private static final String PATTERN = "%d{yyyy-MM-dd'T'HH:mm:ss.SSSXXX,UTC} %-5level %msg%n";
 
     private LogSetup() {}
 
-    static void apply(DaemonSettings.Logging logging) {
+    /**
+     * Sets up the log library.
+     *
+     * @param logging how log lines are written
+     */
+    public static void apply(DaemonSettings.Logging logging) {
         LoggerContext context = (LoggerContext) LoggerFactory.getILoggerFactory();
         context.reset();
         ConsoleAppender<ILoggingEvent> appender = new ConsoleAppender<>();
--- a/daemon/src/main/java/org/wasabimount/daemon/http/AdminRoute.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/http/AdminRoute.java
@@ -5,6 +5,8 @@
 
 import org.wasabimount.core.ResultCode;
 import org.wasabimount.daemon.DaemonGroups;
+import org.wasabimount.daemon.json.BadRequestException;
+import org.wasabimount.daemon.json.JsonFields;
 import org.wasabimount.daemon.peer.OperationGateway;
 import org.wasabimount.protocol.cell.CellCommand;
 import org.wasabimount.protocol.cell.CellQuery;
--- a/daemon/src/main/java/org/wasabimount/daemon/http/CallRoute.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/http/CallRoute.java
@@ -14,6 +14,7 @@
 import org.wasabimount.core.cell.ConfigurationKey;
 import org.wasabimount.core.ledger.RequestKey;
 import org.wasabimount.daemon.cell.Directory;
+import org.wasabimount.daemon.json.BadRequestException;
 import org.wasabimount.daemon.metrics.DaemonMetrics;
 import org.wasabimount.daemon.routing.CallRequest;
 import org.wasabimount.daemon.routing.RoutingThread;
--- a/daemon/src/main/java/org/wasabimount/daemon/http/HttpApi.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/http/HttpApi.java
@@ -12,6 +12,7 @@
 import org.wasabimount.core.Refusal;
 import org.wasabimount.core.ResultCode;
 import org.wasabimount.daemon.cell.Directory;
+import org.wasabimount.daemon.json.BadRequestException;
 import org.wasabimount.daemon.metrics.DaemonMetrics;
 import org.wasabimount.daemon.peer.OperationGateway;
 import org.wasabimount.daemon.routing.RoutingThread;
--- a/daemon/src/main/java/org/wasabimount/daemon/http/HttpExchanges.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/http/HttpExchanges.java
@@ -9,6 +9,8 @@
 import org.wasabimount.core.Names;
 import org.wasabimount.core.Refusal;
 import org.wasabimount.core.ResultCode;
+import org.wasabimount.daemon.json.BadRequestException;
+import org.wasabimount.daemon.json.JsonFields;
 import org.wasabimount.daemon.metrics.DaemonMetrics;
 import org.wasabimount.protocol.cell.Reply;
 
--- a/daemon/src/main/java/org/wasabimount/daemon/http/PlatformRoute.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/http/PlatformRoute.java
@@ -3,6 +3,8 @@
 import org.wasabimount.core.ResultCode;
 import org.wasabimount.daemon.DaemonGroups;
 import org.wasabimount.daemon.cell.Directory;
+import org.wasabimount.daemon.json.BadRequestException;
+import org.wasabimount.daemon.json.JsonFields;
 import org.wasabimount.daemon.peer.OperationGateway;
 import org.wasabimount.daemon.routing.RoutingThread;
 import org.wasabimount.protocol.cell.Operation;
--- a/daemon/src/main/java/org/wasabimount/daemon/http/ResourceJson.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/http/ResourceJson.java
@@ -3,6 +3,7 @@
 import java.time.Instant;
 
 import org.wasabimount.core.cell.WorkKind;
+import org.wasabimount.daemon.json.JsonFields;
 import org.wasabimount.protocol.cell.CellStatus;
 import org.wasabimount.protocol.cell.Configuration;
 import org.wasabimount.protocol.cell.PartitionPolicy;
--- a/daemon/src/main/java/org/wasabimount/daemon/http/ResourceRoute.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/http/ResourceRoute.java
@@ -7,6 +7,8 @@
 import org.wasabimount.core.cell.WorkKind;
 import org.wasabimount.daemon.DaemonGroups;
 import org.wasabimount.daemon.cell.Directory;
+import org.wasabimount.daemon.json.BadRequestException;
+import org.wasabimount.daemon.json.JsonFields;
 import org.wasabimount.daemon.peer.OperationGateway;
 import org.wasabimount.protocol.cell.CellCommand;
 import org.wasabimount.protocol.cell.CellQuery;
--- a/daemon/src/main/java/org/wasabimount/daemon/http/Route.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/http/Route.java
@@ -1,5 +1,7 @@
 package org.wasabimount.daemon.http;
 
+import org.wasabimount.daemon.json.BadRequestException;
+
 import io.undertow.server.HttpServerExchange;
 
 /** Handles the requests under one prefix of paths. */
--- /dev/null
+++ b/daemon/src/main/java/org/wasabimount/daemon/job/AdviceCalls.java
@@ -0,0 +1,21 @@
+package org.wasabimount.daemon.job;
+
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+
+import org.wasabimount.core.dispatch.AdviceAnswer;
+
+/** Calls the advice service. */
+@FunctionalInterface
+public interface AdviceCalls {
+
+    /**
+     * Asks which workers may run a step.
+     *
+     * @param step the step's id as text
+     * @param workers the ids of the workers
+     * @param timeoutMillis how long to wait
+     * @return the answer; never completes exceptionally
+     */
+    CompletableFuture<AdviceAnswer> ask(String step, List<String> workers, long timeoutMillis);
+}
--- /dev/null
+++ b/daemon/src/main/java/org/wasabimount/daemon/job/JobDuties.java
@@ -0,0 +1,350 @@
+package org.wasabimount.daemon.job;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+
+import org.wasabimount.core.Clock;
+import org.wasabimount.core.Refusal;
+import org.wasabimount.core.ResultCode;
+import org.wasabimount.core.dispatch.AdviceAnswer;
+import org.wasabimount.core.dispatch.DispatchAction;
+import org.wasabimount.core.dispatch.DispatchSettings;
+import org.wasabimount.core.dispatch.Dispatcher;
+import org.wasabimount.core.dispatch.OrderAnswer;
+import org.wasabimount.core.dispatch.WaitingOrder;
+import org.wasabimount.core.job.Job;
+import org.wasabimount.core.job.JobCheck;
+import org.wasabimount.core.job.JobTable;
+import org.wasabimount.core.job.LifeId;
+import org.wasabimount.core.job.QueueCheck;
+import org.wasabimount.core.log.Replica;
+import org.wasabimount.daemon.log.GroupThread;
+import org.wasabimount.protocol.cell.Reply;
+import org.wasabimount.protocol.job.AcceptJob;
+import org.wasabimount.protocol.job.Announce;
+import org.wasabimount.protocol.job.CancelJob;
+import org.wasabimount.protocol.job.JobAnswer;
+import org.wasabimount.protocol.job.JobCommand;
+import org.wasabimount.protocol.job.JobOperation;
+import org.wasabimount.protocol.job.JobPhase;
+import org.wasabimount.protocol.job.JobQuery;
+import org.wasabimount.protocol.job.JobSpec;
+import org.wasabimount.protocol.job.Queue;
+import org.wasabimount.protocol.job.QueueAddress;
+import org.wasabimount.protocol.job.QueueTable;
+import org.wasabimount.protocol.job.Submit;
+
+/** What a replica of the jobs' group does while it leads: answers operations and drives the dispatcher. */
+public final class JobDuties {
+
+    private static final System.Logger LOG = System.getLogger("wasabimount.job");
+
+    private final GroupThread group;
+    private final JobMachine machine;
+    private final DispatchSettings settings;
+    private final WorkerCalls workers;
+    private final Consumer<DispatchAction.Ask> advice;
+    private final Supplier<Collection<String>> advisers;
+    private final Clock clock;
+    private final Clock wallClock;
+    private final Map<String, CompletableFuture<Reply>> accepting = new HashMap<>();
+    private Dispatcher dispatcher;
+    private long term;
+
+    /**
+     * Creates the duties; all but the constructor run on the group's thread.
+     *
+     * @param group the thread of the group
+     * @param machine the group's state machine
+     * @param settings the dispatcher's parameters
+     * @param node what the group needs of its node
+     */
+    JobDuties(GroupThread group, JobMachine machine, DispatchSettings settings, JobGroup.Surroundings node) {
+        this.group = group;
+        this.machine = machine;
+        this.settings = settings;
+        this.workers = node.workers();
+        this.advice = node.advice();
+        this.advisers = node.advisers();
+        this.clock = node.clock();
+        this.wallClock = node.wallClock();
+        group.afterEachFlush(this::work);
+    }
+
+    /**
+     * Carries out an operation if this replica leads.
+     *
+     * @param operation the operation
+     * @return the reply, with {@link ResultCode#NOT_LEADER} if another replica has to be asked
+     */
+    public CompletableFuture<Reply> execute(JobOperation operation) {
+        if (!mayDecide()) {
+            return CompletableFuture.completedFuture(group.notLeader());
+        }
+        lead();
+        return switch (operation.getBodyCase()) {
+            case SUBMIT -> submit(operation.getRequest(), operation.getSubmit());
+            case STATE -> CompletableFuture.completedFuture(state(operation.getState()));
+            case CANCEL -> cancel(operation.getRequest(), operation.getCancel());
+            case COUNT_WAITING -> CompletableFuture.completedFuture(countWaiting(operation.getCountWaiting()));
+            case PUT_QUEUES -> putQueues(operation.getPutQueues());
+            case READ_QUEUES -> CompletableFuture.completedFuture(readQueues());
+            case ANNOUNCE -> announce(operation.getAnnounce());
+            case LEAVE -> {
+                dispatcher.left(operation.getLeave().getWorker());
+                yield CompletableFuture.completedFuture(Reply.getDefaultInstance());
+            }
+            case BODY_NOT_SET -> refuse(Refusal.of(ResultCode.UNKNOWN_KIND, "the operation is not known"));
+        };
+    }
+
+    /**
+     * Takes the answer of the advice service.
+     *
+     * @param ask the number of the call
+     * @param answer the answer
+     */
+    public void advised(long ask, AdviceAnswer answer) {
+        if (dispatcher != null) {
+            dispatcher.at(clock.millis());
+            dispatcher.advised(ask, answer);
+        }
+    }
+
+    private CompletableFuture<Reply> submit(String request, Submit submit) {
+        JobSpec spec = submit.getSpec();
+        Optional<Job> known = table().job(spec.getId());
+        if (known.isPresent()) {
+            return CompletableFuture.completedFuture(Reply.getDefaultInstance());
+        }
+        CompletableFuture<Reply> open = accepting.get(spec.getId());
+        if (open != null) {
+            return open;
+        }
+        Optional<Queue> queue = queueAt(submit.getAt());
+        if (queue.isEmpty()) {
+            return refuse(noQueue(submit.getAt()));
+        }
+        Optional<Refusal> refusal = JobCheck.check(spec).or(() -> dispatcher.admit(spec, queue.get()));
+        LOG.log(
+                System.Logger.Level.INFO,
+                "SUBMIT request={0} job={1} queue={2} version={3} outcome={4}",
+                request,
+                spec.getId(),
+                queue.get().getName(),
+                Long.toString(table().queues().getVersion()),
+                refusal.map(why -> why.code() + " (" + why.detail() + ")").orElse("accepted"));
+        if (refusal.isPresent()) {
+            return refuse(refusal.get());
+        }
+        JobSpec named = spec.toBuilder().setQueue(queue.get().getName()).build();
+        CompletableFuture<Reply> reply = propose(JobCommand.newBuilder()
+                .setAccept(AcceptJob.newBuilder().setSpec(named).setQueue(queue.get()))
+                .build());
+        accepting.put(spec.getId(), reply);
+        reply.whenComplete((done, failure) -> accepting.remove(spec.getId()));
+        return reply;
+    }
+
+    private Reply state(JobQuery query) {
+        return table().job(query.getJob())
+                .map(job -> answer(JobAnswer.newBuilder().setPhase(job.phase())))
+                .orElseGet(() -> reply(queueAt(query.getAt()).isPresent() ? noJob(query) : noQueue(query.getAt())));
+    }
+
+    private CompletableFuture<Reply> cancel(String request, JobQuery query) {
+        Optional<Job> job = table().job(query.getJob());
+        LOG.log(
+                System.Logger.Level.INFO,
+                "CANCEL request={0} job={1} phase={2}",
+                request,
+                query.getJob(),
+                job.map(Job::phase).map(JobPhase::name).orElse("unknown"));
+        if (job.isEmpty()) {
+            return CompletableFuture.completedFuture(
+                    reply(queueAt(query.getAt()).isPresent() ? noJob(query) : noQueue(query.getAt())));
+        }
+        return propose(JobCommand.newBuilder()
+                .setCancel(CancelJob.newBuilder().setJob(query.getJob()))
+                .build());
+    }
+
+    private Reply countWaiting(QueueAddress at) {
+        Optional<Queue> queue = queueAt(at);
+        if (queue.isEmpty()) {
+            return reply(noQueue(at));
+        }
+        long waiting = table().jobs().stream()
+                .filter(job -> job.phase() == JobPhase.QUEUED
+                        && job.queue().getName().equals(queue.get().getName()))
+                .count();
+        return answer(JobAnswer.newBuilder().setWaiting(waiting));
+    }
+
+    private CompletableFuture<Reply> putQueues(QueueTable next) {
+        Optional<Refusal> refusal = QueueCheck.check(next);
+        LOG.log(
+                System.Logger.Level.INFO,
+                "QUEUES put version={0} held={1} queues={2} outcome={3}",
+                Long.toString(next.getVersion()),
+                Long.toString(table().queues().getVersion()),
+                next.getQueuesCount(),
+                refusal.map(Refusal::detail).orElse("accepted"));
+        if (refusal.isPresent()) {
+            return refuse(refusal.get());
+        }
+        if (next.getVersion() <= table().queues().getVersion()) {
+            return CompletableFuture.completedFuture(Reply.getDefaultInstance());
+        }
+        return propose(JobCommand.newBuilder().setPutQueues(next).build());
+    }
+
+    private Reply readQueues() {
+        if (table().queues().getVersion() == 0) {
+            return reply(new Refusal(ResultCode.NOT_READY, "no queues were put yet", 0));
+        }
+        return answer(JobAnswer.newBuilder().setDocument(table().queues().getDocument()));
+    }
+
+    private CompletableFuture<Reply> announce(Announce announcement) {
+        dispatcher.announced(announcement);
+        return CompletableFuture.completedFuture(Reply.getDefaultInstance());
+    }
+
+    private void work() {
+        boolean leads = group.replica().role() == Replica.Role.LEADER;
+        if (dispatcher != null && (!leads || group.replica().term() != term)) {
+            resign();
+        }
+        if (!mayDecide()) {
+            return;
+        }
+        lead();
+        dispatcher.callers(advisers.get());
+        dispatcher.work(wallClock.millis()).forEach(this::carryOut);
+    }
+
+    /** Begins a term, or lets the time of the current one go on. */
+    private void lead() {
+        if (dispatcher == null) {
+            term = group.replica().term();
+            dispatcher = new Dispatcher(
+                    settings, table(), WaitingOrder.LATEST_START, term, clock.millis(), wallClock.millis());
+            LOG.log(
+                    System.Logger.Level.INFO,
+                    "LEAD term={0} jobs={1} workers={2}",
+                    Long.toString(term),
+                    table().jobs().size(),
+                    table().workers().size());
+        }
+        dispatcher.at(clock.millis());
+    }
+
+    private void resign() {
+        LOG.log(System.Logger.Level.INFO, "RESIGN term={0}", Long.toString(term));
+        dispatcher = null;
+        accepting.clear();
+        table().observe(new JobTable.Observer() {});
+    }
+
+    private void carryOut(DispatchAction action) {
+        // The lease is checked for each action: this thread may have been stopped since the last.
+        if (!mayDecide()) {
+            LOG.log(System.Logger.Level.INFO, "LEAD lease lost before an order left, term={0}", Long.toString(term));
+        }
+        Dispatcher current = dispatcher;
+        if (action instanceof DispatchAction.Propose propose) {
+            propose(propose.command()).thenAccept(reply -> {
+                if (reply.getResultCode() != ResultCode.OK.number()) {
+                    inTerm(current, () -> current.refused(propose.command()));
+                }
+            });
+        } else if (action instanceof DispatchAction.Ask ask) {
+            advice.accept(ask);
+        } else if (action instanceof DispatchAction.Start start) {
+            LifeId life = start.worker().id();
+            call(() -> workers.start(start))
+                    .thenAccept(result -> inTerm(
+                            current,
+                            () -> current.startAnswered(start.run(), life, result.answer(), result.clockMillis())));
+        } else if (action instanceof DispatchAction.Stop stop) {
+            LifeId life = stop.worker().id();
+            call(() -> workers.stop(stop))
+                    .thenAccept(result -> inTerm(
+                            current,
+                            () -> current.stopAnswered(stop.run(), life, result.answer(), result.clockMillis())));
+        } else if (action instanceof DispatchAction.Hold hold) {
+            long askedMillis = clock.millis();
+            workers.hold(hold)
+                    .thenAccept(answer -> inTerm(
+                            current, () -> current.holdAnswered(hold.worker().id(), answer, askedMillis)));
+        }
+    }
+
+    private CompletableFuture<OrderResult> call(Supplier<CompletableFuture<OrderResult>> order) {
+        return mayDecide() ? order.get() : CompletableFuture.completedFuture(OrderResult.of(OrderAnswer.NOT_SENT));
+    }
+
+    /** Runs an event on the group's thread, unless another term has begun since. */
+    private void inTerm(Dispatcher current, Runnable event) {
+        boolean taken = group.submit(() -> {
+            if (dispatcher == current) {
+                dispatcher.at(clock.millis());
+                event.run();
+            }
+        });
+        if (!taken) {
+            LOG.log(System.Logger.Level.WARNING, "JOB ring full, an answer of a worker was dropped");
+        }
+    }
+
+    private CompletableFuture<Reply> propose(JobCommand command) {
+        return group.propose(
+                command.toBuilder().setTimeMillis(wallClock.millis()).build().toByteString());
+    }
+
+    private boolean mayDecide() {
+        return group.replica().mayDecide(clock.millis());
+    }
+
+    private JobTable table() {
+        return machine.table();
+    }
+
+    private Optional<Queue> queueAt(QueueAddress at) {
+        return table().queueAt(at.getHost(), at.getPath());
+    }
+
+    private Refusal noQueue(QueueAddress at) {
+        return table().queues().getVersion() == 0
+                ? Refusal.of(ResultCode.NOT_READY, "no queues were put yet")
+                : Refusal.of(
+                        ResultCode.NO_SUCH_ROUTE,
+                        "there is no queue at host " + at.getHost() + ", path " + at.getPath());
+    }
+
+    private static Refusal noJob(JobQuery query) {
+        return Refusal.of(ResultCode.NOT_FOUND, "there is no job " + query.getJob());
+    }
+
+    private static CompletableFuture<Reply> refuse(Refusal refusal) {
+        return CompletableFuture.completedFuture(reply(refusal));
+    }
+
+    private static Reply reply(Refusal refusal) {
+        return Reply.newBuilder()
+                .setResultCode(refusal.code().number())
+                .setDetail(refusal.detail())
+                .setRetryAfterMillis(refusal.retryAfterMillis())
+                .build();
+    }
+
+    private static Reply answer(JobAnswer.Builder answer) {
+        return Reply.newBuilder().setJob(answer).build();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/wasabimount/daemon/job/OrderResult.java
@@ -0,0 +1,24 @@
+package org.wasabimount.daemon.job;
+
+import java.util.OptionalLong;
+
+import org.wasabimount.core.dispatch.OrderAnswer;
+
+/**
+ * What a call to a worker brought.
+ *
+ * @param answer what became of the order
+ * @param clockMillis the worker's steady clock in milliseconds, if the answer told it
+ */
+public record OrderResult(OrderAnswer answer, OptionalLong clockMillis) {
+
+    /**
+     * Makes the result of a call whose answer told no clock.
+     *
+     * @param answer what became of the order
+     * @return the result
+     */
+    public static OrderResult of(OrderAnswer answer) {
+        return new OrderResult(answer, OptionalLong.empty());
+    }
+}
--- a/daemon/src/main/java/org/wasabimount/daemon/http/JsonFields.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/json/JsonFields.java
@@ -1,4 +1,4 @@
-package org.wasabimount.daemon.http;
+package org.wasabimount.daemon.json;
 
 import java.io.IOException;
 import java.util.ArrayList;
@@ -16,9 +16,10 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 
 /** Reads the fields of a JSON object and refuses what is missing, of another type or not known. */
-final class JsonFields {
+public final class JsonFields {
 
-    static final ObjectMapper MAPPER = new ObjectMapper()
+    /** Reads and writes JSON; names must not stand twice, and nothing may follow the value. */
+    public static final ObjectMapper MAPPER = new ObjectMapper()
             .enable(DeserializationFeature.FAIL_ON_READING_DUP_TREE_KEY)
             .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS);
 
@@ -31,7 +32,13 @@
         this.node = node;
     }
 
-    static JsonFields parse(byte[] body) {
+    /**
+     * Reads a JSON object.
+     *
+     * @param body the bytes
+     * @return the object's fields
+     */
+    public static JsonFields parse(byte[] body) {
         try {
             JsonNode node = MAPPER.readTree(body);
             return of("body", node);
@@ -52,7 +59,7 @@
     }
 
     /** Refuses fields that were not asked for. */
-    void done() {
+    public void done() {
         Iterator<String> names = node.fieldNames();
         while (names.hasNext()) {
             String name = names.next();
@@ -62,28 +69,67 @@
         }
     }
 
-    boolean has(String name) {
+    /**
+     * Tells whether a field is there.
+     *
+     * @param name the field
+     * @return true if it is
+     */
+    public boolean has(String name) {
         read.add(name);
         return node.has(name);
     }
 
-    String text(String name) {
+    /**
+     * Returns a text.
+     *
+     * @param name the field
+     * @return its value
+     */
+    public String text(String name) {
         return required(name, JsonNode::isTextual, "a text").textValue();
     }
 
-    String text(String name, String defaultValue) {
+    /**
+     * Returns a text.
+     *
+     * @param name the field
+     * @param defaultValue the value if the field is missing
+     * @return its value
+     */
+    public String text(String name, String defaultValue) {
         return has(name) ? text(name) : defaultValue;
     }
 
-    long number(String name) {
+    /**
+     * Returns a whole number.
+     *
+     * @param name the field
+     * @return its value
+     */
+    public long number(String name) {
         return required(name, JsonNode::canConvertToLong, "a whole number").longValue();
     }
 
-    long number(String name, long defaultValue) {
+    /**
+     * Returns a whole number.
+     *
+     * @param name the field
+     * @param defaultValue the value if the field is missing
+     * @return its value
+     */
+    public long number(String name, long defaultValue) {
         return has(name) ? number(name) : defaultValue;
     }
 
-    int integer(String name, int defaultValue) {
+    /**
+     * Returns a whole number that fits in 32 bits.
+     *
+     * @param name the field
+     * @param defaultValue the value if the field is missing
+     * @return its value
+     */
+    public int integer(String name, int defaultValue) {
         long number = number(name, defaultValue);
         if (number < Integer.MIN_VALUE || number > Integer.MAX_VALUE) {
             throw new BadRequestException(ResultCode.INVALID_VALUE, path + "." + name + " is out of range");
@@ -91,11 +137,55 @@
         return (int) number;
     }
 
-    boolean flag(String name, boolean defaultValue) {
+    /**
+     * Returns a number that need not be whole.
+     *
+     * @param name the field
+     * @param defaultValue the value if the field is missing
+     * @return its value
+     */
+    public double decimal(String name, double defaultValue) {
+        return has(name) ? required(name, JsonNode::isNumber, "a number").doubleValue() : defaultValue;
+    }
+
+    /**
+     * Returns a list of whole numbers.
+     *
+     * @param name the field
+     * @return the numbers
+     */
+    public List<Integer> integers(String name) {
+        List<Integer> numbers = new ArrayList<>();
+        for (JsonNode item : required(name, JsonNode::isArray, "a list")) {
+            if (!item.canConvertToInt()) {
+                throw new BadRequestException(
+                        ResultCode.MALFORMED, path + "." + name + " must be a list of whole numbers");
+            }
+            numbers.add(item.intValue());
+        }
+        return numbers;
+    }
+
+    /**
+     * Returns true or false.
+     *
+     * @param name the field
+     * @param defaultValue the value if the field is missing
+     * @return its value
+     */
+    public boolean flag(String name, boolean defaultValue) {
         return has(name) ? required(name, JsonNode::isBoolean, "true or false").booleanValue() : defaultValue;
     }
 
-    <E extends Enum<E>> E choice(String name, Class<E> type) {
+    /**
+     * Returns a constant of an enum.
+     *
+     * @param name the field
+     * @param type the enum
+     * @param <E> the enum
+     * @return its value
+     */
+    public <E extends Enum<E>> E choice(String name, Class<E> type) {
         String text = text(name);
         try {
             return Enum.valueOf(type, text);
@@ -104,11 +194,23 @@
         }
     }
 
-    JsonFields object(String name) {
+    /**
+     * Returns an object.
+     *
+     * @param name the field
+     * @return its fields
+     */
+    public JsonFields object(String name) {
         return of(path + "." + name, required(name, JsonNode::isObject, "an object"));
     }
 
-    List<JsonFields> objects(String name) {
+    /**
+     * Returns a list of objects.
+     *
+     * @param name the field
+     * @return their fields, empty if the field is missing
+     */
+    public List<JsonFields> objects(String name) {
         List<JsonFields> objects = new ArrayList<>();
         if (has(name)) {
             required(name, JsonNode::isArray, "a list")
@@ -117,7 +219,13 @@
         return objects;
     }
 
-    List<String> texts(String name) {
+    /**
+     * Returns a list of texts.
+     *
+     * @param name the field
+     * @return the texts
+     */
+    public List<String> texts(String name) {
         List<String> texts = new ArrayList<>();
         for (JsonNode item : required(name, JsonNode::isArray, "a list")) {
             if (!item.isTextual()) {
@@ -128,7 +236,12 @@
         return texts;
     }
 
-    Set<String> names() {
+    /**
+     * Returns the names of all fields.
+     *
+     * @return the names
+     */
+    public Set<String> names() {
         Set<String> names = new HashSet<>();
         node.fieldNames().forEachRemaining(names::add);
         return names;
--- a/daemon/src/main/java/org/wasabimount/daemon/log/DataFolder.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/log/DataFolder.java
@@ -1,8 +1,11 @@
 package org.wasabimount.daemon.log;
 
 import java.io.IOException;
+import java.nio.channels.FileChannel;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.nio.file.StandardOpenOption;
 import java.util.UUID;
 
 import org.wasabimount.core.VmId;
@@ -46,10 +49,19 @@
                 ? ReplicaIdentity.FIRST_GENERATION
                 : UUID.randomUUID().toString().substring(0, 8);
         ReplicaIdentity identity = new ReplicaIdentity(vm, generation);
-        Files.writeString(file, identity + "\n");
+        writeSynced(file, identity + "\n");
         return identity;
     }
 
+    /**
+     * Tells whether the folder has an identity.
+     *
+     * @return false for a VM that starts for the first time, or has lost its disk
+     */
+    public boolean formatted() {
+        return Files.exists(path.resolve(IDENTITY_FILE));
+    }
+
     /**
      * Reads the identity.
      *
@@ -69,6 +81,19 @@
         return identity;
     }
 
+    /** Writes a file so that a loss of power leaves it whole or absent. */
+    private void writeSynced(Path file, String text) throws IOException {
+        Path temporary = file.resolveSibling(IDENTITY_FILE + ".tmp");
+        Files.writeString(temporary, text);
+        try (FileChannel channel = FileChannel.open(temporary, StandardOpenOption.WRITE)) {
+            channel.force(true);
+        }
+        Files.move(temporary, file, StandardCopyOption.ATOMIC_MOVE);
+        try (FileChannel folder = FileChannel.open(path, StandardOpenOption.READ)) {
+            folder.force(true);
+        }
+    }
+
     /**
      * Opens the store of a group.
      *
--- a/daemon/src/main/java/org/wasabimount/daemon/peer/PeerLink.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/peer/PeerLink.java
@@ -40,6 +40,14 @@
         return true;
     }
 
+    /** Drops the connection; the next one is opened after a pause. */
+    void reset() {
+        Channel current = channel;
+        if (current != null) {
+            current.close();
+        }
+    }
+
     boolean connected() {
         Channel current = channel;
         return current != null && current.isActive();
--- a/daemon/src/main/java/org/wasabimount/daemon/peer/PeerNetwork.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/peer/PeerNetwork.java
@@ -2,9 +2,9 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
@@ -43,7 +43,7 @@
 
     private final VmId self;
     private final PeerTls tls;
-    private final Map<VmId, PeerLink> links = new LinkedHashMap<>();
+    private final Map<VmId, PeerLink> links = new ConcurrentHashMap<>();
     private final AtomicLong sentBytes = new AtomicLong();
     private final AtomicLong receivedBytes = new AtomicLong();
     private final MultiThreadIoEventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -109,8 +109,33 @@
                         new WriteBufferWaterMark(LOW_WATER_BYTES, HIGH_WATER_BYTES))
                 .handler(new Initializer(false));
         PeerLink link = new PeerLink(bootstrap, address);
-        links.put(vm, link);
-        link.open();
+        if (links.putIfAbsent(vm, link) == null) {
+            link.open();
+        }
+    }
+
+    /**
+     * Closes the link to another daemon for good.
+     *
+     * @param vm the other VM
+     */
+    public void disconnect(VmId vm) {
+        PeerLink link = links.remove(vm);
+        if (link != null) {
+            link.close();
+        }
+    }
+
+    /**
+     * Opens the connection to another daemon anew, because frames on it do not arrive.
+     *
+     * @param vm the other VM
+     */
+    public void reconnect(VmId vm) {
+        PeerLink link = links.get(vm);
+        if (link != null) {
+            link.reset();
+        }
     }
 
     /**
--- a/daemon/src/main/java/org/wasabimount/daemon/settings/DaemonSettings.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/settings/DaemonSettings.java
@@ -178,7 +178,7 @@
         return all;
     }
 
-    private static Node compose(String yaml) throws SettingsException {
+    static Node compose(String yaml) throws SettingsException {
         try {
             Node node = new Yaml(new LoaderOptions()).compose(new StringReader(yaml));
             if (node == null) {
--- /dev/null
+++ b/daemon/src/main/java/org/wasabimount/daemon/settings/NodeSettingsFile.java
@@ -0,0 +1,194 @@
+package org.wasabimount.daemon.settings;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+import org.wasabimount.core.FailureDomainId;
+import org.wasabimount.core.VmId;
+import org.wasabimount.core.dispatch.DispatchSettings;
+import org.wasabimount.daemon.node.NodeSettings;
+
+/**
+ * The settings file of a node of a deployment that runs jobs.
+ *
+ * @param node the node's own settings
+ * @param listen where the node listens for its callers
+ * @param adviceAddress where the advice service listens, empty if there is none
+ * @param drainMillis how long the node may take to end after it was told to
+ * @param logging how log lines are written
+ */
+public record NodeSettingsFile(
+        NodeSettings node,
+        Listen listen,
+        Optional<InetSocketAddress> adviceAddress,
+        long drainMillis,
+        DaemonSettings.Logging logging) {
+
+    private static final int MAX_PORT = 65_535;
+    private static final long MAX_MILLIS = 3_600_000;
+
+    /**
+     * Where a node listens.
+     *
+     * @param entry for clients, empty if the node serves none
+     * @param ready for the balancer's question whether the node takes connections, empty if it serves no clients
+     * @param control for workers and the operator, empty if the node holds no replica
+     */
+    public record Listen(
+            Optional<InetSocketAddress> entry,
+            Optional<InetSocketAddress> ready,
+            Optional<InetSocketAddress> control) {}
+
+    /** The keys of the file, as documented in docs/SETTINGS.md. */
+    public enum Key {
+        /** This VM's address, which is its name among its peers. */
+        VM("vm", "IP number", "required"),
+        /** This VM's failure domain. */
+        DOMAIN("domain", "name", "required"),
+        /** The port on which every node listens for the others. */
+        PEER_PORT("peerPort", "1 to 65535", "required"),
+        /** VMs that held replicas when the file was written. */
+        SEEDS("seeds", "IP numbers joined by commas, a port after each is ignored", "required"),
+        /** Whether the whole deployment starts for the first time. */
+        FIRST_START("firstStart", "true or false", "required"),
+        /** The folder for durable state. */
+        DATA_FOLDER("dataFolder", "path", "none: this VM holds no replica"),
+        /** How many replicas may be lost at once. */
+        REPLICAS_LOST("replicasLostAtOnce", "0 to 5", "1"),
+        /** Where clients connect. */
+        ENTRY_ADDRESS("entryAddress", "IP number and port", "none: this VM takes no clients"),
+        /** Where the balancer asks whether this VM takes connections. */
+        READY_ADDRESS("readyAddress", "IP number and port", "none"),
+        /** Where workers and the operator connect. */
+        CONTROL_ADDRESS("controlAddress", "IP number and port", "none"),
+        /** Where the advice service listens. */
+        ADVICE_ADDRESS("adviceAddress", "IP number and port", "none"),
+        /** Longest lease that workers grant. */
+        LEASE("leaseMillis", "1000 to 3600000 milliseconds", "6000"),
+        /** How long a task of a gang waits for the others. */
+        GANG("gangMillis", "100 to 3600000 milliseconds", "3000"),
+        /** How long an ended job can be asked about. */
+        STATUS("statusSeconds", "1 to 86400 seconds", "120"),
+        /** How often a task saves its progress. */
+        CHECKPOINT("checkpointSeconds", "1 to 3600 seconds", "2"),
+        /** How long a worker may take to stop a task. */
+        STOP("stopMillis", "0 to 3600000 milliseconds", "1000"),
+        /** How long this VM may take to end. */
+        DRAIN("drainSeconds", "1 to 3600 seconds", "6"),
+        /** The form of log lines. */
+        LOG_FORMAT("logFormat", "PLAIN or JSON", "JSON"),
+        /** The least important log lines. */
+        LOG_LEVEL("logLevel", "DEBUG, INFO, WARNING or ERROR", "INFO");
+
+        private final String text;
+        private final String form;
+        private final String defaultText;
+
+        Key(String text, String form, String defaultText) {
+            this.text = text;
+            this.form = form;
+            this.defaultText = defaultText;
+        }
+
+        /**
+         * Returns the key as it stands in the file.
+         *
+         * @return the key
+         */
+        public String text() {
+            return text;
+        }
+
+        /**
+         * Returns the form of the value.
+         *
+         * @return the form, for people
+         */
+        public String form() {
+            return form;
+        }
+
+        /**
+         * Returns what holds if the key is missing.
+         *
+         * @return the default, for people
+         */
+        public String defaultText() {
+            return defaultText;
+        }
+    }
+
+    /**
+     * Reads and checks a file.
+     *
+     * @param file the file
+     * @return the settings
+     * @throws IOException if the file can't be read
+     * @throws SettingsException if something in it is wrong
+     */
+    public static NodeSettingsFile read(Path file) throws IOException, SettingsException {
+        return parse(Files.readString(file));
+    }
+
+    /**
+     * Checks the text of a file.
+     *
+     * @param yaml the text
+     * @return the settings
+     * @throws SettingsException if something in it is wrong
+     */
+    public static NodeSettingsFile parse(String yaml) throws SettingsException {
+        SettingsNode root = SettingsNode.root(DaemonSettings.compose(yaml));
+        Set<String> known = Arrays.stream(Key.values()).map(Key::text).collect(Collectors.toSet());
+        root.allowOnly(known);
+        List<VmId> seeds = Arrays.stream(root.text(Key.SEEDS.text()).split(","))
+                .map(seed -> new VmId(seed.trim().split(":")[0]))
+                .toList();
+        long lost = number(root, Key.REPLICAS_LOST, 1, 0, 5);
+        NodeSettings node = new NodeSettings(
+                new VmId(root.name(Key.VM.text())),
+                new FailureDomainId(root.name(Key.DOMAIN.text())),
+                (int) requiredNumber(root, Key.PEER_PORT, MAX_PORT),
+                seeds,
+                root.text(Key.FIRST_START.text()).equals("true"),
+                Optional.ofNullable(root.text(Key.DATA_FOLDER.text(), null)).map(Path::of),
+                (int) (2 * lost + 1),
+                new DispatchSettings(
+                        number(root, Key.LEASE, 6_000, 1_000, MAX_MILLIS),
+                        number(root, Key.GANG, 3_000, 100, MAX_MILLIS),
+                        1_000 * number(root, Key.STATUS, 120, 1, 86_400),
+                        1_000 * number(root, Key.CHECKPOINT, 2, 1, 3_600),
+                        number(root, Key.STOP, 1_000, 0, MAX_MILLIS)));
+        Listen listen = new Listen(
+                address(root, Key.ENTRY_ADDRESS), address(root, Key.READY_ADDRESS), address(root, Key.CONTROL_ADDRESS));
+        return new NodeSettingsFile(
+                node,
+                listen,
+                address(root, Key.ADVICE_ADDRESS),
+                1_000 * number(root, Key.DRAIN, 6, 1, 3_600),
+                new DaemonSettings.Logging(
+                        root.choice(Key.LOG_FORMAT.text(), DaemonSettings.LogFormat.JSON),
+                        root.choice(Key.LOG_LEVEL.text(), DaemonSettings.LogLevel.INFO)));
+    }
+
+    private static long requiredNumber(SettingsNode root, Key key, long max) throws SettingsException {
+        root.text(key.text());
+        return root.number(key.text(), 0, 1, max);
+    }
+
+    private static long number(SettingsNode root, Key key, long defaultValue, long min, long max)
+            throws SettingsException {
+        return root.number(key.text(), defaultValue, min, max);
+    }
+
+    private static Optional<InetSocketAddress> address(SettingsNode root, Key key) throws SettingsException {
+        return root.has(key.text()) ? Optional.of(root.address(key.text())) : Optional.empty();
+    }
+}
--- a/protocol/src/main/java/org/wasabimount/protocol/cell/Operation.java
+++ b/protocol/src/main/java/org/wasabimount/protocol/cell/Operation.java
@@ -29,6 +29,7 @@
     CELL_QUERY(3),
     WORKER_HEARTBEAT(4),
     LEDGER_COMMAND(5),
+    JOB(6),
     BODY_NOT_SET(0);
     private final int value;
     private BodyCase(int value) {
@@ -48,6 +49,7 @@
         case 3: return CELL_QUERY;
         case 4: return WORKER_HEARTBEAT;
         case 5: return LEDGER_COMMAND;
+        case 6: return JOB;
         case 0: return BODY_NOT_SET;
         default: return null;
       }
@@ -316,6 +318,56 @@
     }
   }
 
+  public static final int JOB_FIELD_NUMBER = 6;
+  /**
+   * <code>.wasabimount.job.JobOperation job = 6;</code>
+   */
+  @java.lang.Override
+  public boolean hasJob() {
+    return bodyCase_ == 6;
+  }
+  /**
+   * <code>.wasabimount.job.JobOperation job = 6;</code>
+   */
+  @java.lang.Override
+  public org.wasabimount.protocol.job.JobOperation getJob() {
+    if (bodyCase_ == 6) {
+       return (org.wasabimount.protocol.job.JobOperation) body_;
+    }
+    return org.wasabimount.protocol.job.JobOperation.getDefaultInstance();
+  }
+  /**
+   * <code>.wasabimount.job.JobOperation job = 6;</code>
+   */
+  private void setJob(org.wasabimount.protocol.job.JobOperation value) {
+    java.util.Objects.requireNonNull(value);
+    body_ = value;
+    bodyCase_ = 6;
+  }
+  /**
+   * <code>.wasabimount.job.JobOperation job = 6;</code>
+   */
+  private void mergeJob(org.wasabimount.protocol.job.JobOperation value) {
+    java.util.Objects.requireNonNull(value);
+    if (bodyCase_ == 6 &&
+        body_ != org.wasabimount.protocol.job.JobOperation.getDefaultInstance()) {
+      body_ = org.wasabimount.protocol.job.JobOperation.newBuilder((org.wasabimount.protocol.job.JobOperation) body_)
+          .mergeFrom(value).buildPartial();
+    } else {
+      body_ = value;
+    }
+    bodyCase_ = 6;
+  }
+  /**
+   * <code>.wasabimount.job.JobOperation job = 6;</code>
+   */
+  private void clearJob() {
+    if (bodyCase_ == 6) {
+      bodyCase_ = 0;
+      body_ = null;
+    }
+  }
+
   public static org.wasabimount.protocol.cell.Operation parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -670,6 +722,54 @@
       return this;
     }
 
+    /**
+     * <code>.wasabimount.job.JobOperation job = 6;</code>
+     */
+    @java.lang.Override
+    public boolean hasJob() {
+      return instance.hasJob();
+    }
+    /**
+     * <code>.wasabimount.job.JobOperation job = 6;</code>
+     */
+    @java.lang.Override
+    public org.wasabimount.protocol.job.JobOperation getJob() {
+      return instance.getJob();
+    }
+    /**
+     * <code>.wasabimount.job.JobOperation job = 6;</code>
+     */
+    public Builder setJob(org.wasabimount.protocol.job.JobOperation value) {
+      copyOnWrite();
+      instance.setJob(value);
+      return this;
+    }
+    /**
+     * <code>.wasabimount.job.JobOperation job = 6;</code>
+     */
+    public Builder setJob(
+        org.wasabimount.protocol.job.JobOperation.Builder builderForValue) {
+      copyOnWrite();
+      instance.setJob(builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>.wasabimount.job.JobOperation job = 6;</code>
+     */
+    public Builder mergeJob(org.wasabimount.protocol.job.JobOperation value) {
+      copyOnWrite();
+      instance.mergeJob(value);
+      return this;
+    }
+    /**
+     * <code>.wasabimount.job.JobOperation job = 6;</code>
+     */
+    public Builder clearJob() {
+      copyOnWrite();
+      instance.clearJob();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:wasabimount.cell.Operation)
   }
   @java.lang.Override
@@ -693,10 +793,11 @@
             org.wasabimount.protocol.cell.CellQuery.class,
             org.wasabimount.protocol.cell.WorkerHeartbeat.class,
             org.wasabimount.protocol.cell.LedgerCommand.class,
+            org.wasabimount.protocol.job.JobOperation.class,
           };
           java.lang.String info =
-              "\u0000\u0005\u0001\u0000\u0001\u0005\u0005\u0000\u0000\u0000\u0001\u0208\u0002<\u0000" +
-              "\u0003<\u0000\u0004<\u0000\u0005<\u0000";
+              "\u0000\u0006\u0001\u0000\u0001\u0006\u0006\u0000\u0000\u0000\u0001\u0208\u0002<\u0000" +
+              "\u0003<\u0000\u0004<\u0000\u0005<\u0000\u0006<\u0000";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/protocol/src/main/java/org/wasabimount/protocol/cell/OperationOrBuilder.java
+++ b/protocol/src/main/java/org/wasabimount/protocol/cell/OperationOrBuilder.java
@@ -66,5 +66,16 @@
    */
   org.wasabimount.protocol.cell.LedgerCommand getLedgerCommand();
 
+  /**
+   * <code>.wasabimount.job.JobOperation job = 6;</code>
+   * @return Whether the job field is set.
+   */
+  boolean hasJob();
+  /**
+   * <code>.wasabimount.job.JobOperation job = 6;</code>
+   * @return The job.
+   */
+  org.wasabimount.protocol.job.JobOperation getJob();
+
   public org.wasabimount.protocol.cell.Operation.BodyCase getBodyCase();
 }
--- a/protocol/src/main/java/org/wasabimount/protocol/cell/Reply.java
+++ b/protocol/src/main/java/org/wasabimount/protocol/cell/Reply.java
@@ -27,6 +27,7 @@
     ANSWER(7),
     STATUS(8),
     CONFIGURATION(9),
+    JOB(10),
     BODY_NOT_SET(0);
     private final int value;
     private BodyCase(int value) {
@@ -48,6 +49,7 @@
         case 7: return ANSWER;
         case 8: return STATUS;
         case 9: return CONFIGURATION;
+        case 10: return JOB;
         case 0: return BODY_NOT_SET;
         default: return null;
       }
@@ -468,6 +470,56 @@
     }
   }
 
+  public static final int JOB_FIELD_NUMBER = 10;
+  /**
+   * <code>.wasabimount.job.JobAnswer job = 10;</code>
+   */
+  @java.lang.Override
+  public boolean hasJob() {
+    return bodyCase_ == 10;
+  }
+  /**
+   * <code>.wasabimount.job.JobAnswer job = 10;</code>
+   */
+  @java.lang.Override
+  public org.wasabimount.protocol.job.JobAnswer getJob() {
+    if (bodyCase_ == 10) {
+       return (org.wasabimount.protocol.job.JobAnswer) body_;
+    }
+    return org.wasabimount.protocol.job.JobAnswer.getDefaultInstance();
+  }
+  /**
+   * <code>.wasabimount.job.JobAnswer job = 10;</code>
+   */
+  private void setJob(org.wasabimount.protocol.job.JobAnswer value) {
+    java.util.Objects.requireNonNull(value);
+    body_ = value;
+    bodyCase_ = 10;
+  }
+  /**
+   * <code>.wasabimount.job.JobAnswer job = 10;</code>
+   */
+  private void mergeJob(org.wasabimount.protocol.job.JobAnswer value) {
+    java.util.Objects.requireNonNull(value);
+    if (bodyCase_ == 10 &&
+        body_ != org.wasabimount.protocol.job.JobAnswer.getDefaultInstance()) {
+      body_ = org.wasabimount.protocol.job.JobAnswer.newBuilder((org.wasabimount.protocol.job.JobAnswer) body_)
+          .mergeFrom(value).buildPartial();
+    } else {
+      body_ = value;
+    }
+    bodyCase_ = 10;
+  }
+  /**
+   * <code>.wasabimount.job.JobAnswer job = 10;</code>
+   */
+  private void clearJob() {
+    if (bodyCase_ == 10) {
+      bodyCase_ = 0;
+      body_ = null;
+    }
+  }
+
   public static org.wasabimount.protocol.cell.Reply parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -970,6 +1022,54 @@
       return this;
     }
 
+    /**
+     * <code>.wasabimount.job.JobAnswer job = 10;</code>
+     */
+    @java.lang.Override
+    public boolean hasJob() {
+      return instance.hasJob();
+    }
+    /**
+     * <code>.wasabimount.job.JobAnswer job = 10;</code>
+     */
+    @java.lang.Override
+    public org.wasabimount.protocol.job.JobAnswer getJob() {
+      return instance.getJob();
+    }
+    /**
+     * <code>.wasabimount.job.JobAnswer job = 10;</code>
+     */
+    public Builder setJob(org.wasabimount.protocol.job.JobAnswer value) {
+      copyOnWrite();
+      instance.setJob(value);
+      return this;
+    }
+    /**
+     * <code>.wasabimount.job.JobAnswer job = 10;</code>
+     */
+    public Builder setJob(
+        org.wasabimount.protocol.job.JobAnswer.Builder builderForValue) {
+      copyOnWrite();
+      instance.setJob(builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>.wasabimount.job.JobAnswer job = 10;</code>
+     */
+    public Builder mergeJob(org.wasabimount.protocol.job.JobAnswer value) {
+      copyOnWrite();
+      instance.mergeJob(value);
+      return this;
+    }
+    /**
+     * <code>.wasabimount.job.JobAnswer job = 10;</code>
+     */
+    public Builder clearJob() {
+      copyOnWrite();
+      instance.clearJob();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:wasabimount.cell.Reply)
   }
   @java.lang.Override
@@ -997,10 +1097,11 @@
             org.wasabimount.protocol.cell.RecordedAnswer.class,
             org.wasabimount.protocol.cell.CellStatus.class,
             org.wasabimount.protocol.cell.Configuration.class,
+            org.wasabimount.protocol.job.JobAnswer.class,
           };
           java.lang.String info =
-              "\u0000\t\u0001\u0000\u0001\t\t\u0000\u0000\u0000\u0001\u0004\u0002\u0208\u0003\u0002" +
-              "\u0004<\u0000\u0005<\u0000\u0006<\u0000\u0007<\u0000\b<\u0000\t<\u0000";
+              "\u0000\n\u0001\u0000\u0001\n\n\u0000\u0000\u0000\u0001\u0004\u0002\u0208\u0003\u0002" +
+              "\u0004<\u0000\u0005<\u0000\u0006<\u0000\u0007<\u0000\b<\u0000\t<\u0000\n<\u0000";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/protocol/src/main/java/org/wasabimount/protocol/cell/ReplyOrBuilder.java
+++ b/protocol/src/main/java/org/wasabimount/protocol/cell/ReplyOrBuilder.java
@@ -100,5 +100,16 @@
    */
   org.wasabimount.protocol.cell.Configuration getConfiguration();
 
+  /**
+   * <code>.wasabimount.job.JobAnswer job = 10;</code>
+   * @return Whether the job field is set.
+   */
+  boolean hasJob();
+  /**
+   * <code>.wasabimount.job.JobAnswer job = 10;</code>
+   * @return The job.
+   */
+  org.wasabimount.protocol.job.JobAnswer getJob();
+
   public org.wasabimount.protocol.cell.Reply.BodyCase getBodyCase();
 }
--- a/protocol/src/main/java/org/wasabimount/protocol/peer/Envelope.java
+++ b/protocol/src/main/java/org/wasabimount/protocol/peer/Envelope.java
@@ -25,6 +25,9 @@
     GOSSIP(3),
     REQUEST(4),
     REPLY(5),
+    PRESENCE(6),
+    ADVICE_REQUEST(7),
+    ADVICE_REPLY(8),
     BODY_NOT_SET(0);
     private final int value;
     private BodyCase(int value) {
@@ -44,6 +47,9 @@
         case 3: return GOSSIP;
         case 4: return REQUEST;
         case 5: return REPLY;
+        case 6: return PRESENCE;
+        case 7: return ADVICE_REQUEST;
+        case 8: return ADVICE_REPLY;
         case 0: return BODY_NOT_SET;
         default: return null;
       }
@@ -312,6 +318,156 @@
     }
   }
 
+  public static final int PRESENCE_FIELD_NUMBER = 6;
+  /**
+   * <code>.wasabimount.peer.Presence presence = 6;</code>
+   */
+  @java.lang.Override
+  public boolean hasPresence() {
+    return bodyCase_ == 6;
+  }
+  /**
+   * <code>.wasabimount.peer.Presence presence = 6;</code>
+   */
+  @java.lang.Override
+  public org.wasabimount.protocol.peer.Presence getPresence() {
+    if (bodyCase_ == 6) {
+       return (org.wasabimount.protocol.peer.Presence) body_;
+    }
+    return org.wasabimount.protocol.peer.Presence.getDefaultInstance();
+  }
+  /**
+   * <code>.wasabimount.peer.Presence presence = 6;</code>
+   */
+  private void setPresence(org.wasabimount.protocol.peer.Presence value) {
+    java.util.Objects.requireNonNull(value);
+    body_ = value;
+    bodyCase_ = 6;
+  }
+  /**
+   * <code>.wasabimount.peer.Presence presence = 6;</code>
+   */
+  private void mergePresence(org.wasabimount.protocol.peer.Presence value) {
+    java.util.Objects.requireNonNull(value);
+    if (bodyCase_ == 6 &&
+        body_ != org.wasabimount.protocol.peer.Presence.getDefaultInstance()) {
+      body_ = org.wasabimount.protocol.peer.Presence.newBuilder((org.wasabimount.protocol.peer.Presence) body_)
+          .mergeFrom(value).buildPartial();
+    } else {
+      body_ = value;
+    }
+    bodyCase_ = 6;
+  }
+  /**
+   * <code>.wasabimount.peer.Presence presence = 6;</code>
+   */
+  private void clearPresence() {
+    if (bodyCase_ == 6) {
+      bodyCase_ = 0;
+      body_ = null;
+    }
+  }
+
+  public static final int ADVICE_REQUEST_FIELD_NUMBER = 7;
+  /**
+   * <code>.wasabimount.peer.AdviceRequest advice_request = 7;</code>
+   */
+  @java.lang.Override
+  public boolean hasAdviceRequest() {
+    return bodyCase_ == 7;
+  }
+  /**
+   * <code>.wasabimount.peer.AdviceRequest advice_request = 7;</code>
+   */
+  @java.lang.Override
+  public org.wasabimount.protocol.peer.AdviceRequest getAdviceRequest() {
+    if (bodyCase_ == 7) {
+       return (org.wasabimount.protocol.peer.AdviceRequest) body_;
+    }
+    return org.wasabimount.protocol.peer.AdviceRequest.getDefaultInstance();
+  }
+  /**
+   * <code>.wasabimount.peer.AdviceRequest advice_request = 7;</code>
+   */
+  private void setAdviceRequest(org.wasabimount.protocol.peer.AdviceRequest value) {
+    java.util.Objects.requireNonNull(value);
+    body_ = value;
+    bodyCase_ = 7;
+  }
+  /**
+   * <code>.wasabimount.peer.AdviceRequest advice_request = 7;</code>
+   */
+  private void mergeAdviceRequest(org.wasabimount.protocol.peer.AdviceRequest value) {
+    java.util.Objects.requireNonNull(value);
+    if (bodyCase_ == 7 &&
+        body_ != org.wasabimount.protocol.peer.AdviceRequest.getDefaultInstance()) {
+      body_ = org.wasabimount.protocol.peer.AdviceRequest.newBuilder((org.wasabimount.protocol.peer.AdviceRequest) body_)
+          .mergeFrom(value).buildPartial();
+    } else {
+      body_ = value;
+    }
+    bodyCase_ = 7;
+  }
+  /**
+   * <code>.wasabimount.peer.AdviceRequest advice_request = 7;</code>
+   */
+  private void clearAdviceRequest() {
+    if (bodyCase_ == 7) {
+      bodyCase_ = 0;
+      body_ = null;
+    }
+  }
+
+  public static final int ADVICE_REPLY_FIELD_NUMBER = 8;
+  /**
+   * <code>.wasabimount.peer.AdviceReply advice_reply = 8;</code>
+   */
+  @java.lang.Override
+  public boolean hasAdviceReply() {
+    return bodyCase_ == 8;
+  }
+  /**
+   * <code>.wasabimount.peer.AdviceReply advice_reply = 8;</code>
+   */
+  @java.lang.Override
+  public org.wasabimount.protocol.peer.AdviceReply getAdviceReply() {
+    if (bodyCase_ == 8) {
+       return (org.wasabimount.protocol.peer.AdviceReply) body_;
+    }
+    return org.wasabimount.protocol.peer.AdviceReply.getDefaultInstance();
+  }
+  /**
+   * <code>.wasabimount.peer.AdviceReply advice_reply = 8;</code>
+   */
+  private void setAdviceReply(org.wasabimount.protocol.peer.AdviceReply value) {
+    java.util.Objects.requireNonNull(value);
+    body_ = value;
+    bodyCase_ = 8;
+  }
+  /**
+   * <code>.wasabimount.peer.AdviceReply advice_reply = 8;</code>
+   */
+  private void mergeAdviceReply(org.wasabimount.protocol.peer.AdviceReply value) {
+    java.util.Objects.requireNonNull(value);
+    if (bodyCase_ == 8 &&
+        body_ != org.wasabimount.protocol.peer.AdviceReply.getDefaultInstance()) {
+      body_ = org.wasabimount.protocol.peer.AdviceReply.newBuilder((org.wasabimount.protocol.peer.AdviceReply) body_)
+          .mergeFrom(value).buildPartial();
+    } else {
+      body_ = value;
+    }
+    bodyCase_ = 8;
+  }
+  /**
+   * <code>.wasabimount.peer.AdviceReply advice_reply = 8;</code>
+   */
+  private void clearAdviceReply() {
+    if (bodyCase_ == 8) {
+      bodyCase_ = 0;
+      body_ = null;
+    }
+  }
+
   public static org.wasabimount.protocol.peer.Envelope parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -662,6 +818,150 @@
       return this;
     }
 
+    /**
+     * <code>.wasabimount.peer.Presence presence = 6;</code>
+     */
+    @java.lang.Override
+    public boolean hasPresence() {
+      return instance.hasPresence();
+    }
+    /**
+     * <code>.wasabimount.peer.Presence presence = 6;</code>
+     */
+    @java.lang.Override
+    public org.wasabimount.protocol.peer.Presence getPresence() {
+      return instance.getPresence();
+    }
+    /**
+     * <code>.wasabimount.peer.Presence presence = 6;</code>
+     */
+    public Builder setPresence(org.wasabimount.protocol.peer.Presence value) {
+      copyOnWrite();
+      instance.setPresence(value);
+      return this;
+    }
+    /**
+     * <code>.wasabimount.peer.Presence presence = 6;</code>
+     */
+    public Builder setPresence(
+        org.wasabimount.protocol.peer.Presence.Builder builderForValue) {
+      copyOnWrite();
+      instance.setPresence(builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>.wasabimount.peer.Presence presence = 6;</code>
+     */
+    public Builder mergePresence(org.wasabimount.protocol.peer.Presence value) {
+      copyOnWrite();
+      instance.mergePresence(value);
+      return this;
+    }
+    /**
+     * <code>.wasabimount.peer.Presence presence = 6;</code>
+     */
+    public Builder clearPresence() {
+      copyOnWrite();
+      instance.clearPresence();
+      return this;
+    }
+
+    /**
+     * <code>.wasabimount.peer.AdviceRequest advice_request = 7;</code>
+     */
+    @java.lang.Override
+    public boolean hasAdviceRequest() {
+      return instance.hasAdviceRequest();
+    }
+    /**
+     * <code>.wasabimount.peer.AdviceRequest advice_request = 7;</code>
+     */
+    @java.lang.Override
+    public org.wasabimount.protocol.peer.AdviceRequest getAdviceRequest() {
+      return instance.getAdviceRequest();
+    }
+    /**
+     * <code>.wasabimount.peer.AdviceRequest advice_request = 7;</code>
+     */
+    public Builder setAdviceRequest(org.wasabimount.protocol.peer.AdviceRequest value) {
+      copyOnWrite();
+      instance.setAdviceRequest(value);
+      return this;
+    }
+    /**
+     * <code>.wasabimount.peer.AdviceRequest advice_request = 7;</code>
+     */
+    public Builder setAdviceRequest(
+        org.wasabimount.protocol.peer.AdviceRequest.Builder builderForValue) {
+      copyOnWrite();
+      instance.setAdviceRequest(builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>.wasabimount.peer.AdviceRequest advice_request = 7;</code>
+     */
+    public Builder mergeAdviceRequest(org.wasabimount.protocol.peer.AdviceRequest value) {
+      copyOnWrite();
+      instance.mergeAdviceRequest(value);
+      return this;
+    }
+    /**
+     * <code>.wasabimount.peer.AdviceRequest advice_request = 7;</code>
+     */
+    public Builder clearAdviceRequest() {
+      copyOnWrite();
+      instance.clearAdviceRequest();
+      return this;
+    }
+
+    /**
+     * <code>.wasabimount.peer.AdviceReply advice_reply = 8;</code>
+     */
+    @java.lang.Override
+    public boolean hasAdviceReply() {
+      return instance.hasAdviceReply();
+    }
+    /**
+     * <code>.wasabimount.peer.AdviceReply advice_reply = 8;</code>
+     */
+    @java.lang.Override
+    public org.wasabimount.protocol.peer.AdviceReply getAdviceReply() {
+      return instance.getAdviceReply();
+    }
+    /**
+     * <code>.wasabimount.peer.AdviceReply advice_reply = 8;</code>
+     */
+    public Builder setAdviceReply(org.wasabimount.protocol.peer.AdviceReply value) {
+      copyOnWrite();
+      instance.setAdviceReply(value);
+      return this;
+    }
+    /**
+     * <code>.wasabimount.peer.AdviceReply advice_reply = 8;</code>
+     */
+    public Builder setAdviceReply(
+        org.wasabimount.protocol.peer.AdviceReply.Builder builderForValue) {
+      copyOnWrite();
+      instance.setAdviceReply(builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>.wasabimount.peer.AdviceReply advice_reply = 8;</code>
+     */
+    public Builder mergeAdviceReply(org.wasabimount.protocol.peer.AdviceReply value) {
+      copyOnWrite();
+      instance.mergeAdviceReply(value);
+      return this;
+    }
+    /**
+     * <code>.wasabimount.peer.AdviceReply advice_reply = 8;</code>
+     */
+    public Builder clearAdviceReply() {
+      copyOnWrite();
+      instance.clearAdviceReply();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:wasabimount.peer.Envelope)
   }
   @java.lang.Override
@@ -685,10 +985,13 @@
             org.wasabimount.protocol.peer.Gossip.class,
             org.wasabimount.protocol.peer.OperationRequest.class,
             org.wasabimount.protocol.peer.OperationReply.class,
+            org.wasabimount.protocol.peer.Presence.class,
+            org.wasabimount.protocol.peer.AdviceRequest.class,
+            org.wasabimount.protocol.peer.AdviceReply.class,
           };
           java.lang.String info =
-              "\u0000\u0005\u0001\u0000\u0001\u0005\u0005\u0000\u0000\u0000\u0001\u0208\u0002<\u0000" +
-              "\u0003<\u0000\u0004<\u0000\u0005<\u0000";
+              "\u0000\b\u0001\u0000\u0001\b\b\u0000\u0000\u0000\u0001\u0208\u0002<\u0000\u0003<" +
+              "\u0000\u0004<\u0000\u0005<\u0000\u0006<\u0000\u0007<\u0000\b<\u0000";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/protocol/src/main/java/org/wasabimount/protocol/peer/EnvelopeOrBuilder.java
+++ b/protocol/src/main/java/org/wasabimount/protocol/peer/EnvelopeOrBuilder.java
@@ -66,5 +66,38 @@
    */
   org.wasabimount.protocol.peer.OperationReply getReply();
 
+  /**
+   * <code>.wasabimount.peer.Presence presence = 6;</code>
+   * @return Whether the presence field is set.
+   */
+  boolean hasPresence();
+  /**
+   * <code>.wasabimount.peer.Presence presence = 6;</code>
+   * @return The presence.
+   */
+  org.wasabimount.protocol.peer.Presence getPresence();
+
+  /**
+   * <code>.wasabimount.peer.AdviceRequest advice_request = 7;</code>
+   * @return Whether the adviceRequest field is set.
+   */
+  boolean hasAdviceRequest();
+  /**
+   * <code>.wasabimount.peer.AdviceRequest advice_request = 7;</code>
+   * @return The adviceRequest.
+   */
+  org.wasabimount.protocol.peer.AdviceRequest getAdviceRequest();
+
+  /**
+   * <code>.wasabimount.peer.AdviceReply advice_reply = 8;</code>
+   * @return Whether the adviceReply field is set.
+   */
+  boolean hasAdviceReply();
+  /**
+   * <code>.wasabimount.peer.AdviceReply advice_reply = 8;</code>
+   * @return The adviceReply.
+   */
+  org.wasabimount.protocol.peer.AdviceReply getAdviceReply();
+
   public org.wasabimount.protocol.peer.Envelope.BodyCase getBodyCase();
 }
