Let a task avoid a worker it failed on for a while only

Ruled out: no room (most was free); advice (it was answered). Change: a worker is avoided for 1.5 s after the failure.

--- a/core/src/main/java/org/wasabimount/core/dispatch/PlacementRound.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/PlacementRound.java
@@ -71,7 +71,7 @@
 
     private boolean failedThere(ReadyStep step, WorkerLink link) {
         return step.waiting().stream()
-                .anyMatch(task -> workers.failedOn(task.id(), link.entry().id()));
+                .anyMatch(task -> workers.failedOn(task.id(), link.entry().id(), nowMillis));
     }
 
     private boolean hasTicket(ReadyStep step, WorkerLink link) {
--- a/core/src/main/java/org/wasabimount/core/dispatch/WorkerDesk.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/WorkerDesk.java
@@ -50,6 +50,9 @@
     /** Starts without an answer after which the run is stopped instead. */
     private static final int MAX_STARTS = 4;
 
+    /** How long a task avoids a worker on which it failed, in milliseconds; then any worker is better than none. */
+    private static final long AVOID_MILLIS = 1_500;
+
     /** Silence after which a worker whose lease is over is forgotten, in milliseconds; several missed announcements. */
     private static final long FORGET_WORKER_MILLIS = 15_000;
 
@@ -62,7 +65,7 @@
     private final Consumer<DispatchAction> out;
     private final Map<LifeId, WorkerLink> links = new LinkedHashMap<>();
     private final Set<TaskId> proposing = new HashSet<>();
-    private final Map<TaskId, Set<LifeId>> failedOn = new HashMap<>();
+    private final Map<TaskId, Map<LifeId, Long>> failedOn = new HashMap<>();
 
     WorkerDesk(DispatchSettings settings, JobTable table, long fence, Consumer<DispatchAction> out, long nowMillis) {
         this.settings = settings;
@@ -126,9 +129,10 @@
         return proposing.contains(task);
     }
 
-    /** Tells whether the task has failed on a worker. */
-    boolean failedOn(TaskId task, LifeId life) {
-        return failedOn.getOrDefault(task, Set.of()).contains(life);
+    /** Tells whether the task has failed on a worker lately. */
+    boolean failedOn(TaskId task, LifeId life, long nowMillis) {
+        Long failedMillis = failedOn.getOrDefault(task, Map.of()).get(life);
+        return failedMillis != null && nowMillis - failedMillis < AVOID_MILLIS;
     }
 
     void placed(RunId run, LifeId life, long nowMillis) {
@@ -345,8 +349,8 @@
         } else if (end.kind() == EndKind.FAILED) {
             boolean failedElsewhere =
                     table.task(end.run().task()).map(JobTask::failures).orElse(0) > 0;
-            failedOn.computeIfAbsent(end.run().task(), absent -> new HashSet<>())
-                    .add(link.entry().id());
+            failedOn.computeIfAbsent(end.run().task(), absent -> new HashMap<>())
+                    .put(link.entry().id(), nowMillis);
             if (!failedElsewhere) {
                 link.health().failed(nowMillis);
             }
