--- a/core/src/main/java/org/wasabimount/core/dispatch/PlacementRound.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/PlacementRound.java
@@ -34,6 +34,7 @@
     private final Placer placer;
     private final List<WorkerLink> usable;
     private double reservableCpuMillis;
+    private boolean reserved;
     private int renewing;
 
     PlacementRound(WorkerDesk workers, AdviceDesk advice, Consumer<DispatchAction> out, long nowMillis) {
@@ -132,7 +133,9 @@
 
     private void keepRoom(Capacity size, List<WorkerLink> targets) {
         double wanted = (double) size.cpuMillis() * targets.size();
-        if (wanted <= reservableCpuMillis) {
+        // The first gang in order gets its room however large it is, or it would never start.
+        if (!reserved || wanted <= reservableCpuMillis) {
+            reserved = true;
             reservableCpuMillis -= wanted;
             targets.forEach(link -> placer.take(link, size));
         }
--- /dev/null
+++ b/core/src/test/java/org/wasabimount/core/dispatch/AdmissionTest.java
@@ -0,0 +1,52 @@
+package org.wasabimount.core.dispatch;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.Optional;
+
+import org.testng.annotations.Test;
+import org.wasabimount.core.Refusal;
+import org.wasabimount.core.ResultCode;
+import org.wasabimount.protocol.cell.Quantity;
+import org.wasabimount.protocol.job.JobSpec;
+import org.wasabimount.protocol.job.Queue;
+import org.wasabimount.protocol.job.Step;
+
+/** What is refused when more work arrives than can be done in time. */
+public class AdmissionTest {
+
+    private static final long CORES_MILLIS = 1_000_000;
+
+    private static final JobSpec SPEC = JobSpec.newBuilder()
+            .addSteps(Step.newBuilder()
+                    .setCount(4)
+                    .setEstimateMillis(1_000)
+                    .setSize(Quantity.newBuilder().setCpuMillis(2_000)))
+            .build();
+
+    private static final Queue QUEUE =
+            Queue.newBuilder().setStretch(2).setObjectiveMillis(500).build();
+
+    private static Optional<Refusal> decide(double waitMillis) {
+        return Admission.decide(SPEC, QUEUE, waitMillis * CORES_MILLIS, CORES_MILLIS);
+    }
+
+    @Test
+    public void acceptsWhatCanBeInTime() {
+        assertEquals(decide(1_000), Optional.empty());
+    }
+
+    @Test
+    public void refusesWhatWouldBeLateWithTimeToComeBack() {
+        Refusal refusal = decide(4_000).orElseThrow();
+        assertEquals(refusal.code(), ResultCode.DEADLINE_UNREACHABLE);
+        assertTrue(refusal.code().outcome() == ResultCode.Outcome.NOT_RUN);
+        assertTrue(refusal.retryAfterMillis() > 2_500, "came back too soon: " + refusal.retryAfterMillis());
+    }
+
+    @Test
+    public void refusesWhileNoWorkerIsKnown() {
+        assertEquals(Admission.decide(SPEC, QUEUE, 0, 0).orElseThrow().code(), ResultCode.NO_BACKEND_SERVER);
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/wasabimount/core/dispatch/DispatcherFuzzTest.java
@@ -0,0 +1,90 @@
+package org.wasabimount.core.dispatch;
+
+import static org.testng.Assert.assertEquals;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import org.wasabimount.core.cell.Capacity;
+import org.wasabimount.protocol.job.JobPhase;
+
+/** Random troubles against the dispatcher; the oracle of {@link SimulatedCell} watches every start. */
+public class DispatcherFuzzTest {
+
+    private static final int WORKERS = 8;
+    private static final int ROUNDS = 120;
+    private static final long ROUND_MILLIS = 200;
+    private static final long QUIET_MILLIS = 60_000;
+    private static final Capacity WORKER = new Capacity(32_000, 128_000, 0);
+
+    /** Seeds from 1 up; how many is set by {@code wasabimount.fuzz.seeds}. */
+    @DataProvider
+    public Object[][] seeds() {
+        int count = Integer.getInteger("wasabimount.fuzz.seeds", 60);
+        Object[][] seeds = new Object[count][];
+        for (int number = 0; number < count; number++) {
+            seeds[number] = new Object[] {(long) number + 1};
+        }
+        return seeds;
+    }
+
+    @Test(dataProvider = "seeds")
+    public void keepsItsPromisesInTrouble(long seed) {
+        SimulatedCell cell = new SimulatedCell(seed);
+        if (seed % 2 == 0) {
+            cell.withAdvice();
+        }
+        List<String> addresses = cell.addresses(WORKERS);
+        addresses.forEach(address -> cell.worker("w" + address, address, WORKER));
+        cell.run(300);
+        List<String> jobs = new ArrayList<>();
+        List<String> cancelled = new ArrayList<>();
+        for (int round = 0; round < ROUNDS; round++) {
+            cell.lateShare = round < ROUNDS - 40 && seed % 3 == 0 ? 0.05 : 0;
+            cell.lostAnswerShare = round < ROUNDS - 40 ? 0.05 : 0;
+            String address = addresses.get(cell.random.nextInt(WORKERS));
+            switch (cell.random.nextInt(14)) {
+                case 0 -> cell.cut.add(address);
+                case 1, 2 -> cell.cut.clear();
+                case 3 -> cell.byAddress.get(address).kill();
+                case 4 -> cell.worker("life" + round, address, WORKER);
+                case 5 -> cell.lead();
+                case 6 -> cancelOne(cell, jobs, cancelled);
+                default -> jobs.add(submitOne(cell, "job" + round));
+            }
+            cell.run(ROUND_MILLIS);
+        }
+        cell.cut.clear();
+        cell.lostAnswerShare = 0;
+        addresses.stream()
+                .filter(address -> cell.byAddress.get(address).dead)
+                .forEach(address -> cell.worker("last" + address, address, WORKER));
+        cell.run(QUIET_MILLIS);
+        assertEquals(cell.violations, List.of(), "seed " + seed);
+        jobs.stream()
+                .filter(job -> !cancelled.contains(job))
+                .forEach(job -> assertEquals(cell.phase(job), JobPhase.COMPLETED, "seed " + seed + ", " + job));
+        assertEquals(
+                cell.byAddress.values().stream()
+                        .mapToInt(worker -> worker.live.size())
+                        .sum(),
+                0,
+                "seed " + seed + ": something still runs");
+    }
+
+    private static void cancelOne(SimulatedCell cell, List<String> jobs, List<String> cancelled) {
+        if (!jobs.isEmpty()) {
+            String job = jobs.get(cell.random.nextInt(jobs.size()));
+            cancelled.add(job);
+            cell.cancel(job);
+        }
+    }
+
+    private static String submitOne(SimulatedCell cell, String job) {
+        Capacity size = new Capacity(1_000 + cell.random.nextInt(9_000), 4_000, 0);
+        cell.submit(cell.job(job, 1 + cell.random.nextInt(6), size, cell.random.nextInt(4) == 0));
+        return job;
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/wasabimount/core/dispatch/DispatcherTest.java
@@ -0,0 +1,200 @@
+package org.wasabimount.core.dispatch;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+import org.wasabimount.core.cell.Capacity;
+import org.wasabimount.protocol.job.JobPhase;
+
+/** What becomes of accepted jobs, in virtual time against simulated workers. */
+public class DispatcherTest {
+
+    private static final Capacity WORKER = new Capacity(32_000, 128_000, 0);
+    private static final Capacity SMALL = new Capacity(2_000, 4_000, 0);
+    private static final Capacity LARGE = new Capacity(10_000, 20_000, 0);
+    private static final long SETTLE_MILLIS = 300;
+
+    private SimulatedCell cell;
+
+    @BeforeMethod
+    public void fewWorkers() {
+        cell = new SimulatedCell(7);
+        cell.addresses(4).forEach(address -> cell.worker("w" + address, address, WORKER));
+        cell.run(SETTLE_MILLIS);
+    }
+
+    private void noViolations() {
+        assertEquals(cell.violations, List.of());
+    }
+
+    @Test
+    public void completesJobOfSeveralTasks() {
+        cell.submit(cell.job("job1", 10, SMALL, false));
+        cell.run(2_000);
+        assertEquals(cell.phase("job1"), JobPhase.COMPLETED);
+        assertEquals(cell.starts.get("job1"), 10);
+        noViolations();
+    }
+
+    @Test
+    public void asksForAdviceBeforeItPlaces() {
+        cell.withAdvice();
+        cell.submit(cell.job("job1", 6, SMALL, false));
+        cell.run(2_500);
+        assertEquals(cell.phase("job1"), JobPhase.COMPLETED);
+        assertTrue(cell.adviceCalls >= 1, "no call for advice was made");
+        noViolations();
+    }
+
+    @Test
+    public void startsGangWhole() {
+        cell.submit(cell.job("gang1", 8, LARGE, true));
+        cell.run(2_500);
+        assertEquals(cell.phase("gang1"), JobPhase.COMPLETED);
+        assertEquals(cell.starts.get("gang1"), 8);
+        noViolations();
+    }
+
+    @Test
+    public void keepsRoomForGangBesideStreamOfSmallTasks() {
+        for (int number = 0; number < 12; number++) {
+            cell.submit(cell.job("fill" + number, 5, SMALL, false));
+        }
+        cell.run(100);
+        cell.submit(cell.job("gang1", 8, LARGE, true));
+        for (int number = 0; number < 60; number++) {
+            cell.run(100);
+            cell.submit(cell.job("more" + number, 6, SMALL, false));
+        }
+        assertEquals(cell.phase("gang1"), JobPhase.COMPLETED);
+        noViolations();
+    }
+
+    @Test
+    public void runsTaskAgainAfterWorkerCrashed() {
+        cell.workMillis(2_000);
+        cell.submit(cell.job("job1", 8, SMALL, false));
+        cell.run(300);
+        cell.byAddress.values().iterator().next().dead = true;
+        cell.run(12_000);
+        assertEquals(cell.phase("job1"), JobPhase.COMPLETED);
+        noViolations();
+    }
+
+    @Test
+    public void runsTaskAgainAtOnceWhenWorkerIsReborn() {
+        cell.workMillis(2_000);
+        cell.submit(cell.job("job1", 16, SMALL, false));
+        cell.run(300);
+        String address = cell.byAddress.keySet().iterator().next();
+        cell.worker("reborn", address, WORKER);
+        cell.run(5_000);
+        assertEquals(cell.phase("job1"), JobPhase.COMPLETED);
+        noViolations();
+    }
+
+    @Test
+    public void waitsForLeaseOfCutOffWorker() {
+        cell.workMillis(4_000);
+        cell.submit(cell.job("job1", 8, SMALL, false));
+        cell.run(300);
+        cell.cut.addAll(cell.addresses(2));
+        cell.run(9_000);
+        cell.cut.clear();
+        cell.run(9_000);
+        assertEquals(cell.phase("job1"), JobPhase.COMPLETED);
+        noViolations();
+    }
+
+    @Test
+    public void nextLeaderAdoptsRuns() {
+        cell.workMillis(2_000);
+        cell.submit(cell.job("job1", 8, SMALL, false));
+        cell.submit(cell.job("gang1", 4, LARGE, true));
+        cell.run(400);
+        cell.lead();
+        cell.run(6_000);
+        assertEquals(cell.phase("job1"), JobPhase.COMPLETED);
+        assertEquals(cell.phase("gang1"), JobPhase.COMPLETED);
+        assertEquals(cell.starts.get("job1"), 8);
+        noViolations();
+    }
+
+    @Test
+    public void breaksDownAfterLastAttempt() {
+        cell.poison.add("poison1");
+        cell.submit(cell.job("poison1", 2, SMALL, false));
+        cell.run(15_000);
+        assertEquals(cell.phase("poison1"), JobPhase.BROKEN_DOWN);
+        noViolations();
+    }
+
+    /** Replays weesteps-sched quiet-1, seed 7847072: a failing gang found no advised worker left. */
+    @Test
+    public void failingGangOnFewAdvisedWorkersUsesItsLastAttempt() {
+        cell.withAdvice();
+        cell.poison.add("poison1");
+        cell.submit(cell.job("poison1", 6, LARGE, true));
+        cell.run(25_000);
+        assertEquals(cell.phase("poison1"), JobPhase.BROKEN_DOWN);
+        noViolations();
+    }
+
+    @Test
+    public void stopsTasksOfCancelledJob() {
+        cell.workMillis(5_000);
+        cell.submit(cell.job("job1", 8, SMALL, false));
+        cell.run(500);
+        cell.cancel("job1");
+        cell.run(800);
+        assertTrue(cell.byAddress.values().stream().allMatch(worker -> worker.live.isEmpty()), "a task still runs");
+        assertEquals(cell.phase("job1"), JobPhase.CANCELLED);
+        noViolations();
+    }
+
+    @Test
+    public void ordersWithoutAnswerRunOnce() {
+        cell.lostAnswerShare = 0.4;
+        for (int number = 0; number < 20; number++) {
+            cell.submit(cell.job("job" + number, 4, SMALL, false));
+            cell.run(200);
+        }
+        cell.run(15_000);
+        for (int number = 0; number < 20; number++) {
+            assertEquals(cell.phase("job" + number), JobPhase.COMPLETED, "job" + number);
+        }
+        noViolations();
+    }
+
+    @Test
+    public void distrustsWorkerThatFailsAll() {
+        SimulatedWorker bad = cell.byAddress.values().iterator().next();
+        bad.failsAll = true;
+        for (int number = 0; number < 40; number++) {
+            cell.submit(cell.job("job" + number, 4, SMALL, false));
+            cell.run(150);
+        }
+        cell.run(10_000);
+        for (int number = 0; number < 40; number++) {
+            assertEquals(cell.phase("job" + number), JobPhase.COMPLETED, "job" + number);
+        }
+        noViolations();
+    }
+
+    @Test
+    public void placesNothingOnDrainingWorker() {
+        SimulatedWorker leaving = cell.byAddress.values().iterator().next();
+        leaving.draining = true;
+        cell.run(1_600);
+        for (int number = 0; number < 20; number++) {
+            cell.submit(cell.job("job" + number, 4, SMALL, false));
+        }
+        cell.run(100);
+        assertTrue(leaving.live.isEmpty(), "a task was placed on a worker that leaves");
+        noViolations();
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/wasabimount/core/dispatch/SimulatedWorker.java
@@ -0,0 +1,190 @@
+package org.wasabimount.core.dispatch;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.wasabimount.core.cell.Capacity;
+import org.wasabimount.core.job.RunId;
+import org.wasabimount.core.job.TaskId;
+import org.wasabimount.protocol.job.Announce;
+import org.wasabimount.protocol.job.EndKind;
+import org.wasabimount.protocol.job.WorkerLife;
+
+/** A stand-in for a worker that takes orders: one life, with its own clock, lease, runs and list of ends. */
+final class SimulatedWorker {
+
+    /** The slowest that a worker's clock may run. */
+    private static final double SLOWEST_RATE = 0.98;
+
+    private static final long STOP_MILLIS = 150;
+
+    final String id;
+    final long bornMillis;
+    final String address;
+    final Capacity capacity;
+    final double clockRate;
+    final Map<RunId, Live> live = new LinkedHashMap<>();
+    final List<HoldAnswer.Ended> ended = new ArrayList<>();
+    private final Map<TaskId, Integer> highestOver = new HashMap<>();
+    private final SimulatedCell cell;
+    private final long startedMillis;
+    private long fence;
+    private long leaseUntilMillis;
+    private long nextEnd = 1;
+    private long sequence;
+    boolean dead;
+    boolean draining;
+    boolean failsAll;
+    boolean standsStill;
+
+    /** A run that goes on. */
+    static final class Live {
+        long endsMillis = Long.MAX_VALUE;
+        long arrivedMillis;
+        EndKind how = EndKind.DONE;
+        boolean stopping;
+    }
+
+    SimulatedWorker(SimulatedCell cell, String id, long bornMillis, String address, Capacity capacity, boolean slow) {
+        this.cell = cell;
+        this.id = id;
+        this.bornMillis = bornMillis;
+        this.address = address;
+        this.capacity = capacity;
+        this.clockRate = slow ? SLOWEST_RATE : 1.0;
+        this.startedMillis = cell.nowMillis();
+    }
+
+    void kill() {
+        dead = true;
+    }
+
+    long clockMillis() {
+        return 1_000 + (long) ((cell.nowMillis() - startedMillis) * clockRate);
+    }
+
+    Announce announcement() {
+        return Announce.newBuilder()
+                .setLife(WorkerLife.newBuilder()
+                        .setWorker(id)
+                        .setBornMillis(bornMillis)
+                        .setAddress(address)
+                        .setDomain("glasgow")
+                        .setPool("pool")
+                        .addLabels("a")
+                        .setRack("r1")
+                        .setCapacity(capacity.toQuantity()))
+                .setDraining(draining)
+                .setClockMillis(clockMillis())
+                .setSequence(++sequence)
+                .build();
+    }
+
+    Capacity used() {
+        return live.keySet().stream().map(run -> cell.size(run.task())).reduce(Capacity.NONE, Capacity::plus);
+    }
+
+    OrderAnswer start(DispatchAction.Start order) {
+        if (order.fence() < fence) {
+            return OrderAnswer.FENCED;
+        }
+        fence = order.fence();
+        leaseUntilMillis = Math.max(leaseUntilMillis, order.leaseUntilMillis());
+        TaskId task = order.run().task();
+        if (live.containsKey(order.run())) {
+            return OrderAnswer.DONE;
+        }
+        if (order.run().number() <= highestOver.getOrDefault(task, 0)) {
+            return OrderAnswer.SUPERSEDED;
+        }
+        if (clockMillis() >= order.leaseUntilMillis()) {
+            return OrderAnswer.LATE;
+        }
+        if (cell.advised() && !cell.validTicket(order.ticket(), this)) {
+            return OrderAnswer.NO_TICKET;
+        }
+        Live run = new Live();
+        run.arrivedMillis = cell.nowMillis();
+        live.put(order.run(), run);
+        cell.started(order.run(), this);
+        if (!cell.isGang(task)) {
+            begin(order.run());
+        }
+        return OrderAnswer.DONE;
+    }
+
+    /** Lets a run work: a task alone at once, a gang's when all are there. */
+    void begin(RunId id) {
+        Live run = live.get(id);
+        run.how = failsAll || cell.failsAnywhere(id.task()) ? EndKind.FAILED : EndKind.DONE;
+        run.endsMillis = standsStill ? Long.MAX_VALUE : cell.nowMillis() + cell.workMillis(id.task());
+    }
+
+    OrderAnswer stop(DispatchAction.Stop order) {
+        if (order.fence() < fence) {
+            return OrderAnswer.FENCED;
+        }
+        fence = order.fence();
+        Live run = live.get(order.run());
+        if (run == null) {
+            highestOver.merge(order.run().task(), order.run().number(), Math::max);
+        } else if (!run.stopping) {
+            run.stopping = true;
+            run.how = EndKind.STOPPED;
+            run.endsMillis = cell.nowMillis() + STOP_MILLIS;
+        }
+        return OrderAnswer.DONE;
+    }
+
+    HoldAnswer hold(DispatchAction.Hold order) {
+        if (order.fence() < fence) {
+            return HoldAnswer.without(OrderAnswer.FENCED);
+        }
+        fence = order.fence();
+        leaseUntilMillis = Math.max(leaseUntilMillis, order.leaseUntilMillis());
+        ended.stream().filter(end -> end.offset() <= order.offset()).forEach(end -> cell.noted(end, this));
+        ended.removeIf(end -> end.offset() <= order.offset());
+        return list();
+    }
+
+    HoldAnswer list() {
+        List<HoldAnswer.Running> running = live.keySet().stream()
+                .map(run -> new HoldAnswer.Running(run, "", 0))
+                .toList();
+        return new HoldAnswer(OrderAnswer.DONE, clockMillis(), bornMillis, running, List.copyOf(ended));
+    }
+
+    /** Ends what is due; kills everything when the lease is over. */
+    void tick() {
+        if (!live.isEmpty() && clockMillis() >= leaseUntilMillis) {
+            List.copyOf(live.keySet()).forEach(run -> end(run, EndKind.LAPSED));
+        }
+        for (RunId run : List.copyOf(live.keySet())) {
+            Live state = live.get(run);
+            if (state == null) {
+                continue;
+            }
+            boolean alone = cell.isGang(run.task())
+                    && state.endsMillis == Long.MAX_VALUE
+                    && !standsStill
+                    && cell.nowMillis() - state.arrivedMillis > SimulatedCell.GANG_MILLIS;
+            if (alone) {
+                end(run, EndKind.ALONE);
+            } else if (cell.nowMillis() >= state.endsMillis) {
+                end(run, state.how);
+            }
+        }
+    }
+
+    void end(RunId run, EndKind how) {
+        if (live.remove(run) == null) {
+            return;
+        }
+        highestOver.merge(run.task(), run.number(), Math::max);
+        ended.add(new HoldAnswer.Ended(nextEnd++, run, how, ""));
+        cell.over(run, how);
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/wasabimount/core/job/JobTableTest.java
@@ -0,0 +1,283 @@
+package org.wasabimount.core.job;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+import org.wasabimount.core.ResultCode;
+import org.wasabimount.protocol.cell.Quantity;
+import org.wasabimount.protocol.job.AcceptJob;
+import org.wasabimount.protocol.job.CancelJob;
+import org.wasabimount.protocol.job.End;
+import org.wasabimount.protocol.job.EndKind;
+import org.wasabimount.protocol.job.EndRuns;
+import org.wasabimount.protocol.job.ForgetJobs;
+import org.wasabimount.protocol.job.JobCommand;
+import org.wasabimount.protocol.job.JobPhase;
+import org.wasabimount.protocol.job.JobSpec;
+import org.wasabimount.protocol.job.LoseRuns;
+import org.wasabimount.protocol.job.PlaceRuns;
+import org.wasabimount.protocol.job.Placement;
+import org.wasabimount.protocol.job.Pool;
+import org.wasabimount.protocol.job.Queue;
+import org.wasabimount.protocol.job.QueueTable;
+import org.wasabimount.protocol.job.SeeWorker;
+import org.wasabimount.protocol.job.Step;
+import org.wasabimount.protocol.job.WorkerLife;
+
+/** What the commands of the log do to the state of jobs. */
+public class JobTableTest {
+
+    private static final Queue QUEUE =
+            Queue.newBuilder().setName("queue").setMaxAttempts(2).build();
+
+    private JobTable table;
+
+    @BeforeMethod
+    public void oneWorker() {
+        table = new JobTable();
+        see("w1", 10, "10.0.0.1:80");
+    }
+
+    private ResultCode apply(JobCommand.Builder command) {
+        return table.apply(command.setTimeMillis(1_000).build());
+    }
+
+    private ResultCode see(String worker, long bornMillis, String address) {
+        return apply(JobCommand.newBuilder()
+                .setSeeWorker(SeeWorker.newBuilder()
+                        .setLife(WorkerLife.newBuilder()
+                                .setWorker(worker)
+                                .setBornMillis(bornMillis)
+                                .setAddress(address)
+                                .setCapacity(Quantity.newBuilder().setCpuMillis(8_000)))));
+    }
+
+    private void accept(String job, int steps, boolean gang) {
+        JobSpec.Builder spec = JobSpec.newBuilder().setId(job);
+        for (int step = 0; step < steps; step++) {
+            Step.Builder builder = Step.newBuilder().setCount(2).setGang(gang);
+            if (step > 0) {
+                builder.addAfter(step - 1);
+            }
+            spec.addSteps(builder);
+        }
+        apply(JobCommand.newBuilder()
+                .setAccept(AcceptJob.newBuilder().setSpec(spec).setQueue(QUEUE)));
+    }
+
+    private ResultCode place(TaskId task, int run, String worker, long bornMillis) {
+        return apply(JobCommand.newBuilder()
+                .setPlace(PlaceRuns.newBuilder()
+                        .addPlacements(Placement.newBuilder()
+                                .setTask(task.toKey())
+                                .setRun(run)
+                                .setWorker(worker)
+                                .setBornMillis(bornMillis))));
+    }
+
+    private ResultCode end(TaskId task, int run, EndKind kind, long offset) {
+        return apply(JobCommand.newBuilder()
+                .setEnd(EndRuns.newBuilder()
+                        .setWorker("w1")
+                        .setBornMillis(10)
+                        .setOffset(offset)
+                        .addEnds(End.newBuilder()
+                                .setTask(task.toKey())
+                                .setRun(run)
+                                .setKind(kind)
+                                .setSaved("s" + offset))));
+    }
+
+    private static TaskId task(int step, int index) {
+        return new TaskId("job", 0, step, index);
+    }
+
+    @Test
+    public void completesWhenAllTasksAreDone() {
+        accept("job", 1, false);
+        place(task(0, 0), 1, "w1", 10);
+        place(task(0, 1), 1, "w1", 10);
+        end(task(0, 0), 1, EndKind.DONE, 1);
+        assertEquals(table.job("job").orElseThrow().phase(), JobPhase.ACTIVE);
+        end(task(0, 1), 1, EndKind.DONE, 2);
+        assertEquals(table.job("job").orElseThrow().phase(), JobPhase.COMPLETED);
+    }
+
+    @Test
+    public void blocksStepUntilEarlierOneIsDone() {
+        accept("job", 2, false);
+        Job job = table.job("job").orElseThrow();
+        assertFalse(job.unblocked(0, 1));
+        place(task(0, 0), 1, "w1", 10);
+        place(task(0, 1), 1, "w1", 10);
+        end(task(0, 0), 1, EndKind.DONE, 1);
+        end(task(0, 1), 1, EndKind.DONE, 2);
+        assertTrue(job.unblocked(0, 1));
+    }
+
+    @Test
+    public void refusesSecondPlacementOfPlacedTask() {
+        accept("job", 1, false);
+        assertEquals(place(task(0, 0), 1, "w1", 10), ResultCode.OK);
+        assertEquals(place(task(0, 0), 2, "w1", 10), ResultCode.VERSION_CONFLICT);
+    }
+
+    @Test
+    public void refusesPlacementOnEarlierLife() {
+        accept("job", 1, false);
+        see("w1", 20, "10.0.0.1:80");
+        assertEquals(place(task(0, 0), 1, "w1", 10), ResultCode.VERSION_CONFLICT);
+    }
+
+    @Test
+    public void refusesPlacementOfCancelledJob() {
+        accept("job", 1, false);
+        apply(JobCommand.newBuilder().setCancel(CancelJob.newBuilder().setJob("job")));
+        assertEquals(place(task(0, 0), 1, "w1", 10), ResultCode.VERSION_CONFLICT);
+    }
+
+    @Test
+    public void newLifeReleasesRunsOfTheOneBefore() {
+        accept("job", 1, false);
+        place(task(0, 0), 1, "w1", 10);
+        see("w1", 20, "10.0.0.1:80");
+        assertTrue(table.task(task(0, 0)).orElseThrow().waits());
+    }
+
+    @Test
+    public void anotherWorkerAtTheAddressEndsTheOneBefore() {
+        accept("job", 1, false);
+        place(task(0, 0), 1, "w1", 10);
+        see("w2", 20, "10.0.0.1:80");
+        assertTrue(table.worker("w1").isEmpty());
+        assertTrue(table.task(task(0, 0)).orElseThrow().waits());
+    }
+
+    @Test
+    public void delayedReportOfEarlierLifeChangesNothing() {
+        see("w2", 20, "10.0.0.1:80");
+        assertEquals(see("w1", 10, "10.0.0.1:80"), ResultCode.VERSION_CONFLICT);
+        assertTrue(table.worker("w2").isPresent());
+    }
+
+    @Test
+    public void notesEachEndOnce() {
+        accept("job", 1, false);
+        place(task(0, 0), 1, "w1", 10);
+        end(task(0, 0), 1, EndKind.FAILED, 1);
+        assertEquals(end(task(0, 0), 1, EndKind.FAILED, 1), ResultCode.VERSION_CONFLICT);
+        assertEquals(table.task(task(0, 0)).orElseThrow().failures(), 1);
+    }
+
+    @Test
+    public void breaksDownWhenAttemptsAreSpent() {
+        accept("job", 1, false);
+        place(task(0, 0), 1, "w1", 10);
+        end(task(0, 0), 1, EndKind.FAILED, 1);
+        place(task(0, 0), 2, "w1", 10);
+        end(task(0, 0), 2, EndKind.FAILED, 2);
+        assertEquals(table.job("job").orElseThrow().phase(), JobPhase.BROKEN_DOWN);
+    }
+
+    @Test
+    public void stoppedRunCostsNoAttemptAndKeepsItsProgress() {
+        accept("job", 1, false);
+        place(task(0, 0), 1, "w1", 10);
+        end(task(0, 0), 1, EndKind.STOPPED, 1);
+        JobTask task = table.task(task(0, 0)).orElseThrow();
+        assertEquals(task.failures(), 0);
+        assertEquals(task.saved(), "s1");
+        assertTrue(task.waits());
+    }
+
+    @Test
+    public void oneDoneEndStandsForItsGang() {
+        accept("job", 1, true);
+        place(task(0, 0), 1, "w1", 10);
+        place(task(0, 1), 1, "w1", 10);
+        end(task(0, 0), 1, EndKind.DONE, 1);
+        assertEquals(table.job("job").orElseThrow().phase(), JobPhase.COMPLETED);
+        assertTrue(table.task(task(0, 1)).orElseThrow().life().isPresent(), "its room is not free before its own end");
+    }
+
+    @Test
+    public void lostRunLeavesLaterRunAlone() {
+        accept("job", 1, false);
+        place(task(0, 0), 1, "w1", 10);
+        apply(JobCommand.newBuilder().setLose(LoseRuns.newBuilder().addRuns(new RunId(task(0, 0), 1).toKey("saved"))));
+        place(task(0, 0), 2, "w1", 10);
+        apply(JobCommand.newBuilder().setLose(LoseRuns.newBuilder().addRuns(new RunId(task(0, 0), 1).toKey(""))));
+        assertFalse(table.task(task(0, 0)).orElseThrow().waits());
+        assertEquals(table.task(task(0, 0)).orElseThrow().saved(), "saved");
+    }
+
+    @Test
+    public void snapshotKeepsEverything() {
+        accept("job", 2, true);
+        place(task(0, 0), 1, "w1", 10);
+        end(task(0, 0), 1, EndKind.FAILED, 1);
+        place(task(0, 1), 1, "w1", 10);
+        JobTable restored = JobTable.restore(table.snapshot());
+        assertEquals(restored.snapshot(), table.snapshot());
+        assertEquals(restored.placedOn(new LifeId("w1", 10)), table.placedOn(new LifeId("w1", 10)));
+    }
+
+    @Test
+    public void forgetsOnlyEndedJobsWithoutRuns() {
+        accept("job", 1, false);
+        place(task(0, 0), 1, "w1", 10);
+        apply(JobCommand.newBuilder().setCancel(CancelJob.newBuilder().setJob("job")));
+        apply(JobCommand.newBuilder().setForget(ForgetJobs.newBuilder().addJobs("job")));
+        assertTrue(table.job("job").isPresent());
+        end(task(0, 0), 1, EndKind.STOPPED, 1);
+        apply(JobCommand.newBuilder().setForget(ForgetJobs.newBuilder().addJobs("job")));
+        assertTrue(table.job("job").isEmpty());
+    }
+
+    @Test
+    public void olderQueuesChangeNothing() {
+        apply(JobCommand.newBuilder().setPutQueues(table(7, "/a/")));
+        apply(JobCommand.newBuilder().setPutQueues(table(5, "/b/")));
+        assertEquals(table.queues().getVersion(), 7);
+        assertTrue(table.queueAt("host", "/a/x").isPresent());
+        assertTrue(table.queueAt("host", "/b/x").isEmpty());
+    }
+
+    @Test
+    public void longestPrefixNamesTheQueue() {
+        QueueTable.Builder queues = table(1, "/a/");
+        queues.addQueues(queues.getQueues(0).toBuilder().setName("inner").setPathPrefix("/a/b/"));
+        apply(JobCommand.newBuilder().setPutQueues(queues));
+        assertEquals(table.queueAt("host", "/a/b/x").orElseThrow().getName(), "inner");
+        assertEquals(table.queueAt("host", "/a/x").orElseThrow().getName(), "queue");
+        assertTrue(table.queueAt("other", "/a/x").isEmpty());
+    }
+
+    @Test
+    public void refusesInvalidQueues() {
+        assertTrue(QueueCheck.check(table(1, "/a/").build()).isEmpty());
+        QueueTable.Builder same = table(1, "/a/");
+        same.addQueues(same.getQueues(0).toBuilder().setName("second"));
+        assertTrue(QueueCheck.check(same.build()).isPresent());
+        QueueTable.Builder unknown = table(1, "/a/");
+        unknown.setQueues(0, unknown.getQueues(0).toBuilder().setPool("other"));
+        assertTrue(QueueCheck.check(unknown.build()).isPresent());
+        QueueTable.Builder untimed = table(1, "/a/");
+        untimed.setQueues(0, untimed.getQueues(0).toBuilder().setTimeoutMillis(0));
+        assertTrue(QueueCheck.check(untimed.build()).isPresent());
+    }
+
+    private static QueueTable.Builder table(long version, String prefix) {
+        return QueueTable.newBuilder()
+                .setVersion(version)
+                .addPools(Pool.newBuilder().setName("pool"))
+                .addQueues(QUEUE.toBuilder()
+                        .setHost("host")
+                        .setPathPrefix(prefix)
+                        .setPool("pool")
+                        .setTimeoutMillis(3_000));
+    }
+}
