--- a/core/src/main/java/org/wasabimount/core/log/Replica.java
+++ b/core/src/main/java/org/wasabimount/core/log/Replica.java
@@ -189,13 +189,13 @@
     }
 
     /**
-     * Tells whether this replica may decide alone: it leads, no other can, and its own first entry is committed.
+     * Tells whether this replica may decide alone: it leads, no other can, and its own first entry was handed out.
      *
      * @param nowMillis the current monotonic time
      * @return true while the leader's lease holds
      */
     public boolean mayDecide(long nowMillis) {
-        return role == Role.LEADER && !transferring && nowMillis < leaseUntilMillis && ownTermCommitted();
+        return role == Role.LEADER && !transferring && nowMillis < leaseUntilMillis && ownTermApplied();
     }
 
     /**
@@ -756,8 +756,9 @@
         others.forEach(id -> peers.computeIfAbsent(id, absent -> new PeerProgress(log.lastIndex() + 1)));
     }
 
-    private boolean ownTermCommitted() {
-        return log.term(commitIndex) == term;
+    /** Tells whether the state holds all that earlier leaders committed: it does once an entry of this term is in it. */
+    private boolean ownTermApplied() {
+        return log.term(appliedIndex) == term;
     }
 
     private Stream<String> otherVoters() {
--- a/core/src/test/java/org/wasabimount/core/log/ReplicaTest.java
+++ b/core/src/test/java/org/wasabimount/core/log/ReplicaTest.java
@@ -34,11 +34,14 @@
     }
 
     @Test
-    public void decidesOnlyAfterItsOwnEntryIsCommitted() {
+    public void decidesOnlyAfterItsOwnEntryIsApplied() {
         Replica leader = leaderWithOldEntry();
         accept(leader, "vm1/0", 1);
+        leader.drain();
         assertFalse(leader.mayDecide(AFTER_TIMEOUT_MILLIS + 1));
         accept(leader, "vm1/0", 2);
+        assertFalse(leader.mayDecide(AFTER_TIMEOUT_MILLIS + 1), "the state lacks what was committed before");
+        leader.drain();
         assertTrue(leader.mayDecide(AFTER_TIMEOUT_MILLIS + 1));
     }
 
@@ -46,6 +49,8 @@
     public void stopsDecidingWhenItsLeaseEnds() {
         Replica leader = leaderWithOldEntry();
         accept(leader, "vm1/0", 2);
+        leader.drain();
+        assertTrue(leader.mayDecide(AFTER_TIMEOUT_MILLIS + 1));
         assertFalse(leader.mayDecide(AFTER_TIMEOUT_MILLIS + 400));
     }
 
--- a/daemon/src/main/java/org/wasabimount/daemon/LogSetup.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/LogSetup.java
@@ -42,7 +42,7 @@
 
     private static Encoder<ILoggingEvent> encoder(LoggerContext context, DaemonSettings.LogFormat format) {
         EncoderBase<ILoggingEvent> encoder = switch (format) {
-            case JSON -> new JsonEncoder();
+            case JSON -> json();
             case PLAIN -> {
                 PatternLayoutEncoder plain = new PatternLayoutEncoder();
                 plain.setPattern(PATTERN);
@@ -55,6 +55,21 @@
         return encoder;
     }
 
+    /** Writes the time, level, logger and message of a line, without what the library could add to them. */
+    private static JsonEncoder json() {
+        JsonEncoder encoder = new JsonEncoder();
+        encoder.setWithSequenceNumber(false);
+        encoder.setWithNanoseconds(false);
+        encoder.setWithThreadName(false);
+        encoder.setWithContext(false);
+        encoder.setWithMarkers(false);
+        encoder.setWithMDC(false);
+        encoder.setWithMessage(false);
+        encoder.setWithArguments(false);
+        encoder.setWithFormattedMessage(true);
+        return encoder;
+    }
+
     private static Level level(DaemonSettings.LogLevel level) {
         return switch (level) {
             case DEBUG -> Level.DEBUG;
