--- a/core/src/main/java/org/wasabimount/core/dispatch/WorkerDesk.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/WorkerDesk.java
@@ -41,8 +41,8 @@
 
     private static final System.Logger LOG = System.getLogger("wasabimount.worker");
 
-    /** How long a worker may hold back its list until something ends, in milliseconds; the protocol's maximum. */
-    private static final long LIST_WAIT_MILLIS = 2_000;
+    /** How long a worker may hold back its list until something ends, in milliseconds; bounds how late a cut is seen. */
+    private static final long LIST_WAIT_MILLIS = 600;
 
     /** Pause before a call that failed is made again, in milliseconds; a fraction of the shortest objective. */
     private static final long RETRY_MILLIS = 200;
@@ -241,7 +241,10 @@
         control.unanswered(answer == OrderAnswer.NO_ANSWER);
         switch (answer) {
             case DONE -> control.runs(nowMillis);
-            case NO_ANSWER, NOT_SENT -> control.startAt(nowMillis + RETRY_MILLIS);
+            case NO_ANSWER, NOT_SENT -> {
+                link.missed();
+                control.startAt(nowMillis + RETRY_MILLIS);
+            }
             case SUPERSEDED -> control.settle(nowMillis);
             case FENCED -> control.startAt(nowMillis + RETRY_MILLIS);
             default -> notStarted(link, control, answer, nowMillis);
--- a/core/src/main/java/org/wasabimount/core/dispatch/WorkerLink.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/WorkerLink.java
@@ -135,6 +135,11 @@
         listed = heard;
     }
 
+    /** Notes an order without an answer: nothing more is placed here until the worker lists its runs again. */
+    void missed() {
+        misses++;
+    }
+
     int misses() {
         return misses;
     }
--- a/daemon/src/main/java/org/wasabimount/daemon/log/RecordFile.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/log/RecordFile.java
@@ -95,7 +95,7 @@
 
     private static void refuseIfFollowed(Path path, byte[] content, int badOffset) throws IOException {
         for (int offset = badOffset + 1; offset + HEADER_BYTES < content.length; offset++) {
-            if (validLength(content, offset) > 0) {
+            if (validLength(content, offset) >= 0) {
                 throw new CorruptLogException("file " + path.getFileName() + " is corrupt at byte " + badOffset
                         + ": a readable record follows at byte " + offset);
             }
@@ -111,12 +111,14 @@
         int length = header.getInt();
         int expected = header.getInt();
         boolean plausible =
-                length > 0 && length <= MAX_RECORD_BYTES && length <= content.length - offset - HEADER_BYTES;
+                length >= 0 && length <= MAX_RECORD_BYTES && length <= content.length - offset - HEADER_BYTES;
         return plausible && checksum(content, offset + HEADER_BYTES, length) == expected ? length : -1;
     }
 
+    /** Returns a checksum of the length and the payload; with the length in it, zeros are no empty record. */
     private static int checksum(byte[] bytes, int offset, int length) {
         CRC32C crc = new CRC32C();
+        crc.update(ByteBuffer.allocate(Integer.BYTES).putInt(length).flip());
         crc.update(bytes, offset, length);
         return (int) crc.getValue();
     }
--- a/daemon/src/main/java/org/wasabimount/daemon/node/JobNode.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/node/JobNode.java
@@ -45,13 +45,13 @@
     private static final System.Logger LOG = System.getLogger("wasabimount.node");
 
     private static final long TICK_MILLIS = 20;
-    private static final long PRESENCE_MILLIS = 500;
+    private static final long PRESENCE_MILLIS = 250;
 
     /** Shortest silence of a leader before an election, in milliseconds; many syncs of the slowest disk. */
-    private static final long ELECTION_TIMEOUT_MILLIS = 1_000;
+    private static final long ELECTION_TIMEOUT_MILLIS = 600;
 
-    /** Silence after which a voter may be replaced by a replica that waits, in milliseconds; beyond any restart. */
-    private static final long REPLACE_VOTER_MILLIS = 10_000;
+    /** Silence after which a replica that has caught up takes a voter's place, in milliseconds; a second loss may follow. */
+    private static final long REPLACE_VOTER_MILLIS = 2_000;
 
     private static final long TRANSFER_MILLIS = 1_500;
     private static final long POLL_MILLIS = 20;
@@ -187,14 +187,6 @@
         }
     }
 
-    /** Ends the node. */
-    public void stop() {
-        timers.shutdownNow();
-        network.close();
-        group.map(JobGroup::thread).ifPresent(GroupThread::stop);
-        LOG.log(System.Logger.Level.INFO, "NODE stop vm={0}", settings.vm());
-    }
-
     /**
      * Takes seeds from settings that changed.
      *
--- a/daemon/src/main/java/org/wasabimount/daemon/node/Peers.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/node/Peers.java
@@ -29,7 +29,7 @@
     private static final System.Logger LOG = System.getLogger("wasabimount.peers");
 
     /** Silence after which a node counts as away, in milliseconds; three presences. */
-    private static final long ALIVE_MILLIS = 1_600;
+    private static final long ALIVE_MILLIS = 800;
 
     /** Silence after which a link is opened anew, in milliseconds: it may be dead without a sign. */
     private static final long RECONNECT_MILLIS = 2_500;
--- a/daemon/src/test/java/org/wasabimount/daemon/log/FileLogStoreTest.java
+++ b/daemon/src/test/java/org/wasabimount/daemon/log/FileLogStoreTest.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
 import java.util.List;
 import java.util.Optional;
 
@@ -50,6 +51,22 @@
         assertEquals(recovered.entries().size(), 3);
     }
 
+    /** Replays dwd-panel trouble-1: a replica that had joined with an empty disk could not start again. */
+    @Test
+    public void givesBackFirstStateOfReplicaThatJoined() throws IOException {
+        new FileLogStore(folder).recover(LogSnapshot.getDefaultInstance());
+        PersistedLog recovered = new FileLogStore(folder).recover(LogSnapshot.getDefaultInstance());
+        assertEquals(recovered.snapshot(), LogSnapshot.getDefaultInstance());
+    }
+
+    @Test
+    public void zerosAreNoRecord() throws IOException {
+        write(2);
+        Files.write(log(), new byte[64], StandardOpenOption.APPEND);
+        PersistedLog recovered = new FileLogStore(folder).recover(FIRST);
+        assertEquals(recovered.entries().size(), 2);
+    }
+
     @Test
     public void laterEntryReplacesAllFromItsIndex() throws IOException {
         FileLogStore store = write(3);
