--- a/client/src/main/java/org/wasabimount/client/HttpExchange.java
+++ b/client/src/main/java/org/wasabimount/client/HttpExchange.java
@@ -73,7 +73,11 @@
         connection = opened;
         sent = true;
         ClientRequest message = new ClientRequest().setMethod(request.method()).setPath(request.path());
-        message.getRequestHeaders().put(Headers.HOST, address);
+        boolean namesHost =
+                request.headers().stream().anyMatch(header -> header.name().equals(Headers.HOST));
+        if (!namesHost) {
+            message.getRequestHeaders().put(Headers.HOST, address);
+        }
         message.getRequestHeaders().put(Headers.CONTENT_LENGTH, Integer.toString(request.body().length));
         request.headers().forEach(header -> message.getRequestHeaders().add(header.name(), header.value()));
         connection.sendRequest(message, callback(this::writeBody));
--- a/core/src/main/java/org/wasabimount/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/Dispatcher.java
@@ -2,13 +2,11 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Set;
 import java.util.stream.Stream;
 
 import org.wasabimount.core.Refusal;
@@ -27,6 +25,7 @@
 import org.wasabimount.protocol.job.PlaceRuns;
 import org.wasabimount.protocol.job.Queue;
 import org.wasabimount.protocol.job.SeeWorker;
+import org.wasabimount.protocol.job.WorkerLife;
 
 /**
  * Decides, for one term of one leader, what becomes of the accepted jobs.
@@ -56,7 +55,6 @@
     private final WorkerDesk workers;
     private final AdviceDesk advice = new AdviceDesk();
     private final Map<String, JobPlan> plans = new LinkedHashMap<>();
-    private final Set<LifeId> seeing = new HashSet<>();
     private List<DispatchAction> actions = new ArrayList<>();
     private long nowMillis;
     private long forgetDueMillis;
@@ -114,23 +112,30 @@
      * Takes a worker's announcement.
      *
      * @param announcement what the worker says of itself
+     * @return the command that makes news of it known to later leaders, empty if there is none; it has to be proposed
      */
-    public void announced(Announce announcement) {
+    public Optional<JobCommand> announced(Announce announcement) {
         LifeId life = LifeId.of(announcement.getLife());
         Optional<WorkerLink> known = workers.link(life);
-        boolean news = known.map(link -> !link.entry().life().equals(announcement.getLife()))
-                .orElse(true);
         known.ifPresent(link -> {
-            if (link.announced(announcement.getDraining(), announcement.getSequence(), nowMillis)) {
+            boolean draining = announcement.getLife().getDraining();
+            if (link.announced(draining, announcement.getSequence(), nowMillis)) {
                 link.clock().read(announcement.getClockMillis(), nowMillis);
-                changed = changed || announcement.getDraining();
+                changed = changed || draining;
             }
         });
-        if (news && seeing.add(life)) {
-            add(new DispatchAction.Propose(JobCommand.newBuilder()
-                    .setSeeWorker(SeeWorker.newBuilder().setLife(announcement.getLife()))
-                    .build()));
-        }
+        boolean news = known.map(link -> tellsNews(link.entry().life(), announcement.getLife()))
+                .orElse(true);
+        return news
+                ? Optional.of(JobCommand.newBuilder()
+                        .setSeeWorker(SeeWorker.newBuilder().setLife(announcement.getLife()))
+                        .build())
+                : Optional.empty();
+    }
+
+    private static boolean tellsNews(WorkerLife known, WorkerLife said) {
+        // A worker that leaves goes on leaving; what it sent before may still arrive.
+        return !known.equals(said) && (!known.getDraining() || said.getDraining());
     }
 
     /**
@@ -209,9 +214,6 @@
                             new LifeId(placement.getWorker(), placement.getBornMillis())));
             changed = true;
         }
-        if (command.hasSeeWorker()) {
-            seeing.remove(LifeId.of(command.getSeeWorker().getLife()));
-        }
         if (command.hasEnd()) {
             workers.link(new LifeId(
                             command.getEnd().getWorker(), command.getEnd().getBornMillis()))
@@ -360,7 +362,6 @@
 
     @Override
     public void workerSeen(WorkerEntry worker) {
-        seeing.remove(worker.id());
         workers.seen(worker, nowMillis);
         changed = true;
     }
--- a/core/src/main/java/org/wasabimount/core/dispatch/WorkerLink.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/WorkerLink.java
@@ -118,13 +118,14 @@
         ending = true;
     }
 
+    /** Tells whether the worker has said that it leaves, to this leader or to one before. */
     boolean draining() {
-        return draining;
+        return draining || entry.life().getDraining();
     }
 
     /** Tells whether tasks may be placed here. */
     boolean usable(long nowMillis) {
-        return listed && !draining && misses == 0 && health.trusted(nowMillis, runs.size());
+        return listed && !draining() && misses == 0 && health.trusted(nowMillis, runs.size());
     }
 
     boolean listed() {
--- a/core/src/test/java/org/wasabimount/core/dispatch/DispatcherTest.java
+++ b/core/src/test/java/org/wasabimount/core/dispatch/DispatcherTest.java
@@ -197,4 +197,20 @@
         assertTrue(leaving.live.isEmpty(), "a task was placed on a worker that leaves");
         noViolations();
     }
+
+    /** Replays dwd-panel scale-1, seed 71313010365: the next leader placed on a worker that had said it leaves. */
+    @Test
+    public void nextLeaderPlacesNothingOnDrainingWorker() {
+        SimulatedWorker leaving = cell.byAddress.values().iterator().next();
+        leaving.draining = true;
+        cell.run(1_600);
+        cell.lead();
+        cell.run(50);
+        for (int number = 0; number < 20; number++) {
+            cell.submit(cell.job("job" + number, 4, SMALL, false));
+        }
+        cell.run(100);
+        assertTrue(leaving.live.isEmpty(), "a task was placed on a worker that leaves");
+        noViolations();
+    }
 }
--- a/core/src/test/java/org/wasabimount/core/dispatch/SimulatedCell.java
+++ b/core/src/test/java/org/wasabimount/core/dispatch/SimulatedCell.java
@@ -145,7 +145,9 @@
             }
             if (!cut.contains(worker.address) && !frozenLeader) {
                 dispatcher.at(nowMillis);
-                dispatcher.announced(worker.announcement());
+                dispatcher
+                        .announced(worker.announcement())
+                        .ifPresent(news -> carryOut(new DispatchAction.Propose(news)));
             }
             announceLater(worker, ANNOUNCE_MILLIS);
         });
--- a/core/src/test/java/org/wasabimount/core/dispatch/SimulatedWorker.java
+++ b/core/src/test/java/org/wasabimount/core/dispatch/SimulatedWorker.java
@@ -76,8 +76,8 @@
                         .setPool("pool")
                         .addLabels("a")
                         .setRack("r1")
-                        .setCapacity(capacity.toQuantity()))
-                .setDraining(draining)
+                        .setCapacity(capacity.toQuantity())
+                        .setDraining(draining))
                 .setClockMillis(clockMillis())
                 .setSequence(++sequence)
                 .build();
--- a/daemon/src/main/java/org/wasabimount/daemon/job/JobDuties.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/job/JobDuties.java
@@ -212,8 +212,16 @@
     }
 
     private CompletableFuture<Reply> announce(Announce announcement) {
-        dispatcher.announced(announcement);
-        return CompletableFuture.completedFuture(Reply.getDefaultInstance());
+        Optional<JobCommand> news = dispatcher.announced(announcement);
+        if (news.isEmpty()) {
+            return CompletableFuture.completedFuture(Reply.getDefaultInstance());
+        }
+        // Acknowledged only once the next leader would know it, too: a worker that leaves may not say so again.
+        return propose(news.get()).thenApply(reply -> {
+            boolean lost = reply.getResultCode() == ResultCode.COMMIT_UNKNOWN.number()
+                    || reply.getResultCode() == ResultCode.NOT_LEADER.number();
+            return lost ? reply : Reply.getDefaultInstance();
+        });
     }
 
     private void work() {
--- a/protocol/src/main/java/org/wasabimount/protocol/job/Announce.java
+++ b/protocol/src/main/java/org/wasabimount/protocol/job/Announce.java
@@ -64,36 +64,10 @@
     bitField0_ = (bitField0_ & ~0x00000001);
   }
 
-  public static final int DRAINING_FIELD_NUMBER = 2;
-  private boolean draining_;
-  /**
-   * <code>bool draining = 2;</code>
-   * @return The draining.
-   */
-  @java.lang.Override
-  public boolean getDraining() {
-    return draining_;
-  }
-  /**
-   * <code>bool draining = 2;</code>
-   * @param value The draining to set.
-   */
-  private void setDraining(boolean value) {
-    
-    draining_ = value;
-  }
-  /**
-   * <code>bool draining = 2;</code>
-   */
-  private void clearDraining() {
-
-    draining_ = false;
-  }
-
-  public static final int CLOCK_MILLIS_FIELD_NUMBER = 3;
+  public static final int CLOCK_MILLIS_FIELD_NUMBER = 2;
   private long clockMillis_;
   /**
-   * <code>int64 clock_millis = 3;</code>
+   * <code>int64 clock_millis = 2;</code>
    * @return The clockMillis.
    */
   @java.lang.Override
@@ -101,7 +75,7 @@
     return clockMillis_;
   }
   /**
-   * <code>int64 clock_millis = 3;</code>
+   * <code>int64 clock_millis = 2;</code>
    * @param value The clockMillis to set.
    */
   private void setClockMillis(long value) {
@@ -109,17 +83,17 @@
     clockMillis_ = value;
   }
   /**
-   * <code>int64 clock_millis = 3;</code>
+   * <code>int64 clock_millis = 2;</code>
    */
   private void clearClockMillis() {
 
     clockMillis_ = 0L;
   }
 
-  public static final int SEQUENCE_FIELD_NUMBER = 4;
+  public static final int SEQUENCE_FIELD_NUMBER = 3;
   private long sequence_;
   /**
-   * <code>int64 sequence = 4;</code>
+   * <code>int64 sequence = 3;</code>
    * @return The sequence.
    */
   @java.lang.Override
@@ -127,7 +101,7 @@
     return sequence_;
   }
   /**
-   * <code>int64 sequence = 4;</code>
+   * <code>int64 sequence = 3;</code>
    * @param value The sequence to set.
    */
   private void setSequence(long value) {
@@ -135,17 +109,17 @@
     sequence_ = value;
   }
   /**
-   * <code>int64 sequence = 4;</code>
+   * <code>int64 sequence = 3;</code>
    */
   private void clearSequence() {
 
     sequence_ = 0L;
   }
 
-  public static final int DRAIN_LEFT_MILLIS_FIELD_NUMBER = 5;
+  public static final int DRAIN_LEFT_MILLIS_FIELD_NUMBER = 4;
   private long drainLeftMillis_;
   /**
-   * <code>int64 drain_left_millis = 5;</code>
+   * <code>int64 drain_left_millis = 4;</code>
    * @return The drainLeftMillis.
    */
   @java.lang.Override
@@ -153,7 +127,7 @@
     return drainLeftMillis_;
   }
   /**
-   * <code>int64 drain_left_millis = 5;</code>
+   * <code>int64 drain_left_millis = 4;</code>
    * @param value The drainLeftMillis to set.
    */
   private void setDrainLeftMillis(long value) {
@@ -161,7 +135,7 @@
     drainLeftMillis_ = value;
   }
   /**
-   * <code>int64 drain_left_millis = 5;</code>
+   * <code>int64 drain_left_millis = 4;</code>
    */
   private void clearDrainLeftMillis() {
 
@@ -313,35 +287,7 @@
     }
 
     /**
-     * <code>bool draining = 2;</code>
-     * @return The draining.
-     */
-    @java.lang.Override
-    public boolean getDraining() {
-      return instance.getDraining();
-    }
-    /**
-     * <code>bool draining = 2;</code>
-     * @param value The draining to set.
-     * @return This builder for chaining.
-     */
-    public Builder setDraining(boolean value) {
-      copyOnWrite();
-      instance.setDraining(value);
-      return this;
-    }
-    /**
-     * <code>bool draining = 2;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearDraining() {
-      copyOnWrite();
-      instance.clearDraining();
-      return this;
-    }
-
-    /**
-     * <code>int64 clock_millis = 3;</code>
+     * <code>int64 clock_millis = 2;</code>
      * @return The clockMillis.
      */
     @java.lang.Override
@@ -349,7 +295,7 @@
       return instance.getClockMillis();
     }
     /**
-     * <code>int64 clock_millis = 3;</code>
+     * <code>int64 clock_millis = 2;</code>
      * @param value The clockMillis to set.
      * @return This builder for chaining.
      */
@@ -359,7 +305,7 @@
       return this;
     }
     /**
-     * <code>int64 clock_millis = 3;</code>
+     * <code>int64 clock_millis = 2;</code>
      * @return This builder for chaining.
      */
     public Builder clearClockMillis() {
@@ -369,7 +315,7 @@
     }
 
     /**
-     * <code>int64 sequence = 4;</code>
+     * <code>int64 sequence = 3;</code>
      * @return The sequence.
      */
     @java.lang.Override
@@ -377,7 +323,7 @@
       return instance.getSequence();
     }
     /**
-     * <code>int64 sequence = 4;</code>
+     * <code>int64 sequence = 3;</code>
      * @param value The sequence to set.
      * @return This builder for chaining.
      */
@@ -387,7 +333,7 @@
       return this;
     }
     /**
-     * <code>int64 sequence = 4;</code>
+     * <code>int64 sequence = 3;</code>
      * @return This builder for chaining.
      */
     public Builder clearSequence() {
@@ -397,7 +343,7 @@
     }
 
     /**
-     * <code>int64 drain_left_millis = 5;</code>
+     * <code>int64 drain_left_millis = 4;</code>
      * @return The drainLeftMillis.
      */
     @java.lang.Override
@@ -405,7 +351,7 @@
       return instance.getDrainLeftMillis();
     }
     /**
-     * <code>int64 drain_left_millis = 5;</code>
+     * <code>int64 drain_left_millis = 4;</code>
      * @param value The drainLeftMillis to set.
      * @return This builder for chaining.
      */
@@ -415,7 +361,7 @@
       return this;
     }
     /**
-     * <code>int64 drain_left_millis = 5;</code>
+     * <code>int64 drain_left_millis = 4;</code>
      * @return This builder for chaining.
      */
     public Builder clearDrainLeftMillis() {
@@ -442,14 +388,13 @@
           java.lang.Object[] objects = new java.lang.Object[] {
             "bitField0_",
             "life_",
-            "draining_",
             "clockMillis_",
             "sequence_",
             "drainLeftMillis_",
           };
           java.lang.String info =
-              "\u0000\u0005\u0000\u0001\u0001\u0005\u0005\u0000\u0000\u0000\u0001\u1009\u0000\u0002" +
-              "\u0007\u0003\u0002\u0004\u0002\u0005\u0002";
+              "\u0000\u0004\u0000\u0001\u0001\u0004\u0004\u0000\u0000\u0000\u0001\u1009\u0000\u0002" +
+              "\u0002\u0003\u0002\u0004\u0002";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/protocol/src/main/java/org/wasabimount/protocol/job/AnnounceOrBuilder.java
+++ b/protocol/src/main/java/org/wasabimount/protocol/job/AnnounceOrBuilder.java
@@ -22,25 +22,19 @@
   org.wasabimount.protocol.job.WorkerLife getLife();
 
   /**
-   * <code>bool draining = 2;</code>
-   * @return The draining.
-   */
-  boolean getDraining();
-
-  /**
-   * <code>int64 clock_millis = 3;</code>
+   * <code>int64 clock_millis = 2;</code>
    * @return The clockMillis.
    */
   long getClockMillis();
 
   /**
-   * <code>int64 sequence = 4;</code>
+   * <code>int64 sequence = 3;</code>
    * @return The sequence.
    */
   long getSequence();
 
   /**
-   * <code>int64 drain_left_millis = 5;</code>
+   * <code>int64 drain_left_millis = 4;</code>
    * @return The drainLeftMillis.
    */
   long getDrainLeftMillis();
--- a/protocol/src/main/java/org/wasabimount/protocol/job/WorkerLife.java
+++ b/protocol/src/main/java/org/wasabimount/protocol/job/WorkerLife.java
@@ -428,6 +428,44 @@
 
   }
 
+  public static final int DRAINING_FIELD_NUMBER = 9;
+  private boolean draining_;
+  /**
+   * <pre>
+   * The worker has said that it leaves; nothing more is placed on this life.
+   * </pre>
+   *
+   * <code>bool draining = 9;</code>
+   * @return The draining.
+   */
+  @java.lang.Override
+  public boolean getDraining() {
+    return draining_;
+  }
+  /**
+   * <pre>
+   * The worker has said that it leaves; nothing more is placed on this life.
+   * </pre>
+   *
+   * <code>bool draining = 9;</code>
+   * @param value The draining to set.
+   */
+  private void setDraining(boolean value) {
+    
+    draining_ = value;
+  }
+  /**
+   * <pre>
+   * The worker has said that it leaves; nothing more is placed on this life.
+   * </pre>
+   *
+   * <code>bool draining = 9;</code>
+   */
+  private void clearDraining() {
+
+    draining_ = false;
+  }
+
   public static org.wasabimount.protocol.job.WorkerLife parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -941,6 +979,46 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * The worker has said that it leaves; nothing more is placed on this life.
+     * </pre>
+     *
+     * <code>bool draining = 9;</code>
+     * @return The draining.
+     */
+    @java.lang.Override
+    public boolean getDraining() {
+      return instance.getDraining();
+    }
+    /**
+     * <pre>
+     * The worker has said that it leaves; nothing more is placed on this life.
+     * </pre>
+     *
+     * <code>bool draining = 9;</code>
+     * @param value The draining to set.
+     * @return This builder for chaining.
+     */
+    public Builder setDraining(boolean value) {
+      copyOnWrite();
+      instance.setDraining(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * The worker has said that it leaves; nothing more is placed on this life.
+     * </pre>
+     *
+     * <code>bool draining = 9;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearDraining() {
+      copyOnWrite();
+      instance.clearDraining();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:wasabimount.job.WorkerLife)
   }
   @java.lang.Override
@@ -966,10 +1044,11 @@
             "labels_",
             "capacity_",
             "rack_",
+            "draining_",
           };
           java.lang.String info =
-              "\u0000\b\u0000\u0001\u0001\b\b\u0000\u0001\u0000\u0001\u0208\u0002\u0002\u0003\u0208" +
-              "\u0004\u0208\u0005\u0208\u0006\u021a\u0007\u1009\u0000\b\u0208";
+              "\u0000\t\u0000\u0001\u0001\t\t\u0000\u0001\u0000\u0001\u0208\u0002\u0002\u0003\u0208" +
+              "\u0004\u0208\u0005\u0208\u0006\u021a\u0007\u1009\u0000\b\u0208\t\u0007";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/protocol/src/main/java/org/wasabimount/protocol/job/WorkerLifeOrBuilder.java
+++ b/protocol/src/main/java/org/wasabimount/protocol/job/WorkerLifeOrBuilder.java
@@ -111,4 +111,14 @@
    */
   com.google.protobuf.ByteString
       getRackBytes();
+
+  /**
+   * <pre>
+   * The worker has said that it leaves; nothing more is placed on this life.
+   * </pre>
+   *
+   * <code>bool draining = 9;</code>
+   * @return The draining.
+   */
+  boolean getDraining();
 }
