Accept jobs before a fresh leader has heard its workers

Ruled out: no workers; the table held all of them. Change: a worker counts for admission until it misses a call. nextLeaderAcceptsBeforeWorkersHaveAnswered failed before.

--- a/core/src/main/java/org/wasabimount/core/dispatch/WorkerLink.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/WorkerLink.java
@@ -128,6 +128,11 @@
         return listed && !draining() && misses == 0 && health.trusted(nowMillis, runs.size());
     }
 
+    /** Tells whether the worker counts when work is accepted: also before it has listed its runs to a new leader. */
+    boolean expected() {
+        return !draining() && misses == 0;
+    }
+
     boolean listed() {
         return listed;
     }
--- a/core/src/test/java/org/wasabimount/core/dispatch/DispatcherTest.java
+++ b/core/src/test/java/org/wasabimount/core/dispatch/DispatcherTest.java
@@ -4,6 +4,7 @@
 import static org.testng.Assert.assertTrue;
 
 import java.util.List;
+import java.util.Optional;
 
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -213,4 +214,11 @@
         assertTrue(leaving.live.isEmpty(), "a task was placed on a worker that leaves");
         noViolations();
     }
+
+    /** Replays dwd-panel trouble-2, seed 10716761875: a fresh leader refused all until the first worker had answered. */
+    @Test
+    public void nextLeaderAcceptsBeforeWorkersHaveAnswered() {
+        cell.lead();
+        assertEquals(cell.dispatcher.admit(cell.job("job1", 4, SMALL, false), cell.queue()), Optional.empty());
+    }
 }
