--- a/core/src/main/java/org/wasabimount/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/Dispatcher.java
@@ -230,8 +230,7 @@
      */
     public Optional<Refusal> admit(JobSpec spec, Queue queue) {
         long usableCpuMillis = workers.links().stream()
-                .filter(link ->
-                        link.usable(nowMillis) && link.entry().life().getPool().equals(queue.getPool()))
+                .filter(link -> link.expected() && link.entry().life().getPool().equals(queue.getPool()))
                 .mapToLong(link -> link.entry().capacity().cpuMillis())
                 .sum();
         long objectiveMillis = JobPlan.objectiveMillis(spec, queue);
