--- a/core/src/main/java/org/wasabimount/core/dispatch/WorkerDesk.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/WorkerDesk.java
@@ -43,7 +43,7 @@
     private static final System.Logger LOG = System.getLogger("wasabimount.worker");
 
     /** How long a worker may hold back its list until something ends, in milliseconds; bounds how late a cut is seen. */
-    private static final long LIST_WAIT_MILLIS = 1_000;
+    private static final long LIST_WAIT_MILLIS = 500;
 
     /** Pause before a call that failed is made again, in milliseconds; a fraction of the shortest objective. */
     private static final long RETRY_MILLIS = 200;
