Give up the lease after a suspension, and renew no worker's lease without it

Cause: found by reading. A suspended host's monotonic clock stands still, so a leader that goes on would trust its lease for up to 540 ms; and a deposed leader's hold call would renew a worker's lease beyond what its successor waits for. Ruled out: starts and stops, which were checked one by one already. Change: SuspensionWatch compares with the time of day; Replica.stoodStill takes the lease back until a heartbeat sent after it is answered; hold calls ask for the lease like starts.

--- a/core/src/main/java/org/wasabimount/core/log/Replica.java
+++ b/core/src/main/java/org/wasabimount/core/log/Replica.java
@@ -322,6 +322,21 @@
         return !leader.isEmpty() && leaderCommitIndex > 0 && appliedIndex >= leaderCommitIndex;
     }
 
+    /**
+     * Takes back the lease, because the host may have stood still for a time that its monotonic clock did not count.
+     *
+     * <p>Only a round of heartbeats that begins now can renew it.
+     *
+     * @param nowMillis the current monotonic time
+     */
+    public void stoodStill(long nowMillis) {
+        if (role == Role.LEADER) {
+            leaseUntilMillis = nowMillis;
+            rounds.clear();
+            heartbeatDueMillis = nowMillis;
+        }
+    }
+
     /**
      * Lets time pass: heartbeats, elections and the end of leases.
      *
--- /dev/null
+++ b/core/src/test/java/org/wasabimount/core/SuspensionWatchTest.java
@@ -0,0 +1,35 @@
+package org.wasabimount.core;
+
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import org.testng.annotations.Test;
+
+/** When a host is taken to have stood still. */
+public class SuspensionWatchTest {
+
+    private long monotonicMillis = 1_000;
+    private long wallMillis = 1_700_000_000_000L;
+
+    private void pass(long onMonotonicMillis, long onWallMillis) {
+        monotonicMillis += onMonotonicMillis;
+        wallMillis += onWallMillis;
+    }
+
+    @Test
+    public void noticesTimeThatOnlyTheTimeOfDayCounted() {
+        SuspensionWatch watch = new SuspensionWatch(() -> monotonicMillis, () -> wallMillis);
+        pass(5_000, 5_010);
+        assertFalse(watch.stoodStill());
+        pass(10, 6_000);
+        assertTrue(watch.stoodStill());
+        assertFalse(watch.stoodStill(), "it is told once");
+    }
+
+    @Test
+    public void takesStepBackForNoSuspension() {
+        SuspensionWatch watch = new SuspensionWatch(() -> monotonicMillis, () -> wallMillis);
+        pass(100, -2_000);
+        assertFalse(watch.stoodStill());
+    }
+}
--- a/core/src/test/java/org/wasabimount/core/log/ReplicaTest.java
+++ b/core/src/test/java/org/wasabimount/core/log/ReplicaTest.java
@@ -54,6 +54,22 @@
         assertFalse(leader.mayDecide(AFTER_TIMEOUT_MILLIS + 400));
     }
 
+    @Test
+    public void answerToHeartbeatBeforeSuspensionRenewsNoLease() {
+        Replica leader = leaderWithOldEntry();
+        accept(leader, "vm1/0", 2);
+        leader.drain();
+        assertTrue(leader.mayDecide(AFTER_TIMEOUT_MILLIS + 1));
+        leader.stoodStill(AFTER_TIMEOUT_MILLIS + 1);
+        assertFalse(leader.mayDecide(AFTER_TIMEOUT_MILLIS + 1));
+        accept(leader, "vm1/0", 2);
+        assertFalse(leader.mayDecide(AFTER_TIMEOUT_MILLIS + 2), "that heartbeat was sent before");
+        leader.tick(AFTER_TIMEOUT_MILLIS + 2);
+        flush(leader);
+        accept(leader, "vm1/0", 2, 2);
+        assertTrue(leader.mayDecide(AFTER_TIMEOUT_MILLIS + 3));
+    }
+
     @Test
     public void ignoresVoteRequestWhileItHearsALeader() {
         Replica follower = follower();
@@ -130,10 +146,14 @@
     }
 
     private static void accept(Replica leader, String from, long matchIndex) {
+        accept(leader, from, matchIndex, 1);
+    }
+
+    private static void accept(Replica leader, String from, long matchIndex, long round) {
         AppendReply reply = AppendReply.newBuilder()
                 .setAccepted(true)
                 .setMatchIndex(matchIndex)
-                .setRound(1)
+                .setRound(round)
                 .build();
         leader.receive(message(from, leader.term()).setAppendReply(reply).build(), AFTER_TIMEOUT_MILLIS);
     }
--- a/daemon/src/main/java/org/wasabimount/daemon/job/JobDuties.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/job/JobDuties.java
@@ -11,10 +11,12 @@
 import org.wasabimount.core.Clock;
 import org.wasabimount.core.Refusal;
 import org.wasabimount.core.ResultCode;
+import org.wasabimount.core.SuspensionWatch;
 import org.wasabimount.core.dispatch.AdviceAnswer;
 import org.wasabimount.core.dispatch.DispatchAction;
 import org.wasabimount.core.dispatch.DispatchSettings;
 import org.wasabimount.core.dispatch.Dispatcher;
+import org.wasabimount.core.dispatch.HoldAnswer;
 import org.wasabimount.core.dispatch.OrderAnswer;
 import org.wasabimount.core.dispatch.WaitingOrder;
 import org.wasabimount.core.job.Job;
@@ -53,6 +55,7 @@
     private final Clock clock;
     private final Clock wallClock;
     private final Map<String, CompletableFuture<Reply>> accepting = new HashMap<>();
+    private final SuspensionWatch suspension;
     private Dispatcher dispatcher;
     private long term;
 
@@ -73,6 +76,7 @@
         this.advisers = node.advisers();
         this.clock = node.clock();
         this.wallClock = node.wallClock();
+        this.suspension = new SuspensionWatch(clock, wallClock);
         group.afterEachFlush(this::work);
     }
 
@@ -261,10 +265,6 @@
     }
 
     private void carryOut(DispatchAction action) {
-        // The lease is checked for each action: this thread may have been stopped since the last.
-        if (!mayDecide()) {
-            LOG.log(System.Logger.Level.INFO, "LEAD lease lost before an order left, term={0}", Long.toString(term));
-        }
         Dispatcher current = dispatcher;
         if (action instanceof DispatchAction.Propose propose) {
             propose(propose.command()).thenAccept(reply -> {
@@ -288,12 +288,16 @@
                             () -> current.stopAnswered(stop.run(), life, result.answer(), result.clockMillis())));
         } else if (action instanceof DispatchAction.Hold hold) {
             long askedMillis = clock.millis();
-            workers.hold(hold)
-                    .thenAccept(answer -> inTerm(
-                            current, () -> current.holdAnswered(hold.worker().id(), answer, askedMillis)));
+            // A lease that a deposed leader renews would outlive what its successor waits for.
+            CompletableFuture<HoldAnswer> answered = mayDecide()
+                    ? workers.hold(hold)
+                    : CompletableFuture.completedFuture(HoldAnswer.without(OrderAnswer.NOT_SENT));
+            answered.thenAccept(answer ->
+                    inTerm(current, () -> current.holdAnswered(hold.worker().id(), answer, askedMillis)));
         }
     }
 
+    /** Sends an order if the lease still holds: this thread may have been stopped since the order was decided. */
     private CompletableFuture<OrderResult> call(Supplier<CompletableFuture<OrderResult>> order) {
         return mayDecide() ? order.get() : CompletableFuture.completedFuture(OrderResult.of(OrderAnswer.NOT_SENT));
     }
@@ -317,6 +321,10 @@
     }
 
     private boolean mayDecide() {
+        if (suspension.stoodStill()) {
+            LOG.log(System.Logger.Level.INFO, "LEAD host stood still, its lease is asked for again");
+            group.replica().stoodStill(clock.millis());
+        }
         return group.replica().mayDecide(clock.millis());
     }
 
