--- a/core/src/test/java/org/wasabimount/core/dispatch/DispatcherTest.java
+++ b/core/src/test/java/org/wasabimount/core/dispatch/DispatcherTest.java
@@ -221,4 +221,22 @@
         cell.lead();
         assertEquals(cell.dispatcher.admit(cell.job("job1", 4, SMALL, false), cell.queue()), Optional.empty());
     }
+
+    @Test
+    public void startsEachOccurrenceAtItsTime() {
+        long firstDueMillis = cell.wallMillis() + 1_000;
+        cell.submit(cell.job("timed", 2, SMALL, false).toBuilder()
+                .setOccurrences(3)
+                .setFirstDueMillis(firstDueMillis)
+                .setIntervalMillis(2_000)
+                .build());
+        cell.run(900);
+        assertEquals(cell.starts.get("timed"), null, "an occurrence started before its time");
+        cell.run(1_500);
+        assertEquals(cell.starts.get("timed"), 2);
+        cell.run(5_000);
+        assertEquals(cell.starts.get("timed"), 6);
+        assertEquals(cell.phase("timed"), JobPhase.COMPLETED);
+        noViolations();
+    }
 }
--- a/core/src/test/java/org/wasabimount/core/dispatch/SimulatedCell.java
+++ b/core/src/test/java/org/wasabimount/core/dispatch/SimulatedCell.java
@@ -60,6 +60,7 @@
     double lostAnswerShare;
     int adviceCalls;
     boolean frozenLeader;
+    private final WaitingOrder order;
     private final PriorityQueue<Event> events =
             new PriorityQueue<>(Comparator.comparingLong(Event::atMillis).thenComparingLong(Event::number));
     private final Set<TaskId> notedDone = new HashSet<>();
@@ -83,6 +84,11 @@
     private record Event(long atMillis, long number, Runnable run) {}
 
     SimulatedCell(long seed) {
+        this(seed, WaitingOrder.LATEST_START);
+    }
+
+    SimulatedCell(long seed, WaitingOrder order) {
+        this.order = order;
         random = new Random(seed);
         lead();
         put(queue);
@@ -115,6 +121,10 @@
         return nowMillis;
     }
 
+    long wallMillis() {
+        return EPOCH_MILLIS + nowMillis;
+    }
+
     Queue queue() {
         return queue;
     }
@@ -166,8 +176,12 @@
     }
 
     void submit(JobSpec spec) {
+        submit(spec, queue);
+    }
+
+    void submit(JobSpec spec, Queue by) {
         apply(JobCommand.newBuilder()
-                .setAccept(AcceptJob.newBuilder().setSpec(spec).setQueue(queue))
+                .setAccept(AcceptJob.newBuilder().setSpec(spec).setQueue(by))
                 .build());
     }
 
@@ -189,7 +203,7 @@
         dispatcher = new Dispatcher(
                 new DispatchSettings(LEASE_MILLIS, GANG_MILLIS, 120_000, 2_000, 200),
                 table,
-                WaitingOrder.LATEST_START,
+                order,
                 term,
                 nowMillis,
                 EPOCH_MILLIS + nowMillis);
@@ -392,7 +406,8 @@
     }
 
     long workMillis(TaskId task) {
-        return workMillis / 2 + Math.floorMod(task.hashCode(), workMillis);
+        long estimateMillis = job(task).step(task.step()).getEstimateMillis();
+        return estimateMillis / 2 + Math.floorMod(task.hashCode(), estimateMillis);
     }
 
     private void beginGangs() {
