--- a/core/src/test/java/org/wasabimount/core/dispatch/DispatcherTest.java
+++ b/core/src/test/java/org/wasabimount/core/dispatch/DispatcherTest.java
@@ -32,6 +32,20 @@
         assertEquals(cell.violations, List.of());
     }
 
+    /** Submits jobs of four small tasks, named job0 and so on, with a pause after each. */
+    private void submitJobs(int count, long pauseMillis) {
+        for (int number = 0; number < count; number++) {
+            cell.submit(cell.job("job" + number, 4, SMALL, false));
+            cell.run(pauseMillis);
+        }
+    }
+
+    private void allCompleted(int count) {
+        for (int number = 0; number < count; number++) {
+            assertEquals(cell.phase("job" + number), JobPhase.COMPLETED, "job" + number);
+        }
+    }
+
     @Test
     public void completesJobOfSeveralTasks() {
         cell.submit(cell.job("job1", 10, SMALL, false));
@@ -160,14 +174,9 @@
     @Test
     public void ordersWithoutAnswerRunOnce() {
         cell.lostAnswerShare = 0.4;
-        for (int number = 0; number < 20; number++) {
-            cell.submit(cell.job("job" + number, 4, SMALL, false));
-            cell.run(200);
-        }
+        submitJobs(20, 200);
         cell.run(15_000);
-        for (int number = 0; number < 20; number++) {
-            assertEquals(cell.phase("job" + number), JobPhase.COMPLETED, "job" + number);
-        }
+        allCompleted(20);
         noViolations();
     }
 
@@ -175,14 +184,9 @@
     public void distrustsWorkerThatFailsAll() {
         SimulatedWorker bad = cell.byAddress.values().iterator().next();
         bad.failsAll = true;
-        for (int number = 0; number < 40; number++) {
-            cell.submit(cell.job("job" + number, 4, SMALL, false));
-            cell.run(150);
-        }
+        submitJobs(40, 150);
         cell.run(10_000);
-        for (int number = 0; number < 40; number++) {
-            assertEquals(cell.phase("job" + number), JobPhase.COMPLETED, "job" + number);
-        }
+        allCompleted(40);
         noViolations();
     }
 
@@ -191,9 +195,7 @@
         SimulatedWorker leaving = cell.byAddress.values().iterator().next();
         leaving.draining = true;
         cell.run(1_600);
-        for (int number = 0; number < 20; number++) {
-            cell.submit(cell.job("job" + number, 4, SMALL, false));
-        }
+        submitJobs(20, 0);
         cell.run(100);
         assertTrue(leaving.live.isEmpty(), "a task was placed on a worker that leaves");
         noViolations();
@@ -207,9 +209,7 @@
         cell.run(1_600);
         cell.lead();
         cell.run(50);
-        for (int number = 0; number < 20; number++) {
-            cell.submit(cell.job("job" + number, 4, SMALL, false));
-        }
+        submitJobs(20, 0);
         cell.run(100);
         assertTrue(leaving.live.isEmpty(), "a task was placed on a worker that leaves");
         noViolations();
