Elect a leader sooner, leave slow workers, bound the log, serve metrics of nodes

A worker that stood still was given tasks for 5.6 s. Ruled out: the start of the processes (0.5 ms there) and the workers' lists (the new leader placed at once). Log lines go through a bounded queue with a budget for each kind, placements are logged, nodes serve metrics at metricsAddress.

--- a/core/src/main/java/org/wasabimount/core/dispatch/AdviceDesk.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/AdviceDesk.java
@@ -167,10 +167,6 @@
         }
     }
 
-    void forget(StepId step) {
-        steps.remove(step);
-    }
-
     void forgetJob(String job) {
         steps.keySet().removeIf(step -> step.job().equals(job));
     }
--- a/core/src/main/java/org/wasabimount/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/Dispatcher.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.function.Consumer;
 import java.util.stream.Stream;
 
 import org.wasabimount.core.Refusal;
@@ -56,6 +57,7 @@
     private final AdviceDesk advice = new AdviceDesk();
     private final Map<String, JobPlan> plans = new LinkedHashMap<>();
     private List<DispatchAction> actions = new ArrayList<>();
+    private Consumer<Job> ended = job -> {};
     private long nowMillis;
     private long forgetDueMillis;
     private long roundDueMillis;
@@ -90,6 +92,15 @@
         table.observe(this);
     }
 
+    /**
+     * Sets who is told of ended jobs.
+     *
+     * @param listener takes each job when it has ended
+     */
+    public void onEnded(Consumer<Job> listener) {
+        ended = listener;
+    }
+
     /**
      * Sets the time of the changes that are applied next.
      *
@@ -350,6 +361,7 @@
         plans.remove(job.id());
         advice.forgetJob(job.id());
         workers.jobEnded(job, nowMillis);
+        ended.accept(job);
         LOG.log(
                 System.Logger.Level.INFO,
                 "JOB ended job={0} queue={1} phase={2} tookMillis={3}",
--- /dev/null
+++ b/core/src/main/java/org/wasabimount/core/dispatch/PaceWatch.java
@@ -0,0 +1,67 @@
+package org.wasabimount.core.dispatch;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+
+/**
+ * Tells workers on which tasks stand still or crawl from tasks that merely take longer than declared.
+ *
+ * <p>The load it answers: for seconds, some workers turn several times slower or stop working, and go on renewing their
+ * leases and taking orders. Declared times are rough, so a run is compared with what runs usually make of them, and a
+ * worker is judged by the runs of two jobs at least, unless a run stands still.
+ */
+final class PaceWatch {
+
+    /** Share of the usual pace below which a run is slow; declared times and workers differ by less. */
+    private static final double SLOW_SHARE = 0.4;
+
+    /** Pace below which a run stands still; progress comes in whole percent. */
+    private static final double STANDSTILL = 0.03;
+
+    /** Measures from which the usual pace is taken: a few lists of each of the workers of a small pool. */
+    private static final int REMEMBERED = 64;
+
+    /** Measures without which nothing is judged, after a start or under a new leader. */
+    private static final int NEEDED = 16;
+
+    private final Deque<Double> latest = new ArrayDeque<>();
+
+    /**
+     * What one list showed of one run.
+     *
+     * @param run the run
+     * @param pace the share of the declared speed since the measure before
+     */
+    record Measure(RunControl run, double pace) {}
+
+    /** Returns the slow runs among those measured by one list of a worker, empty if the worker is as fast as others. */
+    List<RunControl> slow(List<Measure> measured) {
+        measured.forEach(measure -> remember(measure.pace));
+        if (measured.isEmpty() || latest.size() < NEEDED) {
+            return List.of();
+        }
+        double limit = SLOW_SHARE * usual();
+        List<Measure> slow =
+                measured.stream().filter(measure -> measure.pace < limit).toList();
+        long jobs = slow.stream()
+                .map(measure -> measure.run.id().task().job())
+                .distinct()
+                .count();
+        boolean standsStill = slow.stream().anyMatch(measure -> measure.pace < STANDSTILL);
+        boolean worker = slow.size() == measured.size() && (jobs > 1 || standsStill);
+        return worker ? slow.stream().map(Measure::run).toList() : List.of();
+    }
+
+    private void remember(double pace) {
+        latest.addLast(pace);
+        if (latest.size() > REMEMBERED) {
+            latest.removeFirst();
+        }
+    }
+
+    /** Returns the median of what was measured lately: a few slow workers do not move it. */
+    private double usual() {
+        return latest.stream().sorted().skip(latest.size() / 2).findFirst().orElse(1.0);
+    }
+}
--- a/core/src/main/java/org/wasabimount/core/dispatch/PlacementRound.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/PlacementRound.java
@@ -18,6 +18,8 @@
 /** One pass over the ready steps, in order: places what fits, asks for advice, and keeps room for gangs. */
 final class PlacementRound {
 
+    private static final System.Logger LOG = System.getLogger("wasabimount.dispatch");
+
     /** Steps that are looked at in one round; those behind them rarely find room that these left. */
     private static final int MAX_STEPS = 120;
 
@@ -92,6 +94,18 @@
                     .setWorker(life.worker())
                     .setBornMillis(life.bornMillis()));
         });
+        LOG.log(
+                System.Logger.Level.INFO,
+                "PLACE step={0} queue={1} tasks={2} waiting={3} workers={4} slackMillis={5}",
+                step.id(),
+                step.queue().getName(),
+                chosen.size(),
+                step.waiting().size(),
+                chosen.values().stream()
+                        .map(link -> link.entry().id().worker())
+                        .distinct()
+                        .toList(),
+                Long.toString(step.latestStartMillis() - nowMillis));
         out.accept(new DispatchAction.Propose(
                 JobCommand.newBuilder().setPlace(command).build()));
     }
--- a/core/src/main/java/org/wasabimount/core/dispatch/RunControl.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/RunControl.java
@@ -1,5 +1,7 @@
 package org.wasabimount.core.dispatch;
 
+import java.util.OptionalDouble;
+
 import org.wasabimount.core.cell.Capacity;
 import org.wasabimount.core.job.LifeId;
 import org.wasabimount.core.job.RunId;
@@ -11,6 +13,11 @@
     /** What is assumed to be left of a run that takes longer than declared, in milliseconds. */
     private static final long SOON_MILLIS = 100;
 
+    /** Shortest time over which a pace is measured, in milliseconds; a worker lists at least every half second. */
+    private static final long PACE_MILLIS = 400;
+
+    private static final double PERCENT = 100.0;
+
     /** How far a run is. */
     enum State {
         /** Its placement is not committed yet; room is held for it. */
@@ -49,8 +56,8 @@
     private long dueMillis;
     private long startedMillis;
     private long settledMillis;
-    private int percent;
-    private long progressMillis;
+    private int measuredPercent;
+    private long measuredMillis;
 
     RunControl(RunId id, LifeId life, Step step, State state) {
         this.id = id;
@@ -102,15 +109,6 @@
         return startedMillis;
     }
 
-    int percent() {
-        return percent;
-    }
-
-    /** Returns when the run last got further. */
-    long progressMillis() {
-        return progressMillis;
-    }
-
     RunControl withTicket(String given) {
         ticket = given;
         return this;
@@ -137,7 +135,7 @@
     void runs(long nowMillis) {
         state = State.RUNNING;
         startedMillis = nowMillis;
-        progressMillis = nowMillis;
+        measuredMillis = nowMillis;
     }
 
     void stopAt(long whenMillis) {
@@ -163,14 +161,25 @@
         state = State.LOSING;
     }
 
-    void progress(String newest, int newPercent, long nowMillis) {
+    /**
+     * Takes a list's word on the run.
+     *
+     * @return the share of its declared speed since the measure before, empty if it is too early to tell or if the run
+     *     does not work towards an end of its own
+     */
+    OptionalDouble progress(String newest, int percent, long nowMillis) {
         if (!newest.isEmpty()) {
             saved = newest;
         }
-        if (newPercent > percent) {
-            percent = newPercent;
-            progressMillis = nowMillis;
+        long windowMillis = nowMillis - measuredMillis;
+        boolean steady = state == State.RUNNING && !step.getLongRunning() && !step.getGang() && !step.getFiller();
+        if (!steady || windowMillis < PACE_MILLIS || percent >= PERCENT) {
+            return OptionalDouble.empty();
         }
+        double pace = (percent - measuredPercent) / PERCENT * step.getEstimateMillis() / windowMillis;
+        measuredMillis = nowMillis;
+        measuredPercent = percent;
+        return OptionalDouble.of(pace);
     }
 
     /** Returns how long the run probably still takes. */
--- a/core/src/main/java/org/wasabimount/core/dispatch/WorkerDesk.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/WorkerDesk.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Consumer;
@@ -60,6 +61,9 @@
     /** How long after its start's answer a run must be in every list, in milliseconds; covers answers that overtake. */
     private static final long LISTED_AFTER_MILLIS = 500;
 
+    /** Runs of a task after which it stays where it is slow: some tasks take far longer than declared anywhere. */
+    private static final int MAX_MOVED_RUN = 3;
+
     private final DispatchSettings settings;
     private final JobTable table;
     private final long fence;
@@ -67,6 +71,7 @@
     private final Map<LifeId, WorkerLink> links = new LinkedHashMap<>();
     private final Set<TaskId> proposing = new HashSet<>();
     private final Map<TaskId, Map<LifeId, Long>> failedOn = new HashMap<>();
+    private final PaceWatch paces = new PaceWatch();
 
     WorkerDesk(DispatchSettings settings, JobTable table, long fence, Consumer<DispatchAction> out, long nowMillis) {
         this.settings = settings;
@@ -408,27 +413,46 @@
                 .collect(Collectors.toMap(HoldAnswer.Running::run, row -> row, (one, other) -> other));
         Set<RunId> ended = answer.ended().stream().map(HoldAnswer.Ended::run).collect(Collectors.toSet());
         List<RunControl> absent = new ArrayList<>();
+        List<PaceWatch.Measure> measured = new ArrayList<>();
         for (RunControl control : List.copyOf(link.runs())) {
             HoldAnswer.Running row = running.get(control.id());
             if (row != null) {
-                goesOn(control, row, nowMillis);
+                goesOn(control, row, nowMillis).ifPresent(pace -> measured.add(new PaceWatch.Measure(control, pace)));
             } else if (!ended.contains(control.id())) {
                 missing(control, askedMillis, nowMillis).ifPresent(absent::add);
             }
         }
         lose(absent);
+        leaveSlow(link, paces.slow(measured), nowMillis);
         running.values().stream().filter(row -> link.run(row.run()) == null).forEach(row -> stopStray(link, row.run()));
     }
 
-    private void goesOn(RunControl control, HoldAnswer.Running row, long nowMillis) {
+    /** Stops the runs of a worker that is much slower than others, to run them elsewhere, and leaves it alone for a while. */
+    private void leaveSlow(WorkerLink link, List<RunControl> slow, long nowMillis) {
+        if (slow.isEmpty()) {
+            return;
+        }
+        LOG.log(
+                System.Logger.Level.INFO,
+                "WORKER slow worker={0} runs={1}",
+                link.entry().id(),
+                slow.stream().map(RunControl::id).toList());
+        link.health().unwell(nowMillis);
+        slow.stream()
+                .filter(control -> control.id().number() < MAX_MOVED_RUN)
+                .forEach(control -> stop(control, nowMillis));
+    }
+
+    private OptionalDouble goesOn(RunControl control, HoldAnswer.Running row, long nowMillis) {
         if (!control.state().ending() && control.state() != RunControl.State.RUNNING) {
             control.runs(nowMillis);
         }
-        control.progress(row.saved(), row.percent(), nowMillis);
+        OptionalDouble pace = control.progress(row.saved(), row.percent(), nowMillis);
         boolean unwanted = !table.job(control.id().task().job()).map(Job::open).orElse(false);
         if (unwanted && !control.state().ending()) {
             stop(control, nowMillis);
         }
+        return pace;
     }
 
     /** Handles a run that is neither running nor ended in a list; returns it if it surely is not there. */
--- a/core/src/main/java/org/wasabimount/core/log/Replica.java
+++ b/core/src/main/java/org/wasabimount/core/log/Replica.java
@@ -37,6 +37,9 @@
     private static final int MAX_IN_FLIGHT = 16;
     private static final int SNAPSHOT_RESEND_HEARTBEATS = 25;
 
+    /** Share of the election timeout by which it varies: many round trips and syncs, so that few elections collide. */
+    private static final double ELECTION_SPREAD = 0.4;
+
     private final ReplicaSettings settings;
     private final Random random;
     private final EntryLog log;
@@ -793,7 +796,7 @@
 
     private long randomTimeout() {
         long base = settings.electionTimeoutMillis();
-        return base + (long) (random.nextDouble() * base);
+        return base + (long) (random.nextDouble() * ELECTION_SPREAD * base);
     }
 
     private LogMessage.Builder message(String to) {
--- a/core/src/test/java/org/wasabimount/core/dispatch/DispatcherTest.java
+++ b/core/src/test/java/org/wasabimount/core/dispatch/DispatcherTest.java
@@ -5,6 +5,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.stream.IntStream;
 
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -190,6 +191,46 @@
         noViolations();
     }
 
+    private long lateJobs(int count) {
+        long objectiveMillis = JobPlan.objectiveMillis(cell.job("any", 4, SMALL, false), cell.queue());
+        return IntStream.range(0, count)
+                .mapToObj(number -> cell.table.job("job" + number).orElseThrow())
+                .filter(job -> job.endedMillis() - job.acceptedMillis() > objectiveMillis)
+                .count();
+    }
+
+    /** Replays weesteps-sched scale-1: one of 33 workers stood still for 5.6 s, and was given tasks all that time. */
+    @Test
+    public void movesTasksOffWorkerWhereTheyStandStill() {
+        cell.byAddress.values().iterator().next().standsStill = true;
+        submitJobs(40, 150);
+        cell.run(6_000);
+        allCompleted(40);
+        assertTrue(lateJobs(40) <= 4, lateJobs(40) + " jobs were late");
+        noViolations();
+    }
+
+    /** Replays the trouble of dwd-panel in which workers turn 6.5 times slower. */
+    @Test
+    public void leavesWorkerThatTurnedSlow() {
+        cell.byAddress.values().iterator().next().slowness = 6.5;
+        submitJobs(40, 150);
+        cell.run(6_000);
+        allCompleted(40);
+        assertTrue(lateJobs(40) <= 4, lateJobs(40) + " jobs were late");
+        noViolations();
+    }
+
+    @Test
+    public void leavesTaskAloneThatTakesLongerThanDeclared() {
+        cell.byAddress.values().forEach(worker -> worker.slowness = 4);
+        submitJobs(4, 0);
+        cell.run(15_000);
+        allCompleted(4);
+        assertEquals(cell.starts.values().stream().mapToInt(count -> count).sum(), 16, "a task was moved");
+        noViolations();
+    }
+
     @Test
     public void placesNothingOnDrainingWorker() {
         SimulatedWorker leaving = cell.byAddress.values().iterator().next();
--- a/core/src/test/java/org/wasabimount/core/dispatch/SimulatedWorker.java
+++ b/core/src/test/java/org/wasabimount/core/dispatch/SimulatedWorker.java
@@ -40,8 +40,12 @@
     boolean failsAll;
     boolean standsStill;
 
+    /** How many times longer than elsewhere the tasks take that begin here. */
+    double slowness = 1;
+
     /** A run that goes on. */
     static final class Live {
+        long beganMillis;
         long endsMillis = Long.MAX_VALUE;
         long arrivedMillis;
         EndKind how = EndKind.DONE;
@@ -120,7 +124,14 @@
     void begin(RunId id) {
         Live run = live.get(id);
         run.how = failsAll || cell.failsAnywhere(id.task()) ? EndKind.FAILED : EndKind.DONE;
-        run.endsMillis = standsStill ? Long.MAX_VALUE : cell.nowMillis() + cell.workMillis(id.task());
+        run.beganMillis = cell.nowMillis();
+        long workMillis = (long) (slowness * cell.workMillis(id.task()));
+        run.endsMillis = standsStill ? Long.MAX_VALUE : cell.nowMillis() + workMillis;
+    }
+
+    private int percent(Live run) {
+        boolean works = run.endsMillis != Long.MAX_VALUE && run.endsMillis > run.beganMillis;
+        return works ? (int) (100 * (cell.nowMillis() - run.beganMillis) / (run.endsMillis - run.beganMillis)) : 0;
     }
 
     OrderAnswer stop(DispatchAction.Stop order) {
@@ -151,8 +162,8 @@
     }
 
     HoldAnswer list() {
-        List<HoldAnswer.Running> running = live.keySet().stream()
-                .map(run -> new HoldAnswer.Running(run, "", 0))
+        List<HoldAnswer.Running> running = live.entrySet().stream()
+                .map(run -> new HoldAnswer.Running(run.getKey(), "", percent(run.getValue())))
                 .toList();
         return new HoldAnswer(OrderAnswer.DONE, clockMillis(), bornMillis, running, List.copyOf(ended));
     }
--- a/daemon/src/main/java/org/wasabimount/daemon/Daemon.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/Daemon.java
@@ -181,6 +181,7 @@
         if (!failed) {
             failed = true;
             LOG.log(System.Logger.Level.ERROR, "DAEMON stops: its log can't be kept", cause);
+            LogSetup.flush();
             Runtime.getRuntime().halt(Wasabimount.EXIT_LOG_FAILED);
         }
     }
--- a/daemon/src/main/java/org/wasabimount/daemon/DaemonMain.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/DaemonMain.java
@@ -33,6 +33,7 @@
      */
     public static void main(String[] arguments) throws InterruptedException {
         int status = run(arguments, System.out, System.err);
+        LogSetup.flush();
         Runtime.getRuntime().halt(status);
     }
 
--- a/daemon/src/main/java/org/wasabimount/daemon/LogSetup.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/LogSetup.java
@@ -34,12 +34,21 @@
         appender.setContext(context);
         appender.setEncoder(encoder(context, logging.format()));
         appender.start();
+        BoundedAppender bounded = new BoundedAppender();
+        bounded.setContext(context);
+        bounded.addAppender(appender);
+        bounded.start();
         Logger root = context.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME);
         root.setLevel(Level.WARN);
-        root.addAppender(appender);
+        root.addAppender(bounded);
         context.getLogger("wasabimount").setLevel(level(logging.level()));
     }
 
+    /** Writes the lines that are still queued; called right before the process ends. */
+    public static void flush() {
+        ((LoggerContext) LoggerFactory.getILoggerFactory()).stop();
+    }
+
     private static Encoder<ILoggingEvent> encoder(LoggerContext context, DaemonSettings.LogFormat format) {
         EncoderBase<ILoggingEvent> encoder = switch (format) {
             case JSON -> json();
--- a/daemon/src/main/java/org/wasabimount/daemon/http/HttpApi.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/http/HttpApi.java
@@ -211,12 +211,8 @@
     }
 
     private void writeMetrics(HttpServerExchange exchange) {
-        try {
-            HttpExchanges.send(
-                    exchange, ResultCode.OK.httpStatus(), "text/plain; version=0.0.4; charset=utf-8", metrics.text());
-        } catch (IOException e) {
-            exchanges.refuse(exchange, Refusal.of(ResultCode.INTERNAL, "the metrics could not be written"));
-        }
+        HttpExchanges.send(
+                exchange, ResultCode.OK.httpStatus(), "text/plain; version=0.0.4; charset=utf-8", metrics.text());
     }
 
     private static void text(HttpServerExchange exchange, int status, String text) {
--- a/daemon/src/main/java/org/wasabimount/daemon/job/JobDuties.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/job/JobDuties.java
@@ -26,6 +26,7 @@
 import org.wasabimount.core.job.QueueCheck;
 import org.wasabimount.core.log.Replica;
 import org.wasabimount.daemon.log.GroupThread;
+import org.wasabimount.daemon.metrics.NodeMetrics;
 import org.wasabimount.protocol.cell.Reply;
 import org.wasabimount.protocol.job.AcceptJob;
 import org.wasabimount.protocol.job.Announce;
@@ -52,8 +53,10 @@
     private final WorkerCalls workers;
     private final Consumer<DispatchAction.Ask> advice;
     private final Supplier<Collection<String>> advisers;
+    private final NodeMetrics metrics;
     private final Clock clock;
     private final Clock wallClock;
+    private final Map<Long, Long> adviceSentMillis = new HashMap<>();
     private final Map<String, CompletableFuture<Reply>> accepting = new HashMap<>();
     private final SuspensionWatch suspension;
     private Dispatcher dispatcher;
@@ -74,6 +77,7 @@
         this.workers = node.workers();
         this.advice = node.advice();
         this.advisers = node.advisers();
+        this.metrics = node.metrics();
         this.clock = node.clock();
         this.wallClock = node.wallClock();
         this.suspension = new SuspensionWatch(clock, wallClock);
@@ -118,6 +122,10 @@
             dispatcher.at(clock.millis());
             dispatcher.advised(ask, answer);
         }
+        Long sentMillis = adviceSentMillis.remove(ask);
+        if (sentMillis != null) {
+            metrics.advised(clock.millis() - sentMillis);
+        }
     }
 
     private CompletableFuture<Reply> submit(String request, Submit submit) {
@@ -247,6 +255,7 @@
             term = group.replica().term();
             dispatcher = new Dispatcher(
                     settings, table(), WaitingOrder.LATEST_START, term, clock.millis(), wallClock.millis());
+            dispatcher.onEnded(job -> metrics.ended(job.phase(), job.endedMillis() - job.acceptedMillis()));
             LOG.log(
                     System.Logger.Level.INFO,
                     "LEAD term={0} jobs={1} workers={2}",
@@ -261,6 +270,7 @@
         LOG.log(System.Logger.Level.INFO, "RESIGN term={0}", Long.toString(term));
         dispatcher = null;
         accepting.clear();
+        adviceSentMillis.clear();
         table().observe(new JobTable.Observer() {});
     }
 
@@ -273,16 +283,17 @@
                 }
             });
         } else if (action instanceof DispatchAction.Ask ask) {
+            adviceSentMillis.put(ask.id(), clock.millis());
             advice.accept(ask);
         } else if (action instanceof DispatchAction.Start start) {
             LifeId life = start.worker().id();
-            call(() -> workers.start(start))
+            call("start", () -> workers.start(start))
                     .thenAccept(result -> inTerm(
                             current,
                             () -> current.startAnswered(start.run(), life, result.answer(), result.clockMillis())));
         } else if (action instanceof DispatchAction.Stop stop) {
             LifeId life = stop.worker().id();
-            call(() -> workers.stop(stop))
+            call("stop", () -> workers.stop(stop))
                     .thenAccept(result -> inTerm(
                             current,
                             () -> current.stopAnswered(stop.run(), life, result.answer(), result.clockMillis())));
@@ -292,14 +303,22 @@
             CompletableFuture<HoldAnswer> answered = mayDecide()
                     ? workers.hold(hold)
                     : CompletableFuture.completedFuture(HoldAnswer.without(OrderAnswer.NOT_SENT));
-            answered.thenAccept(answer ->
-                    inTerm(current, () -> current.holdAnswered(hold.worker().id(), answer, askedMillis)));
+            answered.thenAccept(answer -> {
+                metrics.ordered("hold", answer.outcome());
+                inTerm(current, () -> current.holdAnswered(hold.worker().id(), answer, askedMillis));
+            });
         }
     }
 
     /** Sends an order if the lease still holds: this thread may have been stopped since the order was decided. */
-    private CompletableFuture<OrderResult> call(Supplier<CompletableFuture<OrderResult>> order) {
-        return mayDecide() ? order.get() : CompletableFuture.completedFuture(OrderResult.of(OrderAnswer.NOT_SENT));
+    private CompletableFuture<OrderResult> call(String kind, Supplier<CompletableFuture<OrderResult>> order) {
+        CompletableFuture<OrderResult> result =
+                mayDecide() ? order.get() : CompletableFuture.completedFuture(OrderResult.of(OrderAnswer.NOT_SENT));
+        return result.whenComplete((done, failure) -> {
+            if (done != null) {
+                metrics.ordered(kind, done.answer());
+            }
+        });
     }
 
     /** Runs an event on the group's thread, unless another term has begun since. */
@@ -316,8 +335,10 @@
     }
 
     private CompletableFuture<Reply> propose(JobCommand command) {
-        return group.propose(
+        long proposedMillis = clock.millis();
+        CompletableFuture<Reply> reply = group.propose(
                 command.toBuilder().setTimeMillis(wallClock.millis()).build().toByteString());
+        return reply.whenComplete((done, failure) -> metrics.committed(clock.millis() - proposedMillis));
     }
 
     private boolean mayDecide() {
--- a/daemon/src/main/java/org/wasabimount/daemon/job/JobGroup.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/job/JobGroup.java
@@ -14,6 +14,7 @@
 import org.wasabimount.core.log.ReplicaSettings;
 import org.wasabimount.daemon.log.GroupThread;
 import org.wasabimount.daemon.log.LogStore;
+import org.wasabimount.daemon.metrics.NodeMetrics;
 import org.wasabimount.protocol.cell.Reply;
 import org.wasabimount.protocol.job.JobOperation;
 import org.wasabimount.protocol.log.LogMessage;
@@ -38,6 +39,7 @@
      * @param advisers names the VMs that can ask now
      * @param network takes messages for other replicas
      * @param fatal told when the log can't be kept any more
+     * @param metrics takes what is counted
      * @param clock monotonic time
      * @param wallClock the time of day
      */
@@ -47,6 +49,7 @@
             Supplier<Collection<String>> advisers,
             Consumer<LogMessage> network,
             Consumer<IOException> fatal,
+            NodeMetrics metrics,
             Clock clock,
             Clock wallClock) {}
 
--- a/daemon/src/main/java/org/wasabimount/daemon/metrics/DaemonMetrics.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/metrics/DaemonMetrics.java
@@ -1,68 +1,44 @@
 package org.wasabimount.daemon.metrics;
 
-import java.io.ByteArrayOutputStream;
-import java.io.IOException;
-import java.util.function.DoubleSupplier;
-
 import org.wasabimount.core.ResultCode;
 import org.wasabimount.core.routing.AttemptResult;
 
 import io.prometheus.metrics.core.metrics.Counter;
-import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.core.metrics.Histogram;
-import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
-import io.prometheus.metrics.model.registry.PrometheusRegistry;
 
 /** The metrics of one daemon. */
-public final class DaemonMetrics {
+public final class DaemonMetrics extends MetricsPage {
 
-    private static final double MILLIS_PER_SECOND = 1_000.0;
     private static final double[] WAIT_BOUNDS_SECONDS = {0.001, 0.005, 0.02, 0.1, 0.5, 1, 2, 5, 10};
 
-    private final PrometheusRegistry registry = new PrometheusRegistry();
     private final Counter refusals = Counter.builder()
             .name("wasabimount_refusals")
             .help("Requests and writes that were refused, by result code")
             .labelNames("code")
-            .register(registry);
+            .register(registry());
     private final Counter retries = Counter.builder()
             .name("wasabimount_request_retries")
             .help("Requests that were sent to a backend server again")
-            .register(registry);
+            .register(registry());
     private final Counter attemptFailures = Counter.builder()
             .name("wasabimount_attempt_failures")
             .help("Attempts without a good answer, by reason; each is why a retry was considered")
             .labelNames("reason")
-            .register(registry);
+            .register(registry());
     private final Counter lateAnswers = Counter.builder()
             .name("wasabimount_late_answers")
             .help("Answers that came after their attempt had ended; they are dropped")
-            .register(registry);
+            .register(registry());
     private final Counter answers = Counter.builder()
             .name("wasabimount_answers")
             .help("Requests that were answered by a backend server")
-            .register(registry);
+            .register(registry());
     private final Histogram waits = Histogram.builder()
             .name("wasabimount_request_wait_seconds")
             .help("Time from a request's arrival to its first dispatch")
             .classicOnly()
             .classicUpperBounds(WAIT_BOUNDS_SECONDS)
-            .register(registry);
-
-    /**
-     * Adds a gauge that is read when the metrics are.
-     *
-     * @param name the metric's name
-     * @param help what it means
-     * @param value reads the value, from any thread
-     */
-    public void gauge(String name, String help, DoubleSupplier value) {
-        GaugeWithCallback.builder()
-                .name(name)
-                .help(help)
-                .callback(callback -> callback.call(value.getAsDouble()))
-                .register(registry);
-    }
+            .register(registry());
 
     /**
      * Counts a refusal.
@@ -107,18 +83,6 @@
      * @param waitedMillis the time in milliseconds
      */
     public void waited(long waitedMillis) {
-        waits.observe(waitedMillis / MILLIS_PER_SECOND);
-    }
-
-    /**
-     * Writes all metrics in the Prometheus text format.
-     *
-     * @return the text's bytes
-     * @throws IOException never, as nothing but memory is written
-     */
-    public byte[] text() throws IOException {
-        ByteArrayOutputStream out = new ByteArrayOutputStream();
-        PrometheusTextFormatWriter.create().write(out, registry.scrape());
-        return out.toByteArray();
+        waits.observe(seconds(waitedMillis));
     }
 }
--- a/daemon/src/main/java/org/wasabimount/daemon/node/JobNode.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/node/JobNode.java
@@ -13,18 +13,21 @@
 import java.util.concurrent.TimeUnit;
 
 import org.wasabimount.core.Clock;
+import org.wasabimount.core.ResultCode;
 import org.wasabimount.core.VmId;
 import org.wasabimount.core.dispatch.AdviceAnswer;
 import org.wasabimount.core.dispatch.DispatchAction;
 import org.wasabimount.core.log.MembershipPlan;
 import org.wasabimount.core.log.ReplicaIdentity;
 import org.wasabimount.core.log.ReplicaSettings;
+import org.wasabimount.daemon.LogSetup;
 import org.wasabimount.daemon.Wasabimount;
 import org.wasabimount.daemon.job.AdviceCalls;
 import org.wasabimount.daemon.job.JobGroup;
 import org.wasabimount.daemon.job.WorkerCalls;
 import org.wasabimount.daemon.log.DataFolder;
 import org.wasabimount.daemon.log.GroupThread;
+import org.wasabimount.daemon.metrics.NodeMetrics;
 import org.wasabimount.daemon.peer.OperationGateway;
 import org.wasabimount.daemon.peer.PeerNetwork;
 import org.wasabimount.protocol.cell.Operation;
@@ -47,8 +50,8 @@
     private static final long TICK_MILLIS = 20;
     private static final long PRESENCE_MILLIS = 250;
 
-    /** Shortest silence of a leader before an election, in milliseconds; many syncs of the slowest disk. */
-    private static final long ELECTION_TIMEOUT_MILLIS = 600;
+    /** Shortest silence of a leader before an election, in milliseconds; forty syncs of the slowest disk. */
+    private static final long ELECTION_TIMEOUT_MILLIS = 400;
 
     /** Silence after which a replica that has caught up takes a voter's place, in milliseconds; a second loss may follow. */
     private static final long REPLACE_VOTER_MILLIS = 2_000;
@@ -59,6 +62,7 @@
     private final NodeSettings settings;
     private final AdviceCalls advice;
     private final Clock clock = Clock.monotonic();
+    private final NodeMetrics metrics = new NodeMetrics();
     private final ScheduledExecutorService timers =
             Executors.newSingleThreadScheduledExecutor(task -> new Thread(task, "timer"));
     private final PeerNetwork network;
@@ -67,6 +71,7 @@
     private final Optional<ReplicaIdentity> identity;
     private final Optional<JobGroup> group;
     private volatile boolean draining;
+    private String toldLeader = "";
 
     /**
      * Creates a node; {@link #start} starts it.
@@ -85,17 +90,38 @@
         this.group = folder.isPresent() ? Optional.of(host(folder.get(), workers)) : Optional.empty();
         this.peers = new Peers(settings, network, this::presence, clock);
         this.gateway = new OperationGateway(
-                network,
-                this::executeHere,
-                name -> group.map(JobGroup::thread)
-                        .map(GroupThread::leader)
-                        .filter(leader -> !leader.isEmpty())
-                        .orElseGet(peers::leader),
-                name -> peers.replicas(),
-                peers::alive,
-                timers,
-                clock);
+                network, this::executeHere, name -> leader(), name -> peers.replicas(), peers::alive, timers, clock);
         peers.onReplica(this::replicaHeard);
+        gateway.onRetry(metrics::retried);
+        gauges();
+    }
+
+    private void gauges() {
+        metrics.gauge(
+                "wasabimount_ready",
+                "1 if requests can be passed on to a leader and the node is not draining",
+                () -> ready() ? 1 : 0);
+        metrics.gauge(
+                "wasabimount_peers",
+                "Nodes that were heard lately and are not draining",
+                () -> peers.present().size());
+        metrics.gauge("wasabimount_peer_sent_bytes", "Bytes of frames sent to other nodes", network::sentBytes);
+        metrics.gauge(
+                "wasabimount_peer_received_bytes", "Bytes of frames received from other nodes", network::receivedBytes);
+        group.map(JobGroup::thread).ifPresent(thread -> {
+            metrics.gauge("wasabimount_leads", "1 if this node leads", () -> thread.leading() ? 1 : 0);
+            metrics.gauge("wasabimount_syncs", "Batches synced to the log", thread::syncCount);
+            metrics.gauge("wasabimount_commit_index", "Last index of the log on a majority", thread::commitIndex);
+        });
+    }
+
+    /**
+     * Returns the node's metrics.
+     *
+     * @return the metrics, kept up to date by the node
+     */
+    public NodeMetrics metrics() {
+        return metrics;
     }
 
     private ReplicaIdentity identity(DataFolder folder) throws IOException {
@@ -115,7 +141,7 @@
                 first(self),
                 folder.store(JobGroup.NAME),
                 new JobGroup.Surroundings(
-                        workers, this::ask, this::advisers, this::send, this::fail, clock, Clock.wall()),
+                        workers, this::ask, this::advisers, this::send, this::fail, metrics, clock, Clock.wall()),
                 settings.dispatch());
     }
 
@@ -141,6 +167,7 @@
         network.listen(settings.peerAddress(settings.vm()), this::receive);
         group.map(JobGroup::thread).ifPresent(thread -> schedule(thread::tick, TICK_MILLIS));
         schedule(peers::round, PRESENCE_MILLIS);
+        schedule(this::followLeader, TICK_MILLIS);
         LOG.log(
                 System.Logger.Level.INFO,
                 "NODE start vm={0} domain={1} replica={2} seeds={3} firstStart={4}",
@@ -159,8 +186,19 @@
      * @return the reply, or a refusal that says whether the operation may have been carried out
      */
     public CompletableFuture<Reply> execute(JobOperation operation, long timeoutMillis) {
+        long arrivedMillis = clock.millis();
         return gateway.execute(
-                Operation.newBuilder().setGroup(JobGroup.NAME).setJob(operation).build(), timeoutMillis);
+                        Operation.newBuilder()
+                                .setGroup(JobGroup.NAME)
+                                .setJob(operation)
+                                .build(),
+                        timeoutMillis)
+                .whenComplete((reply, failure) -> {
+                    if (reply != null) {
+                        ResultCode code = ResultCode.of(reply.getResultCode());
+                        metrics.answered(operation.getBodyCase(), code, clock.millis() - arrivedMillis);
+                    }
+                });
     }
 
     /**
@@ -196,6 +234,27 @@
         peers.seeds(seeds);
     }
 
+    /** Tells the others at once when this node begins to lead, and asks a new leader what the one before left unanswered. */
+    private void followLeader() {
+        String leader = leader();
+        if (leader.equals(toldLeader) || leader.isEmpty()) {
+            return;
+        }
+        toldLeader = leader;
+        if (group.map(hosted -> hosted.thread().leading()).orElse(false)) {
+            peers.round();
+        }
+        gateway.leaderIs(ReplicaIdentity.parse(leader).vm());
+    }
+
+    /** Returns the leader's identity as this node knows it, empty if it knows none. */
+    private String leader() {
+        return group.map(JobGroup::thread)
+                .map(GroupThread::leader)
+                .filter(leader -> !leader.isEmpty())
+                .orElseGet(peers::leader);
+    }
+
     private Optional<CompletableFuture<Reply>> executeHere(Operation operation) {
         return group.map(hosted -> hosted.execute(operation.getJob()));
     }
@@ -297,6 +356,7 @@
 
     private void fail(IOException cause) {
         LOG.log(System.Logger.Level.ERROR, "NODE stops: its log can't be kept", cause);
+        LogSetup.flush();
         Runtime.getRuntime().halt(Wasabimount.EXIT_LOG_FAILED);
     }
 
--- a/daemon/src/main/java/org/wasabimount/daemon/node/Peers.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/node/Peers.java
@@ -1,6 +1,7 @@
 package org.wasabimount.daemon.node;
 
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -198,16 +199,20 @@
 
     /** Returns the replicas' leader as the others see it: first who says so of itself, then who others name. */
     String leader() {
-        List<Presence> said = peers.entrySet().stream()
+        List<Presence> latestFirst = peers.entrySet().stream()
                 .filter(peer -> alive(peer.getKey()))
-                .map(peer -> peer.getValue().last)
-                .filter(presence -> !presence.getLeader().isEmpty())
+                .map(Map.Entry::getValue)
+                .filter(peer -> !peer.last.getLeader().isEmpty())
+                .sorted(Comparator.comparingLong((Peer peer) -> peer.heardMillis)
+                        .reversed())
+                .map(peer -> peer.last)
                 .toList();
-        Optional<String> itself = said.stream()
+        // A leader that was cut off or suspended may have spoken of itself before its successor did.
+        Optional<String> itself = latestFirst.stream()
                 .filter(presence -> presence.getLeader().equals(presence.getReplica()))
                 .map(Presence::getLeader)
                 .findFirst();
-        return itself.or(() -> said.stream().map(Presence::getLeader).findFirst())
+        return itself.or(() -> latestFirst.stream().map(Presence::getLeader).findFirst())
                 .orElse("");
     }
 
--- a/daemon/src/main/java/org/wasabimount/daemon/peer/OperationGateway.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/peer/OperationGateway.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.Predicate;
 
@@ -39,10 +40,14 @@
     private final Predicate<VmId> heardLately;
     private final ScheduledExecutorService timers;
     private final Clock clock;
-    private final Map<Long, CompletableFuture<Reply>> open = new ConcurrentHashMap<>();
+    private final Map<Long, Forwarded> open = new ConcurrentHashMap<>();
     private final Map<String, VmId> leaderHints = new ConcurrentHashMap<>();
     private final AtomicLong nextId = new AtomicLong();
 
+    private volatile Consumer<ResultCode> retried = reason -> {};
+
+    private record Forwarded(VmId to, CompletableFuture<Reply> reply) {}
+
     /**
      * Creates a gateway.
      *
@@ -72,6 +77,15 @@
         this.clock = clock;
     }
 
+    /**
+     * Sets who is told of each retry.
+     *
+     * @param listener takes what became of the try before
+     */
+    public void onRetry(Consumer<ResultCode> listener) {
+        retried = listener;
+    }
+
     /**
      * Carries an operation out, trying again until a leader answers or the time is up.
      *
@@ -108,16 +122,29 @@
      * @param reply the reply
      */
     public void receive(OperationReply reply) {
-        CompletableFuture<Reply> waiting = open.remove(reply.getId());
+        Forwarded waiting = open.remove(reply.getId());
         if (waiting != null) {
-            waiting.complete(reply.getReply());
+            waiting.reply.complete(reply.getReply());
         }
     }
 
+    /**
+     * Gives up waiting for other VMs than the new leader; what was passed on to them is tried again.
+     *
+     * @param leader the VM that leads now
+     */
+    public void leaderIs(VmId leader) {
+        open.forEach((id, forwarded) -> {
+            if (!forwarded.to.equals(leader) && open.remove(id, forwarded)) {
+                forwarded.reply.complete(refusal(ResultCode.COMMIT_UNKNOWN, "another VM leads since"));
+            }
+        });
+    }
+
     private CompletableFuture<Reply> forward(VmId to, Operation operation, long timeoutMillis) {
         long id = nextId.incrementAndGet();
         CompletableFuture<Reply> reply = new CompletableFuture<>();
-        open.put(id, reply);
+        open.put(id, new Forwarded(to, reply));
         OperationRequest request = OperationRequest.newBuilder()
                 .setId(id)
                 .setOperation(operation)
@@ -184,7 +211,7 @@
         private void passOn(String leaderIdentity) {
             Optional<VmId> target = target(leaderIdentity);
             if (target.isEmpty()) {
-                tryLater();
+                tryLater(ResultCode.NO_LEADER);
                 return;
             }
             long leftMillis = Math.max(1, deadlineMillis - clock.millis());
@@ -217,7 +244,7 @@
             ResultCode code = ResultCode.of(reply.getResultCode());
             if (code == ResultCode.NOT_LEADER) {
                 noteHint(reply.getDetail());
-                tryLater();
+                tryLater(code);
             } else {
                 leaderHints.put(group, from);
                 settle(reply);
@@ -236,19 +263,20 @@
             if (ResultCode.of(reply.getResultCode()) == ResultCode.COMMIT_UNKNOWN) {
                 mayHaveRun = true;
                 leaderHints.remove(group);
-                tryLater();
+                tryLater(ResultCode.COMMIT_UNKNOWN);
             } else {
                 result.complete(reply);
             }
         }
 
-        private void tryLater() {
+        private void tryLater(ResultCode reason) {
             if (clock.millis() + RETRY_MILLIS >= deadlineMillis) {
                 result.complete(
                         mayHaveRun
                                 ? refusal(ResultCode.COMMIT_UNKNOWN, "the leader was lost before it answered")
                                 : refusal(ResultCode.NO_LEADER, "no leader of group " + group + " can be reached"));
             } else {
+                retried.accept(reason);
                 timers.schedule(this::attempt, RETRY_MILLIS, TimeUnit.MILLISECONDS);
             }
         }
--- a/daemon/src/main/java/org/wasabimount/daemon/settings/NodeSettingsFile.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/settings/NodeSettingsFile.java
@@ -40,11 +40,13 @@
      * @param entry for clients, empty if the node serves none
      * @param ready for the balancer's question whether the node takes connections, empty if it serves no clients
      * @param control for workers and the operator, empty if the node holds no replica
+     * @param metrics for those who read the metrics, empty if nobody does
      */
     public record Listen(
             Optional<InetSocketAddress> entry,
             Optional<InetSocketAddress> ready,
-            Optional<InetSocketAddress> control) {}
+            Optional<InetSocketAddress> control,
+            Optional<InetSocketAddress> metrics) {}
 
     /** The keys of the file, as documented in docs/SETTINGS.md. */
     public enum Key {
@@ -68,6 +70,8 @@
         READY_ADDRESS("readyAddress", "IP number and port", "none"),
         /** Where workers and the operator connect. */
         CONTROL_ADDRESS("controlAddress", "IP number and port", "none"),
+        /** Where the metrics are served. */
+        METRICS_ADDRESS("metricsAddress", "IP number and port", "none"),
         /** Where the advice service listens. */
         ADVICE_ADDRESS("adviceAddress", "IP number and port", "none"),
         /** Longest lease that workers grant. */
@@ -167,7 +171,10 @@
                         1_000 * number(root, Key.CHECKPOINT, 2, 1, 3_600),
                         number(root, Key.STOP, 1_000, 0, MAX_MILLIS)));
         Listen listen = new Listen(
-                address(root, Key.ENTRY_ADDRESS), address(root, Key.READY_ADDRESS), address(root, Key.CONTROL_ADDRESS));
+                address(root, Key.ENTRY_ADDRESS),
+                address(root, Key.READY_ADDRESS),
+                address(root, Key.CONTROL_ADDRESS),
+                address(root, Key.METRICS_ADDRESS));
         return new NodeSettingsFile(
                 node,
                 listen,
