Measure the pace of an adopted or resumed run from where it was first seen

It had counted the whole progress of adopted runs as made since its begin, so the usual pace came out several times too high. Change: the first list that shows such a run only sets the mark.

--- a/core/src/main/java/org/wasabimount/core/dispatch/RunControl.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/RunControl.java
@@ -56,6 +56,8 @@
     private long dueMillis;
     private long startedMillis;
     private long settledMillis;
+    private boolean resumes;
+    private boolean marked;
     private int measuredPercent;
     private long measuredMillis;
 
@@ -123,8 +125,9 @@
         dueMillis = whenMillis;
     }
 
-    void starting() {
+    void starting(boolean fromSaved) {
         state = State.STARTING;
+        resumes = fromSaved;
         tries++;
     }
 
@@ -133,6 +136,8 @@
     }
 
     void runs(long nowMillis) {
+        // Where it begins is known only of a run that this leader started from nothing.
+        marked = state == State.STARTING && !resumes;
         state = State.RUNNING;
         startedMillis = nowMillis;
         measuredMillis = nowMillis;
@@ -171,6 +176,11 @@
         if (!newest.isEmpty()) {
             saved = newest;
         }
+        if (!marked) {
+            marked = true;
+            measuredMillis = nowMillis;
+            measuredPercent = percent;
+        }
         long windowMillis = nowMillis - measuredMillis;
         boolean steady = state == State.RUNNING && !step.getLongRunning() && !step.getGang() && !step.getFiller();
         if (!steady || windowMillis < PACE_MILLIS || percent >= PERCENT) {
--- a/core/src/main/java/org/wasabimount/core/dispatch/WorkerDesk.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/WorkerDesk.java
@@ -208,14 +208,15 @@
             stop(control, nowMillis);
             return;
         }
-        control.starting();
+        String saved = savedProgress(job.get(), control);
+        control.starting(!saved.isEmpty());
         out.accept(new DispatchAction.Start(
                 control.id(),
                 link.entry(),
                 job.get().spec().getPayload(),
                 link.clock().grant(nowMillis),
                 fence,
-                savedProgress(job.get(), control),
+                saved,
                 control.ticket()));
     }
 
--- a/core/src/test/java/org/wasabimount/core/dispatch/DispatcherTest.java
+++ b/core/src/test/java/org/wasabimount/core/dispatch/DispatcherTest.java
@@ -221,6 +221,25 @@
         noViolations();
     }
 
+    /** Replays weesteps-sched scale-1: what had long been running looked fast to a new leader, and the rest slow. */
+    @Test
+    public void nextLeaderTakesNoWorkerForSlow() {
+        cell.workMillis(4_000);
+        submitJobs(10, 100);
+        cell.run(1_500);
+        cell.lead();
+        cell.workMillis(700);
+        cell.run(100);
+        for (int number = 10; number < 20; number++) {
+            cell.submit(cell.job("job" + number, 2, SMALL, false));
+            cell.run(50);
+        }
+        cell.run(9_000);
+        allCompleted(20);
+        assertEquals(cell.starts.values().stream().mapToInt(count -> count).sum(), 60, "a task was moved");
+        noViolations();
+    }
+
     @Test
     public void leavesTaskAloneThatTakesLongerThanDeclared() {
         cell.byAddress.values().forEach(worker -> worker.slowness = 4);
