Keep the tasks of a step in one failure domain; refuse at once while no leader is known

Entry nodes in the cut zone held each request for 1.35 s before they refused it. Ruled out: shorter leases, which would throw away all other work there. Change: a step's tasks prefer the domains that it already uses, unless they last. After 0.8 s without a known leader an operation is refused at once, to come back after 1 to 3 s, the longer that lasts the later.

--- a/core/src/main/java/org/wasabimount/core/dispatch/Placer.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/Placer.java
@@ -3,22 +3,26 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
 
 import org.wasabimount.core.cell.Capacity;
 import org.wasabimount.core.job.JobTask;
+import org.wasabimount.core.job.LifeId;
 
 /**
  * Chooses workers for the tasks of one step.
  *
  * <p>The load it answers: tasks from a fraction of a worker to a third of it, some in gangs, each step on its own part
  * of the workers. Single tasks go where they leave the least room, so that larger ones still find some; gangs go where
- * there is most.
+ * there is most. The tasks of a step keep to as few failure domains as they can: a job needs all of them, so each domain
+ * more is one more whose loss delays it.
  */
 final class Placer {
 
@@ -53,7 +57,11 @@
     private Map<JobTask, WorkerLink> oneByOne(ReadyStep step, List<WorkerLink> candidates) {
         Map<JobTask, WorkerLink> chosen = new LinkedHashMap<>();
         Map<WorkerLink, Integer> counts = countsOf(step);
+        Set<String> domains = domainsOf(step);
+        // Tasks that last serve one by one, and are better off apart.
+        boolean together = !step.step().getLongRunning();
         Comparator<WorkerLink> tightest = Comparator.<WorkerLink, Boolean>comparing(link -> !nearData(step, link))
+                .thenComparing(link -> together && !domains.isEmpty() && !domains.contains(link.domain()))
                 .thenComparingDouble(link -> freeShare(link));
         for (JobTask task : step.waiting()) {
             Optional<WorkerLink> best = candidates.stream()
@@ -64,11 +72,23 @@
             }
             take(best.get(), step.size());
             counts.merge(best.get(), 1, Integer::sum);
+            domains.add(best.get().domain());
             chosen.put(task, best.get());
         }
         return chosen;
     }
 
+    /** Returns the failure domains in which tasks of the step run. */
+    private Set<String> domainsOf(ReadyStep step) {
+        Set<LifeId> lives = step.job().tasks(step.id().occurrence(), step.id().step()).stream()
+                .flatMap(task -> task.life().stream())
+                .collect(Collectors.toSet());
+        return rooms.keySet().stream()
+                .filter(link -> lives.contains(link.entry().id()))
+                .map(WorkerLink::domain)
+                .collect(Collectors.toCollection(HashSet::new));
+    }
+
     private Map<JobTask, WorkerLink> together(ReadyStep step, List<WorkerLink> candidates) {
         if (step.step().getColocated()) {
             Optional<Map<JobTask, WorkerLink>> onOneRack =
--- a/core/src/main/java/org/wasabimount/core/dispatch/WorkerLink.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/WorkerLink.java
@@ -195,6 +195,10 @@
         proposedOffset = offset;
     }
 
+    String domain() {
+        return entry.life().getDomain();
+    }
+
     String rack() {
         return entry.life().getRack();
     }
--- a/core/src/test/java/org/wasabimount/core/dispatch/DispatcherTest.java
+++ b/core/src/test/java/org/wasabimount/core/dispatch/DispatcherTest.java
@@ -3,8 +3,12 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.stream.IntStream;
 
 import org.testng.annotations.BeforeMethod;
@@ -66,6 +70,32 @@
         noViolations();
     }
 
+    /** Replays weesteps-sched scale-1: a zone was cut off, and half of the small jobs had a task there. */
+    @Test
+    public void keepsTasksOfStepInOneDomain() {
+        cell = new SimulatedCell(7);
+        List<String> domains = List.of("glasgow", "edinburgh", "aberdeen");
+        cell.addresses(9)
+                .forEach(address -> cell.worker("w" + address, address, WORKER).domain =
+                        domains.get(address.hashCode() % domains.size()));
+        cell.run(SETTLE_MILLIS);
+        Map<String, Set<String>> used = new HashMap<>();
+        for (int number = 0; number < 30; number++) {
+            cell.submit(cell.job("job" + number, 4, SMALL, false));
+            cell.run(50);
+            cell.byAddress
+                    .values()
+                    .forEach(worker -> worker.live
+                            .keySet()
+                            .forEach(run -> used.computeIfAbsent(run.task().job(), job -> new HashSet<>())
+                                    .add(worker.domain)));
+        }
+        long apart = used.values().stream().filter(names -> names.size() > 1).count();
+        assertEquals(used.size(), 30);
+        assertTrue(apart <= 3, apart + " of 30 jobs use several domains");
+        noViolations();
+    }
+
     @Test
     public void startsGangWhole() {
         cell.submit(cell.job("gang1", 8, LARGE, true));
--- a/core/src/test/java/org/wasabimount/core/dispatch/SimulatedWorker.java
+++ b/core/src/test/java/org/wasabimount/core/dispatch/SimulatedWorker.java
@@ -39,6 +39,7 @@
     boolean draining;
     boolean failsAll;
     boolean standsStill;
+    String domain = "glasgow";
 
     /** How many times longer than elsewhere the tasks take that begin here. */
     double slowness = 1;
@@ -76,7 +77,7 @@
                         .setWorker(id)
                         .setBornMillis(bornMillis)
                         .setAddress(address)
-                        .setDomain("glasgow")
+                        .setDomain(domain)
                         .setPool("pool")
                         .addLabels("a")
                         .setRack("r1")
--- a/daemon/src/main/java/org/wasabimount/daemon/node/JobNode.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/node/JobNode.java
@@ -56,6 +56,14 @@
     /** Silence after which a replica that has caught up takes a voter's place, in milliseconds; a second loss may follow. */
     private static final long REPLACE_VOTER_MILLIS = 2_000;
 
+    /** Time without a leader after which operations are refused at once, in milliseconds; longer than an election. */
+    private static final long LEADERLESS_MILLIS = 800;
+
+    private static final long MIN_RETRY_MILLIS = 1_000;
+
+    /** Longest time to come back while there is no leader, in milliseconds: all may be well a moment later. */
+    private static final long MAX_RETRY_MILLIS = 3_000;
+
     private static final long TRANSFER_MILLIS = 1_500;
     private static final long POLL_MILLIS = 20;
 
@@ -71,6 +79,7 @@
     private final Optional<ReplicaIdentity> identity;
     private final Optional<JobGroup> group;
     private volatile boolean draining;
+    private volatile long leaderSeenMillis;
     private String toldLeader = "";
 
     /**
@@ -84,6 +93,7 @@
     public JobNode(NodeSettings settings, WorkerCalls workers, AdviceCalls advice) throws IOException {
         this.settings = settings;
         this.advice = advice;
+        this.leaderSeenMillis = clock.millis();
         this.network = new PeerNetwork(settings.vm(), null);
         Optional<DataFolder> folder = settings.dataFolder().map(DataFolder::new);
         this.identity = folder.isPresent() ? Optional.of(identity(folder.get())) : Optional.empty();
@@ -187,18 +197,30 @@
      */
     public CompletableFuture<Reply> execute(JobOperation operation, long timeoutMillis) {
         long arrivedMillis = clock.millis();
-        return gateway.execute(
+        long leaderlessMillis = arrivedMillis - leaderSeenMillis;
+        CompletableFuture<Reply> result = leaderlessMillis > LEADERLESS_MILLIS
+                ? CompletableFuture.completedFuture(noLeader(leaderlessMillis))
+                : gateway.execute(
                         Operation.newBuilder()
                                 .setGroup(JobGroup.NAME)
                                 .setJob(operation)
                                 .build(),
-                        timeoutMillis)
-                .whenComplete((reply, failure) -> {
-                    if (reply != null) {
-                        ResultCode code = ResultCode.of(reply.getResultCode());
-                        metrics.answered(operation.getBodyCase(), code, clock.millis() - arrivedMillis);
-                    }
-                });
+                        timeoutMillis);
+        return result.whenComplete((reply, failure) -> {
+            if (reply != null) {
+                ResultCode code = ResultCode.of(reply.getResultCode());
+                metrics.answered(operation.getBodyCase(), code, clock.millis() - arrivedMillis);
+            }
+        });
+    }
+
+    /** Returns the refusal while no leader is known: the longer that lasts, the later it is worth coming back. */
+    private static Reply noLeader(long leaderlessMillis) {
+        return Reply.newBuilder()
+                .setResultCode(ResultCode.NO_LEADER.number())
+                .setDetail("no leader is known for " + leaderlessMillis + " ms")
+                .setRetryAfterMillis(Math.max(MIN_RETRY_MILLIS, Math.min(MAX_RETRY_MILLIS, leaderlessMillis)))
+                .build();
     }
 
     /**
@@ -237,7 +259,11 @@
     /** Tells the others at once when this node begins to lead, and asks a new leader what the one before left unanswered. */
     private void followLeader() {
         String leader = leader();
-        if (leader.equals(toldLeader) || leader.isEmpty()) {
+        if (leader.isEmpty()) {
+            return;
+        }
+        leaderSeenMillis = clock.millis();
+        if (leader.equals(toldLeader)) {
             return;
         }
         toldLeader = leader;
