--- a/core/src/test/java/org/wasabimount/core/log/ReplicaTest.java
+++ b/core/src/test/java/org/wasabimount/core/log/ReplicaTest.java
@@ -86,6 +86,18 @@
         assertEquals(follower.term(), 5);
     }
 
+    /** Replays weesteps-sched scale-1: after a kill of all processes 0.8 s of the outage were the wait for an election. */
+    @Test
+    public void campaignsSoonAfterItsTimeout() {
+        for (int seed = 0; seed < 50; seed++) {
+            Replica follower = follower(ReplicaSettings.of("group", "vm0/0", 400, seed));
+            follower.tick(399);
+            assertEquals(follower.role(), Replica.Role.FOLLOWER, "seed " + seed);
+            follower.tick(560);
+            assertEquals(follower.role(), Replica.Role.PRE_CANDIDATE, "seed " + seed);
+        }
+    }
+
     @Test
     public void refusesVoteForOlderLog() {
         Replica follower = follower();
@@ -111,6 +123,10 @@
     }
 
     private static Replica follower() {
+        return follower(SETTINGS);
+    }
+
+    private static Replica follower(ReplicaSettings settings) {
         Membership membership = Membership.newBuilder()
                 .addAllVoters(List.of("vm0/0", "vm1/0", "vm2/0"))
                 .build();
@@ -122,7 +138,7 @@
                 .build();
         LogSnapshot first = LogSnapshot.newBuilder().setMembership(membership).build();
         HardState hardState = HardState.newBuilder().setTerm(3).build();
-        return new Replica(SETTINGS, new PersistedLog(hardState, first, List.of(old)), 0);
+        return new Replica(settings, new PersistedLog(hardState, first, List.of(old)), 0);
     }
 
     private static Replica leaderWithOldEntry() {
