Hold a crawling task against its worker once only; log each lost worker

Four of ten workers that were cut off logged no line, because a start was the first call that they left unanswered.

--- a/core/src/main/java/org/wasabimount/core/dispatch/PaceWatch.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/PaceWatch.java
@@ -44,7 +44,9 @@
         double limit = SLOW_SHARE * usual();
         List<Measure> slow =
                 measured.stream().filter(measure -> measure.pace < limit).toList();
+        // A task that was slow where it ran before says more of itself than of its worker.
         long jobs = slow.stream()
+                .filter(measure -> measure.run.id().number() == 1)
                 .map(measure -> measure.run.id().task().job())
                 .distinct()
                 .count();
--- a/core/src/main/java/org/wasabimount/core/dispatch/WorkerDesk.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/WorkerDesk.java
@@ -252,6 +252,7 @@
         switch (answer) {
             case DONE -> control.runs(nowMillis);
             case NO_ANSWER, NOT_SENT -> {
+                noteMiss(link, "start", answer);
                 link.missed();
                 control.startAt(nowMillis + RETRY_MILLIS);
             }
@@ -320,10 +321,8 @@
             return;
         }
         if (answer.outcome() != OrderAnswer.DONE) {
+            noteMiss(link, "hold", answer.outcome());
             link.holdAnswered(false, nowMillis + RETRY_MILLIS, nowMillis);
-            if (link.misses() == 1) {
-                LOG.log(System.Logger.Level.INFO, "WORKER lost worker={0} answer={1}", life, answer.outcome());
-            }
             return;
         }
         if (link.misses() > 0) {
@@ -336,6 +335,18 @@
         noteRunning(link, answer, askedMillis, nowMillis);
     }
 
+    /** Logs the first call without an answer: nothing is placed on the worker until it lists its runs again. */
+    private static void noteMiss(WorkerLink link, String call, OrderAnswer answer) {
+        if (link.misses() == 0) {
+            LOG.log(
+                    System.Logger.Level.INFO,
+                    "WORKER lost worker={0} call={1} answer={2}",
+                    link.entry().id(),
+                    call,
+                    answer);
+        }
+    }
+
     /** Ends a life whose id lives on, once nothing that was meant for it runs in the later life. */
     private void laterLifeAnswered(WorkerLink link, HoldAnswer answer, long nowMillis) {
         link.reborn();
--- a/core/src/test/java/org/wasabimount/core/dispatch/DispatcherTest.java
+++ b/core/src/test/java/org/wasabimount/core/dispatch/DispatcherTest.java
@@ -45,6 +45,12 @@
         }
     }
 
+    private void submitMore(int from, int to) {
+        for (int number = from; number < to; number++) {
+            cell.submit(cell.job("job" + number, 4, SMALL, false));
+        }
+    }
+
     private void allCompleted(int count) {
         for (int number = 0; number < count; number++) {
             assertEquals(cell.phase("job" + number), JobPhase.COMPLETED, "job" + number);
@@ -270,6 +276,20 @@
         noViolations();
     }
 
+    /** Replays weesteps-sched inc-8bc2: tasks that crawl anywhere had each worker distrusted that they were moved to. */
+    @Test
+    public void movesTaskThatCrawlsAnywhereOnce() {
+        submitJobs(20, 100);
+        cell.run(2_000);
+        cell.crawling.addAll(List.of("job20", "job21"));
+        submitMore(20, 22);
+        cell.run(12_000);
+        allCompleted(22);
+        assertTrue(cell.starts.get("job20") <= 8, cell.starts.get("job20") + " starts of four tasks");
+        assertTrue(cell.starts.get("job21") <= 8, cell.starts.get("job21") + " starts of four tasks");
+        noViolations();
+    }
+
     @Test
     public void leavesTaskAloneThatTakesLongerThanDeclared() {
         cell.byAddress.values().forEach(worker -> worker.slowness = 4);
