End a drained daemon with status 0, whoever comes first

The end of the shutdown hook let the Java machine end with the signal's status, in a race with the main thread's halt; flushing the log before that halt had made the main thread lose it under load. Ruled out: a request that was cut off (the status is checked first). Change: the hook itself flushes and halts with status 0.

--- a/daemon/src/main/java/org/wasabimount/daemon/DaemonMain.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/DaemonMain.java
@@ -96,11 +96,18 @@
         LogSetup.apply(settings.logging());
         try {
             Daemon daemon = Wasabimount.start(settings);
-            Runtime.getRuntime().addShutdownHook(new Thread(daemon::drain, "shutdown"));
+            Runtime.getRuntime().addShutdownHook(new Thread(() -> drain(daemon), "shutdown"));
             return daemon.awaitEnd() ? Wasabimount.EXIT_OK : Wasabimount.EXIT_LOG_FAILED;
         } catch (IOException e) {
             err.println("wasabimountd: " + e.getMessage());
             return Wasabimount.EXIT_START_FAILED;
         }
     }
+
+    private static void drain(Daemon daemon) {
+        daemon.drain();
+        LogSetup.flush();
+        // Left to itself, the Java machine would end with the status of the signal.
+        Runtime.getRuntime().halt(Wasabimount.EXIT_OK);
+    }
 }
--- a/daemon/src/main/java/org/wasabimount/daemon/LogSetup.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/LogSetup.java
@@ -45,7 +45,7 @@
     }
 
     /** Writes the lines that are still queued; called right before the process ends. */
-    public static void flush() {
+    public static synchronized void flush() {
         ((LoggerContext) LoggerFactory.getILoggerFactory()).stop();
     }
 
