Add a failing test: no job starts in a pool of more than 100 workers

The simulated advice service of the dispatcher's tests took calls of any size; it now refuses more than 100 workers, as the protocol does. On this commit's code the test fails: expected [COMPLETED] but found [QUEUED].

--- a/core/src/test/java/org/wasabimount/core/dispatch/DispatcherTest.java
+++ b/core/src/test/java/org/wasabimount/core/dispatch/DispatcherTest.java
@@ -76,6 +76,20 @@
         assertNoViolations();
     }
 
+    /** Guards against advice calls that the service rejects because they name too many workers. */
+    @Test(groups = "known-red")
+    public void startsJobsInPoolLargerThanOneAdviceCall() {
+        cell = new SimulatedCell(7).withAdvice();
+        cell.addresses(246).forEach(address -> cell.worker("w" + address, address, WORKER));
+        cell.run(SETTLE_MILLIS);
+        cell.submit(cell.job("job1", 6, SMALL, false));
+        cell.submit(cell.job("gang1", 20, LARGE, true));
+        cell.run(2_500);
+        assertEquals(cell.phase("job1"), JobPhase.COMPLETED);
+        assertEquals(cell.phase("gang1"), JobPhase.COMPLETED);
+        assertNoViolations();
+    }
+
     /**
      * Guards against jobs spread over all failure domains (seen in weesteps-sched scale-1): a zone was disconnected,
      * and half of the small jobs had a task there.
--- a/core/src/test/java/org/wasabimount/core/dispatch/SimulatedCell.java
+++ b/core/src/test/java/org/wasabimount/core/dispatch/SimulatedCell.java
@@ -46,6 +46,7 @@
     private static final long ANNOUNCE_MILLIS = 1_500;
     private static final long CALL_TIMEOUT_MILLIS = 1_000;
     private static final long TICKET_MILLIS = 1_500;
+    private static final int MAX_ADVICE_WORKERS = 100;
     private static final long EPOCH_MILLIS = 1_700_000_000_000L;
 
     final Random random;
@@ -389,6 +390,12 @@
 
     private void callAdvice(DispatchAction.RequestAdvice requestAdvice, Dispatcher sender) {
         adviceCalls++;
+        if (requestAdvice.workers().size() > MAX_ADVICE_WORKERS) {
+            after(
+                    NETWORK_DELAY_MILLIS,
+                    () -> deliver(sender, () -> sender.advised(requestAdvice.id(), AdviceResult.NONE)));
+            return;
+        }
         double cost = queue.getAdvice().getCallMillis()
                 + queue.getAdvice().getWorkerMillis() * requestAdvice.workers().size();
         after((long) cost, () -> {
