Name at most 100 workers in an advice call

Cause: a call for advice named every worker of the pool that had no ticket. The protocol allows 100 a call; the service rejected each call with status 400, the step stayed without advice and the same call was sent again every 500 ms from each VM. Class of fault: a limit of an outside service that our own stand-ins did not have, so that a size that no test reached turned every call into a refusal. Evidence: 3,437 kept failures, all status 400; none on the deployments with 33 workers. Ruled out: unusable workers, all renewals of leases that the leader counted (7,992) were answered. Change: AdviceQuery selects the workers to name: those with room first, and only as many as the waiting tasks are expected to need, at most 100; later calls name others, since eligible and ineligible workers of a step are remembered. AdviceManager rejects a larger call, so no other path can exceed the limit. A gang that needs more workers than one call names requests the missing tickets first.

--- a/core/src/main/java/org/wasabimount/core/dispatch/AdviceManager.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/AdviceManager.java
@@ -36,6 +36,9 @@
     /** Minimum remaining validity of a usable ticket, in milliseconds; covers the commit and the start. */
     private static final long TICKET_MARGIN_MILLIS = 120;
 
+    /** Maximum number of workers in one call; the service rejects calls that name more. */
+    static final int MAX_WORKERS_PER_CALL = 100;
+
     private final Map<String, Caller> callers = new LinkedHashMap<>();
     private final Map<Long, Call> openCalls = new HashMap<>();
     private final Map<StepId, StepAdvice> steps = new HashMap<>();
@@ -100,9 +103,17 @@
         return advice != null && advice.resultCount > 0;
     }
 
-    /** Creates an advice call for a step if a VM is available for it. */
+    /**
+     * Creates an advice call for a step if a VM is available for it.
+     *
+     * @throws IllegalArgumentException if more than {@link #MAX_WORKERS_PER_CALL} workers are named
+     */
     Optional<DispatchAction.RequestAdvice> requestAdvice(
             StepId step, List<IncarnationId> workers, double costMillis, long nowMillis) {
+        if (workers.size() > MAX_WORKERS_PER_CALL) {
+            throw new IllegalArgumentException(
+                    "an advice call may name " + MAX_WORKERS_PER_CALL + " workers, not " + workers.size());
+        }
         List<String> idleCallers = callers.entrySet().stream()
                 .filter(caller -> caller.getValue().call == 0 && nowMillis >= caller.getValue().backoffUntilMillis)
                 .map(Map.Entry::getKey)
--- a/core/src/main/java/org/wasabimount/core/dispatch/PlacementRound.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/PlacementRound.java
@@ -1,5 +1,7 @@
 package org.wasabimount.core.dispatch;
 
+import java.util.Collection;
+import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -158,12 +160,21 @@
                 .max()
                 .orElse(Long.MAX_VALUE);
         reserveCapacity(step.size(), targets);
-        double callMillis = step.requiresAdvice() ? JobPlan.adviceCallMillis(step.queue(), counts.size()) : 0;
+        int workersToName = Math.min(counts.size(), AdviceManager.MAX_WORKERS_PER_CALL);
+        double callMillis = step.requiresAdvice() ? JobPlan.adviceCallMillis(step.queue(), workersToName) : 0;
         if (step.requiresAdvice() && readyInMillis <= callMillis) {
-            requestAdvice(step, List.copyOf(counts.keySet()), callMillis);
+            requestAdvice(step, mostUrgentTickets(step, counts.keySet()), callMillis);
         }
     }
 
+    /** Returns the workers whose tickets to request next; a gang may need more workers than one call can name. */
+    private List<TrackedWorker> mostUrgentTickets(ReadyStep step, Collection<TrackedWorker> targets) {
+        return targets.stream()
+                .sorted(Comparator.comparing(trackedWorker -> hasTicket(step, trackedWorker)))
+                .limit(AdviceManager.MAX_WORKERS_PER_CALL)
+                .toList();
+    }
+
     private void reserveCapacity(Capacity size, List<TrackedWorker> targets) {
         double requiredCpuMillis = (double) size.cpuMillis() * targets.size();
         // The first gang in order gets its reservation regardless of its size; otherwise a large gang would never
@@ -176,20 +187,26 @@
     }
 
     /**
-     * Renews the tickets of the workers that may run a step, or queries all workers if there is no advice for the step
-     * yet.
+     * Renews the tickets of the workers that may run a step, and queries workers that no call has named yet.
      */
     private void renewTickets(ReadyStep step, Predicate<TrackedWorker> fits) {
         boolean firstCall = !advice.answered(step.id());
         if (!firstCall && ticketRenewals >= MAX_TICKET_RENEWALS) {
             return;
         }
-        List<TrackedWorker> workersToQuery = usable.stream()
+        List<AdviceQuery.Candidate> candidates = usable.stream()
                 .filter(fits)
                 .filter(trackedWorker ->
                         !advice.ineligible(step.id(), trackedWorker.entry().id()) && !hasTicket(step, trackedWorker))
-                .filter(trackedWorker -> firstCall || step.size().fitsIn(placer.freeCapacity(trackedWorker)))
+                .map(trackedWorker -> new AdviceQuery.Candidate(
+                        trackedWorker,
+                        advice.eligible(step.id(), trackedWorker.entry().id()),
+                        Placer.nearData(step, trackedWorker),
+                        step.size().timesIn(placer.freeCapacity(trackedWorker))))
+                .filter(candidate -> firstCall || candidate.tasksThatFit() > 0)
                 .toList();
+        List<TrackedWorker> workersToQuery =
+                AdviceQuery.select(candidates, step.waiting().size());
         if (workersToQuery.isEmpty()) {
             return;
         }
--- a/core/src/main/java/org/wasabimount/core/dispatch/Placer.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/Placer.java
@@ -189,7 +189,8 @@
         return limit == 0 || counts.getOrDefault(trackedWorker, 0) < limit;
     }
 
-    private static boolean nearData(ReadyStep step, TrackedWorker trackedWorker) {
+    /** Returns whether a worker is where the step's data is, or the step has no such preference. */
+    static boolean nearData(ReadyStep step, TrackedWorker trackedWorker) {
         String rack = step.step().getDataRack();
         return rack.isEmpty() || trackedWorker.rack().equals(rack);
     }
--- a/core/src/test/java/org/wasabimount/core/dispatch/DispatcherTest.java
+++ b/core/src/test/java/org/wasabimount/core/dispatch/DispatcherTest.java
@@ -77,7 +77,7 @@
     }
 
     /** Guards against advice calls that the service rejects because they name too many workers. */
-    @Test(groups = "known-red")
+    @Test
     public void startsJobsInPoolLargerThanOneAdviceCall() {
         cell = new SimulatedCell(7).withAdvice();
         cell.addresses(246).forEach(address -> cell.worker("w" + address, address, WORKER));
