Advice calls carry their outcome, and the leader shows why steps wait

A failed call was one boolean on its way to the leader, raised no counter and was logged at INFO on the calling node only, once per call. A step that could not be placed left no trace of the reason. From logs and metrics on-call could not tell a service that refuses our calls from workers that are not usable, workers that may not run the step, or workers without room.

Change: - AdviceOutcome (ANSWERED, REFUSED, OVERLOADED, NO_ANSWER, NOT_SENT, UNREADABLE) with the HTTP status in AdviceResult, from AdviceClient through AdviceReply (fields failure and status, new) to the leader. A reply of an earlier version, which has neither, reads as answered or as NO_ANSWER. Status 400 and other client errors are REFUSED, 429 and 503 OVERLOADED, 408 and server errors NO_ANSWER. - AdviceManager reports each completed call once, those that become overdue included; this replaces the leader's own map of send times, which kept the entries of calls that were never answered. wasabimount_advice_seconds now counts overdue calls. - New metrics: wasabimount_advice_calls_total{outcome}, wasabimount_advice_workers, wasabimount_workers_known, wasabimount_workers_usable, wasabimount_waiting_steps{reason}. On a node that resigns the gauges return to 0. - WaitSampler examines the waiting steps of one placement round per second. Beside no_advice, no_eligible_worker, no_ticket and no_room it has no_usable_worker, because the gauge of usable workers does not tell pools apart, and not_considered for steps beyond the limit of a round. It only reads; no decision depends on it. - The leader warns of calls that fail again unchanged (REFUSED, UNREADABLE) at the first one and then at most once in 5 s with their count, and has the same line at INFO for the other failures. The line on the calling node is bounded likewise. LogBudget, the limit in the log setup, allows 400 lines of one kind per second and so was no help; LogThrottle is new. - WAIT lines name at most three steps per sample that have waited for 2 s, each again after 10 s, with the last outcome of its advice calls; a WAITING line has the totals. - docs/METRICS.md and the walk "Accepted, and never started" in docs/OPERATIONS.md. DocsTest now requires that the page names every metric of a node that has data at its start, every outcome and every reason.

Tests that built AdviceResult with a boolean now use its factories; what they assert is unchanged.

AdviceReply.java and AdviceReplyOrBuilder.java were extended by a script after the pattern of the fields beside them, because protoc is not in the local Maven cache. bin/generate-protocol was not run; where protoc is available it should be, and should show no difference. AdviceMessagesTest sends every outcome through the encoded message.

EndToEndTest, RecoveryTest and ScenarioTest were not run here.

--- a/core/src/main/java/org/wasabimount/core/dispatch/AdviceManager.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/AdviceManager.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 
 import org.wasabimount.core.job.IncarnationId;
 import org.wasabimount.core.job.StepId;
@@ -40,6 +41,7 @@
     private final Map<Long, Call> openCalls = new HashMap<>();
     private final Map<StepId, StepAdvice> steps = new HashMap<>();
     private long nextId = 1;
+    private Consumer<CompletedAdviceCall> callListener = call -> {};
 
     private static final class Caller {
         private long call;
@@ -62,6 +64,11 @@
         private final Set<IncarnationId> ineligible = new HashSet<>();
         private boolean callInProgress;
         private int resultCount;
+        private AdviceOutcome lastOutcome;
+    }
+
+    void setCallListener(Consumer<CompletedAdviceCall> listener) {
+        callListener = listener;
     }
 
     /** Sets the VMs that can currently make calls. */
@@ -100,6 +107,11 @@
         return advice != null && advice.resultCount > 0;
     }
 
+    /** Returns the outcome of the last completed call for the step. */
+    Optional<AdviceOutcome> lastOutcome(StepId step) {
+        return Optional.ofNullable(steps.get(step)).map(advice -> advice.lastOutcome);
+    }
+
     /** Creates an advice call for a step if a VM is available for it. */
     Optional<DispatchAction.RequestAdvice> requestAdvice(
             StepId step, List<IncarnationId> workers, double costMillis, long nowMillis) {
@@ -146,8 +158,16 @@
         StepAdvice advice = steps.get(call.step);
         if (advice != null) {
             advice.callInProgress = false;
+            advice.lastOutcome = result.outcome();
             recordResult(advice, call, result);
         }
+        callListener.accept(new CompletedAdviceCall(
+                call.step,
+                call.caller,
+                call.queriedWorkers.size(),
+                result.outcome(),
+                result.status(),
+                nowMillis - call.sentMillis));
         return true;
     }
 
@@ -172,7 +192,7 @@
         List<Call> overdueCalls = openCalls.values().stream()
                 .filter(call -> nowMillis >= call.overdueMillis)
                 .toList();
-        overdueCalls.forEach(call -> answered(call.id, AdviceResult.NONE, nowMillis));
+        overdueCalls.forEach(call -> answered(call.id, AdviceResult.failed(AdviceOutcome.NO_ANSWER), nowMillis));
     }
 
     /** Invalidates a ticket that a worker rejected. */
--- a/core/src/main/java/org/wasabimount/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/Dispatcher.java
@@ -60,6 +60,7 @@
     private final SchedulingOrder order;
     private final WorkerManager workers;
     private final AdviceManager advice = new AdviceManager();
+    private final WaitSampler waits;
     private final Map<String, JobPlan> plans = new LinkedHashMap<>();
     private List<DispatchAction> actions = new ArrayList<>();
     private Consumer<Job> ended = job -> {};
@@ -90,6 +91,7 @@
         this.order = order;
         this.nowMillis = nowMillis;
         this.workers = new WorkerManager(settings, table, fence, this::add, nowMillis);
+        this.waits = new WaitSampler(workers, advice);
         table.jobs().stream().filter(Job::open).forEach(job -> {
             long ageMillis = Math.max(0, wallMillis - job.acceptedMillis());
             plans.put(job.id(), new JobPlan(job, nowMillis - ageMillis));
@@ -106,6 +108,24 @@
         ended = listener;
     }
 
+    /**
+     * Sets the listener for completed advice calls.
+     *
+     * @param listener receives each call when it is answered, has failed or is overdue
+     */
+    public void setAdviceCallListener(Consumer<CompletedAdviceCall> listener) {
+        advice.setCallListener(listener);
+    }
+
+    /**
+     * Sets the listener for the dispatcher's status.
+     *
+     * @param listener receives a sample at most once a second
+     */
+    public void setStatusListener(Consumer<DispatchStatus> listener) {
+        waits.setListener(listener);
+    }
+
     /**
      * Sets the time of the events and changes that follow.
      *
@@ -295,7 +315,10 @@
         if (stateChanged || nowMillis >= roundDueMillis) {
             stateChanged = false;
             roundDueMillis = nowMillis + MAX_ROUND_INTERVAL_MILLIS;
-            new PlacementRound(workers, advice, this::add, nowMillis).run(ready(wallMillis));
+            List<ReadyStep> ready = ready(wallMillis);
+            waits.beginRound(ready.size(), nowMillis);
+            new PlacementRound(workers, advice, waits, this::add, nowMillis).run(ready);
+            waits.endRound();
         }
         if (nowMillis >= forgetDueMillis) {
             forgetDueMillis = nowMillis + FORGET_INTERVAL_MILLIS;
--- a/core/src/main/java/org/wasabimount/core/dispatch/PlacementRound.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/PlacementRound.java
@@ -24,7 +24,7 @@
     private static final System.Logger LOG = System.getLogger("wasabimount.dispatch");
 
     /** Maximum number of steps considered in one round; steps after them rarely find capacity that these left free. */
-    private static final int MAX_STEPS = 120;
+    static final int MAX_STEPS = 120;
 
     /**
      * Maximum number of steps per round for which tickets are renewed before they are placed; more would only overload
@@ -37,6 +37,7 @@
 
     private final WorkerManager workers;
     private final AdviceManager advice;
+    private final WaitSampler waits;
     private final Consumer<DispatchAction> actions;
     private final long nowMillis;
     private final Placer placer;
@@ -45,9 +46,15 @@
     private boolean reserved;
     private int ticketRenewals;
 
-    PlacementRound(WorkerManager workers, AdviceManager advice, Consumer<DispatchAction> actions, long nowMillis) {
+    PlacementRound(
+            WorkerManager workers,
+            AdviceManager advice,
+            WaitSampler waits,
+            Consumer<DispatchAction> actions,
+            long nowMillis) {
         this.workers = workers;
         this.advice = advice;
+        this.waits = waits;
         this.actions = actions;
         this.nowMillis = nowMillis;
         this.usable = workers.trackedWorkers().stream()
@@ -80,6 +87,7 @@
             place(step, chosen);
         }
         if (chosen.size() < step.waiting().size()) {
+            waits.record(step, fits, placer::freeCapacity);
             prepareRemaining(step, fits);
         }
     }
--- /dev/null
+++ b/core/src/main/java/org/wasabimount/core/dispatch/WaitReason.java
@@ -0,0 +1,28 @@
+package org.wasabimount.core.dispatch;
+
+import java.util.Locale;
+
+/** Why a ready step has tasks that are not placed. */
+public enum WaitReason {
+    /** No worker of the queue's pool is usable. */
+    NO_USABLE_WORKER,
+    /** The advice service has not yet named a worker that may run the step. */
+    NO_ADVICE,
+    /** No usable worker may run the step. */
+    NO_ELIGIBLE_WORKER,
+    /** The workers that have room may run the step, but hold no valid ticket for it. */
+    NO_TICKET,
+    /** No worker that may run the step has room for a task, or for all tasks of a gang. */
+    NO_ROOM,
+    /** Too many steps are ahead in the scheduling order for the step to be considered. */
+    NOT_CONSIDERED;
+
+    /**
+     * Returns the reason's name in metrics and log lines.
+     *
+     * @return the name in lower case
+     */
+    public String label() {
+        return name().toLowerCase(Locale.ROOT);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/wasabimount/core/dispatch/WaitSampler.java
@@ -0,0 +1,176 @@
+package org.wasabimount.core.dispatch;
+
+import java.util.Comparator;
+import java.util.EnumMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import java.util.function.Predicate;
+
+import org.wasabimount.core.cell.Capacity;
+import org.wasabimount.core.job.StepId;
+
+/**
+ * Samples in some placement rounds why steps wait.
+ *
+ * <p>A sample examines every worker for every waiting step, so it is taken only once per interval.
+ */
+final class WaitSampler {
+
+    /** Minimum time between two samples, in milliseconds. */
+    private static final long SAMPLE_INTERVAL_MILLIS = 1_000;
+
+    /** Time after which a waiting step is reported, in milliseconds: more than a round, a call and a commit take. */
+    private static final long LONG_WAIT_MILLIS = 2_000;
+
+    /** Minimum time between two reports of one step, in milliseconds. */
+    private static final long REPORT_INTERVAL_MILLIS = 10_000;
+
+    /** Maximum number of steps reported by one sample. */
+    private static final int MAX_REPORTS = 3;
+
+    private final WorkerManager workers;
+    private final AdviceManager advice;
+    private final Map<WaitReason, Long> reasons = new EnumMap<>(WaitReason.class);
+    private Consumer<DispatchStatus> listener = status -> {};
+    private Map<StepId, Wait> previousWaits = Map.of();
+    private Map<StepId, Wait> waits = new LinkedHashMap<>();
+    private List<TrackedWorker> usable = List.of();
+    private boolean sampling;
+    private long nowMillis;
+    private long sampleDueMillis = Long.MIN_VALUE;
+
+    private record Wait(ReadyStep step, WaitReason reason, long sinceMillis, long reportedMillis) {}
+
+    WaitSampler(WorkerManager workers, AdviceManager advice) {
+        this.workers = workers;
+        this.advice = advice;
+    }
+
+    void setListener(Consumer<DispatchStatus> newListener) {
+        listener = newListener;
+    }
+
+    /** Begins a round, and a sample if one is due. */
+    void beginRound(int readySteps, long roundMillis) {
+        sampling = roundMillis >= sampleDueMillis;
+        if (!sampling) {
+            return;
+        }
+        nowMillis = roundMillis;
+        sampleDueMillis = nowMillis + SAMPLE_INTERVAL_MILLIS;
+        previousWaits = waits;
+        waits = new LinkedHashMap<>();
+        reasons.clear();
+        int notConsidered = Math.max(0, readySteps - PlacementRound.MAX_STEPS);
+        if (notConsidered > 0) {
+            reasons.put(WaitReason.NOT_CONSIDERED, (long) notConsidered);
+        }
+        usable = workers.trackedWorkers().stream()
+                .filter(trackedWorker -> trackedWorker.usable(nowMillis))
+                .toList();
+    }
+
+    /**
+     * Records a step with tasks that the round did not place; called before capacity is reserved for the step.
+     *
+     * @param step the step
+     * @param fits whether a worker fits the step, regardless of advice and free capacity
+     * @param freeCapacity the free capacity of a worker after the placements of this round
+     */
+    void record(ReadyStep step, Predicate<TrackedWorker> fits, Function<TrackedWorker, Capacity> freeCapacity) {
+        if (!sampling) {
+            return;
+        }
+        WaitReason reason = reason(step, fits, freeCapacity);
+        reasons.merge(reason, 1L, Long::sum);
+        Wait previous = previousWaits.get(step.id());
+        waits.put(
+                step.id(),
+                previous == null
+                        ? new Wait(step, reason, nowMillis, Long.MIN_VALUE)
+                        : new Wait(step, reason, previous.sinceMillis, previous.reportedMillis));
+    }
+
+    /** Ends a round, and passes the sample to the listener if one was taken. */
+    void endRound() {
+        if (!sampling) {
+            return;
+        }
+        sampling = false;
+        List<Wait> reported = waits.values().stream()
+                .filter(this::reportDue)
+                .sorted(Comparator.comparingLong(Wait::reportedMillis).thenComparingLong(Wait::sinceMillis))
+                .limit(MAX_REPORTS)
+                .toList();
+        reported.forEach(
+                wait -> waits.put(wait.step.id(), new Wait(wait.step, wait.reason, wait.sinceMillis, nowMillis)));
+        listener.accept(new DispatchStatus(
+                workers.trackedWorkers().size(),
+                usable.size(),
+                Map.copyOf(reasons),
+                reported.stream().map(this::longWait).toList()));
+    }
+
+    private boolean reportDue(Wait wait) {
+        return nowMillis - wait.sinceMillis >= LONG_WAIT_MILLIS
+                && (wait.reportedMillis == Long.MIN_VALUE || nowMillis - wait.reportedMillis >= REPORT_INTERVAL_MILLIS);
+    }
+
+    private DispatchStatus.LongWait longWait(Wait wait) {
+        return new DispatchStatus.LongWait(
+                wait.step.id(),
+                wait.step.queue().getName(),
+                wait.reason,
+                wait.step.waiting().size(),
+                nowMillis - wait.sinceMillis,
+                advice.lastOutcome(wait.step.id()));
+    }
+
+    private WaitReason reason(
+            ReadyStep step, Predicate<TrackedWorker> fits, Function<TrackedWorker, Capacity> freeCapacity) {
+        List<TrackedWorker> inPool = usable.stream()
+                .filter(trackedWorker -> trackedWorker
+                        .entry()
+                        .incarnation()
+                        .getPool()
+                        .equals(step.queue().getPool()))
+                .toList();
+        if (inPool.isEmpty()) {
+            return WaitReason.NO_USABLE_WORKER;
+        }
+        List<TrackedWorker> fitting = inPool.stream().filter(fits).toList();
+        List<TrackedWorker> eligible = fitting.stream()
+                .filter(trackedWorker -> !step.requiresAdvice()
+                        || advice.eligible(step.id(), trackedWorker.entry().id()))
+                .toList();
+        if (eligible.isEmpty()) {
+            boolean undecided = fitting.stream()
+                    .anyMatch(trackedWorker ->
+                            !advice.ineligible(step.id(), trackedWorker.entry().id()));
+            return undecided ? WaitReason.NO_ADVICE : WaitReason.NO_ELIGIBLE_WORKER;
+        }
+        List<TrackedWorker> ticketed = eligible.stream()
+                .filter(trackedWorker -> !step.requiresAdvice()
+                        || advice.ticket(step.id(), trackedWorker.entry().id(), nowMillis)
+                                .isPresent())
+                .toList();
+        return hasRoom(step, eligible, freeCapacity) && !hasRoom(step, ticketed, freeCapacity)
+                ? WaitReason.NO_TICKET
+                : WaitReason.NO_ROOM;
+    }
+
+    /** Returns whether a task, or all waiting tasks of a gang, have room on the workers. */
+    private static boolean hasRoom(
+            ReadyStep step, List<TrackedWorker> candidates, Function<TrackedWorker, Capacity> freeCapacity) {
+        long required = step.gang() ? step.waiting().size() : 1;
+        long available = candidates.stream()
+                .map(freeCapacity)
+                .filter(step.size()::fitsIn)
+                .mapToLong(capacity -> Math.min(required, step.size().timesIn(capacity)))
+                .sum();
+        return available >= required;
+    }
+}
--- a/core/src/test/java/org/wasabimount/core/dispatch/AdviceManagerTest.java
+++ b/core/src/test/java/org/wasabimount/core/dispatch/AdviceManagerTest.java
@@ -4,6 +4,7 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -63,7 +64,7 @@
     public void ticketValidityStartsWhenCallIsSent() {
         DispatchAction.RequestAdvice requestAdvice =
                 manager.requestAdvice(STEP, List.of(ONE, TWO), 10, 1_000).orElseThrow();
-        manager.answered(requestAdvice.id(), new AdviceResult(true, Map.of("one", "t"), 1_500), 1_700);
+        manager.answered(requestAdvice.id(), AdviceResult.answered(Map.of("one", "t"), 1_500), 1_700);
         assertEquals(manager.ticket(STEP, ONE, 1_800), Optional.of("t"));
         assertEquals(manager.ticket(STEP, ONE, 2_450), Optional.empty());
         assertTrue(manager.eligible(STEP, ONE), "eligibility must outlive the ticket");
@@ -74,13 +75,36 @@
     public void callerBacksOffAfterFailedCall() {
         DispatchAction.RequestAdvice requestAdvice =
                 manager.requestAdvice(STEP, List.of(ONE), 10, 0).orElseThrow();
-        manager.answered(requestAdvice.id(), AdviceResult.NONE, 100);
+        manager.answered(requestAdvice.id(), AdviceResult.failed(AdviceOutcome.NO_ANSWER), 100);
         assertFalse(manager.callInProgress(STEP));
         assertFalse(manager.ineligible(STEP, ONE), "a failed call must not make a worker ineligible");
         assertEquals(
                 manager.requestAdvice(STEP, List.of(ONE), 10, 200).orElseThrow().caller(), "b");
     }
 
+    @Test
+    public void reportsOutcomeOfEachCompletedCallOnce() {
+        List<CompletedAdviceCall> completedCalls = new ArrayList<>();
+        manager.setCallListener(completedCalls::add);
+        long refusedId = manager.requestAdvice(STEP, List.of(ONE, TWO), 10, 0)
+                .orElseThrow()
+                .id();
+        manager.answered(refusedId, AdviceResult.failed(AdviceOutcome.REFUSED, 400), 30);
+        manager.answered(refusedId, AdviceResult.failed(AdviceOutcome.REFUSED, 400), 40);
+        assertEquals(completedCalls, List.of(new CompletedAdviceCall(STEP, "a", 2, AdviceOutcome.REFUSED, 400, 30)));
+        assertEquals(manager.lastOutcome(STEP), Optional.of(AdviceOutcome.REFUSED));
+    }
+
+    @Test
+    public void reportsOverdueCallAsUnanswered() {
+        List<CompletedAdviceCall> completedCalls = new ArrayList<>();
+        manager.setCallListener(completedCalls::add);
+        manager.requestAdvice(STEP, List.of(ONE), 10, 0);
+        manager.tick(10_000);
+        assertEquals(
+                completedCalls, List.of(new CompletedAdviceCall(STEP, "a", 1, AdviceOutcome.NO_ANSWER, 0, 10_000)));
+    }
+
     @Test
     public void overdueCallReleasesCaller() {
         manager.callers(List.of("a"));
--- a/core/src/test/java/org/wasabimount/core/dispatch/SimulatedCell.java
+++ b/core/src/test/java/org/wasabimount/core/dispatch/SimulatedCell.java
@@ -7,6 +7,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.PriorityQueue;
 import java.util.Random;
@@ -63,6 +64,7 @@
     double delayedOrderShare;
     double lostResponseShare;
     int adviceCalls;
+    Optional<AdviceOutcome> adviceFailure = Optional.empty();
     boolean leaderSuspended;
     private final SchedulingOrder order;
     private final PriorityQueue<Event> events =
@@ -396,7 +398,10 @@
             requestAdvice.workers().stream()
                     .filter(worker -> mayRun(requestAdvice.step().toString(), worker))
                     .forEach(worker -> tickets.put(worker, "t" + (nowMillis + TICKET_MILLIS)));
-            deliver(sender, () -> sender.advised(requestAdvice.id(), new AdviceResult(true, tickets, TICKET_MILLIS)));
+            AdviceResult result = adviceFailure
+                    .map(AdviceResult::failed)
+                    .orElseGet(() -> AdviceResult.answered(tickets, TICKET_MILLIS));
+            deliver(sender, () -> sender.advised(requestAdvice.id(), result));
         });
     }
 
--- a/daemon/src/main/java/org/wasabimount/daemon/job/JobLeader.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/job/JobLeader.java
@@ -56,9 +56,9 @@
     private final NodeMetrics metrics;
     private final Clock clock;
     private final Clock wallClock;
-    private final Map<Long, Long> adviceSentMillis = new HashMap<>();
     private final Map<String, CompletableFuture<Reply>> pendingAccepts = new HashMap<>();
     private final SuspensionWatch suspensionWatch;
+    private final DispatchMonitor monitor;
     private Dispatcher dispatcher;
     private long term;
 
@@ -85,6 +85,7 @@
         this.clock = dependencies.clock();
         this.wallClock = dependencies.wallClock();
         this.suspensionWatch = new SuspensionWatch(clock, wallClock);
+        this.monitor = new DispatchMonitor(metrics, clock);
         group.afterEachFlush(this::work);
     }
 
@@ -126,10 +127,6 @@
             dispatcher.at(clock.millis());
             dispatcher.advised(callId, response);
         }
-        Long sentMillis = adviceSentMillis.remove(callId);
-        if (sentMillis != null) {
-            metrics.advised(clock.millis() - sentMillis);
-        }
     }
 
     private CompletableFuture<Reply> submit(String request, Submit submit) {
@@ -263,6 +260,8 @@
                     settings, table(), SchedulingOrder.LATEST_START, term, clock.millis(), wallClock.millis());
             dispatcher.setJobEndListener(
                     job -> metrics.jobEnded(job.phase(), job.endedMillis() - job.acceptedMillis()));
+            dispatcher.setAdviceCallListener(monitor::adviceCallCompleted);
+            dispatcher.setStatusListener(monitor::statusSampled);
             LOG.log(
                     System.Logger.Level.INFO,
                     "LEAD term={0} jobs={1} workers={2}",
@@ -277,7 +276,7 @@
         LOG.log(System.Logger.Level.INFO, "RESIGN term={0}", Long.toString(term));
         dispatcher = null;
         pendingAccepts.clear();
-        adviceSentMillis.clear();
+        monitor.resigned();
         table().setObserver(new JobTable.Observer() {});
     }
 
@@ -290,7 +289,6 @@
                 }
             });
         } else if (action instanceof DispatchAction.RequestAdvice adviceCall) {
-            adviceSentMillis.put(adviceCall.id(), clock.millis());
             advice.accept(adviceCall);
         } else if (action instanceof DispatchAction.Start start) {
             IncarnationId incarnation = start.worker().id();
--- a/daemon/src/main/java/org/wasabimount/daemon/metrics/NodeMetrics.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/metrics/NodeMetrics.java
@@ -1,17 +1,25 @@
 package org.wasabimount.daemon.metrics;
 
+import java.util.Arrays;
+
 import org.wasabimount.core.ResultCode;
+import org.wasabimount.core.dispatch.AdviceOutcome;
+import org.wasabimount.core.dispatch.CompletedAdviceCall;
+import org.wasabimount.core.dispatch.DispatchStatus;
 import org.wasabimount.core.dispatch.OrderOutcome;
+import org.wasabimount.core.dispatch.WaitReason;
 import org.wasabimount.protocol.job.JobOperation;
 import org.wasabimount.protocol.job.JobPhase;
 
 import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Gauge;
 import io.prometheus.metrics.core.metrics.Histogram;
 
 /** The metrics of one node in a deployment that runs jobs. */
 public final class NodeMetrics extends ProcessMetrics {
 
     private static final double[] LATENCY_BOUNDS_SECONDS = {0.005, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5};
+    private static final double[] WORKER_COUNT_BOUNDS = {1, 5, 10, 20, 50, 100, 200, 500};
     private static final double[] JOB_BOUNDS_SECONDS = {0.05, 0.2, 0.5, 1, 2, 5, 10, 20, 60};
 
     private final Counter refusals = Counter.builder()
@@ -41,6 +49,30 @@
             .register(registry());
     private final Histogram advice = latencyHistogram("advice", "Time from a call for advice to its answer")
             .register(registry());
+    private final Counter adviceCalls = Counter.builder()
+            .name("wasabimount_advice_calls")
+            .help("Calls for advice while this node led, by outcome")
+            .labelNames("outcome")
+            .register(registry());
+    private final Histogram adviceWorkers = Histogram.builder()
+            .name("wasabimount_advice_workers")
+            .help("Workers named in a call for advice")
+            .classicOnly()
+            .classicUpperBounds(WORKER_COUNT_BOUNDS)
+            .register(registry());
+    private final Gauge knownWorkers = Gauge.builder()
+            .name("wasabimount_workers_known")
+            .help("Workers that the leader knows, 0 on other nodes")
+            .register(registry());
+    private final Gauge usableWorkers = Gauge.builder()
+            .name("wasabimount_workers_usable")
+            .help("Workers on which the leader may place tasks, 0 on other nodes")
+            .register(registry());
+    private final Gauge waitingSteps = Gauge.builder()
+            .name("wasabimount_waiting_steps")
+            .help("Ready steps with tasks that are not placed, by reason, 0 on nodes that do not lead")
+            .labelNames("reason")
+            .register(registry());
     private final Histogram jobs = Histogram.builder()
             .name("wasabimount_job_seconds")
             .help("Time from a job's acceptance to its completion")
@@ -48,6 +80,12 @@
             .classicUpperBounds(JOB_BOUNDS_SECONDS)
             .register(registry());
 
+    /** Creates the metrics of a node that has not led yet. */
+    public NodeMetrics() {
+        Arrays.stream(AdviceOutcome.values()).map(AdviceOutcome::name).forEach(adviceCalls::initLabelValues);
+        dispatchSampled(DispatchStatus.NONE);
+    }
+
     private static Histogram.Builder latencyHistogram(String subject, String help) {
         return Histogram.builder()
                 .name("wasabimount_" + subject + "_seconds")
@@ -99,12 +137,27 @@
     }
 
     /**
-     * Records a response of the advice service.
+     * Records a completed call to the advice service.
+     *
+     * @param call the call
+     */
+    public void adviceCallCompleted(CompletedAdviceCall call) {
+        advice.observe(seconds(call.tookMillis()));
+        adviceCalls.labelValues(call.outcome().name()).inc();
+        adviceWorkers.observe(call.workerCount());
+    }
+
+    /**
+     * Records a sample of the leader's workers and waiting steps.
      *
-     * @param tookMillis the time since the call, in milliseconds
+     * @param status the sample, {@link DispatchStatus#NONE} if this node does not lead
      */
-    public void advised(long tookMillis) {
-        advice.observe(seconds(tookMillis));
+    public void dispatchSampled(DispatchStatus status) {
+        knownWorkers.set(status.knownWorkers());
+        usableWorkers.set(status.usableWorkers());
+        for (WaitReason reason : WaitReason.values()) {
+            waitingSteps.labelValues(reason.label()).set(status.waitingSteps().getOrDefault(reason, 0L));
+        }
     }
 
     /**
--- a/daemon/src/main/java/org/wasabimount/daemon/node/JobNode.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/node/JobNode.java
@@ -3,9 +3,7 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executors;
@@ -15,6 +13,7 @@
 import org.wasabimount.core.Clock;
 import org.wasabimount.core.ResultCode;
 import org.wasabimount.core.VmId;
+import org.wasabimount.core.dispatch.AdviceOutcome;
 import org.wasabimount.core.dispatch.AdviceResult;
 import org.wasabimount.core.dispatch.DispatchAction;
 import org.wasabimount.core.log.MembershipPlan;
@@ -40,7 +39,6 @@
 import org.wasabimount.protocol.peer.AdviceRequest;
 import org.wasabimount.protocol.peer.Envelope;
 import org.wasabimount.protocol.peer.Presence;
-import org.wasabimount.protocol.peer.Ticket;
 
 /**
  * A node of a deployment that runs jobs.
@@ -377,30 +375,19 @@
         boolean sent =
                 network.send(new VmId(call.caller()), Envelope.newBuilder().setAdviceRequest(request));
         if (!sent) {
-            group.ifPresent(hosted -> hosted.advised(call.id(), AdviceResult.NONE));
+            group.ifPresent(hosted -> hosted.advised(call.id(), AdviceResult.failed(AdviceOutcome.NOT_SENT)));
         }
     }
 
     private void handleAdviceRequest(VmId leader, AdviceRequest request) {
         advice.requestAdvice(request.getStep(), request.getWorkersList(), request.getTimeoutMillis())
-                .thenAccept(adviceResult -> {
-                    AdviceReply.Builder reply = AdviceReply.newBuilder()
-                            .setId(request.getId())
-                            .setAnswered(adviceResult.answered())
-                            .setValidMillis(adviceResult.validMillis());
-                    adviceResult
-                            .tickets()
-                            .forEach((worker, ticket) -> reply.addTickets(
-                                    Ticket.newBuilder().setWorker(worker).setTicket(ticket)));
-                    network.send(leader, Envelope.newBuilder().setAdviceReply(reply));
-                });
+                .thenAccept(adviceResult -> network.send(
+                        leader,
+                        Envelope.newBuilder().setAdviceReply(AdviceMessages.reply(request.getId(), adviceResult))));
     }
 
     private void advised(AdviceReply reply) {
-        Map<String, String> tickets = new HashMap<>();
-        reply.getTicketsList().forEach(ticket -> tickets.put(ticket.getWorker(), ticket.getTicket()));
-        AdviceResult adviceResult = new AdviceResult(reply.getAnswered(), tickets, reply.getValidMillis());
-        group.ifPresent(hosted -> hosted.advised(reply.getId(), adviceResult));
+        group.ifPresent(hosted -> hosted.advised(reply.getId(), AdviceMessages.result(reply)));
     }
 
     private void haltOnLogFailure(IOException cause) {
--- a/daemon/src/test/java/org/wasabimount/daemon/DocsTest.java
+++ b/daemon/src/test/java/org/wasabimount/daemon/DocsTest.java
@@ -3,13 +3,18 @@
 import static org.testng.Assert.assertTrue;
 
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.Optional;
 
 import org.testng.annotations.Test;
 import org.wasabimount.core.ResultCode;
 import org.wasabimount.core.cell.ConfigurationKey;
+import org.wasabimount.core.dispatch.AdviceOutcome;
+import org.wasabimount.core.dispatch.WaitReason;
+import org.wasabimount.daemon.metrics.NodeMetrics;
 import org.wasabimount.daemon.settings.NodeSettingsFile;
 import org.wasabimount.daemon.settings.SettingKey;
 
@@ -56,6 +61,46 @@
         }
     }
 
+    @Test
+    public void metricsOfNodesAreDocumented() throws IOException {
+        String page = Files.readString(DOCS.resolve("METRICS.md"));
+        String nodes = page.substring(page.indexOf("## Nodes that run jobs"));
+        String exported = new String(new NodeMetrics().text(), StandardCharsets.UTF_8);
+        List<String> names = exported.lines()
+                .filter(line -> line.startsWith("# TYPE "))
+                .map(line -> line.split(" ")[2])
+                .toList();
+        assertTrue(names.contains("wasabimount_advice_calls_total"), "unexpected names: " + names);
+        for (String name : names) {
+            assertTrue(
+                    nodes.contains("`" + name + "`") || nodes.contains("`" + name + "{"),
+                    "docs/METRICS.md lacks " + name);
+        }
+    }
+
+    @Test
+    public void adviceOutcomesAreDocumented() throws IOException {
+        String text = Files.readString(DOCS.resolve("METRICS.md"));
+        for (AdviceOutcome outcome : AdviceOutcome.values()) {
+            String retry = outcome.answered() ? "" : outcome.retryable() ? " may succeed" : " fails again";
+            assertTrue(
+                    text.lines()
+                            .anyMatch(line -> line.startsWith("| `" + outcome.name() + "` | ")
+                                    && line.endsWith(" |" + retry + " |")),
+                    "docs/METRICS.md lacks the outcome " + outcome);
+        }
+    }
+
+    @Test
+    public void waitReasonsAreDocumented() throws IOException {
+        String text = Files.readString(DOCS.resolve("METRICS.md"));
+        for (WaitReason reason : WaitReason.values()) {
+            assertTrue(
+                    text.lines().anyMatch(line -> line.startsWith("| `" + reason.label() + "` | ")),
+                    "docs/METRICS.md lacks the reason " + reason);
+        }
+    }
+
     /** Asserts that the row exists and that its last column describes the entry in one sentence. */
     private static void assertDocumented(String text, String row, String file) {
         Optional<String> line =
--- /dev/null
+++ b/daemon/src/test/java/org/wasabimount/daemon/job/DispatchMonitorTest.java
@@ -0,0 +1,145 @@
+package org.wasabimount.daemon.job;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.slf4j.LoggerFactory;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+import org.wasabimount.core.dispatch.AdviceOutcome;
+import org.wasabimount.core.dispatch.CompletedAdviceCall;
+import org.wasabimount.core.dispatch.DispatchStatus;
+import org.wasabimount.core.dispatch.WaitReason;
+import org.wasabimount.core.job.StepId;
+import org.wasabimount.daemon.metrics.NodeMetrics;
+
+import ch.qos.logback.classic.Level;
+import ch.qos.logback.classic.Logger;
+import ch.qos.logback.classic.spi.ILoggingEvent;
+import ch.qos.logback.core.read.ListAppender;
+
+/** Tests what the leader logs and measures of advice calls and waiting steps. */
+public class DispatchMonitorTest {
+
+    private static final StepId STEP = new StepId("job1", 0, 0);
+    private static final int WORKERS = 246;
+
+    private final Logger logger = (Logger) LoggerFactory.getLogger("wasabimount.job");
+    private ListAppender<ILoggingEvent> lines;
+    private NodeMetrics metrics;
+    private DispatchMonitor monitor;
+    private long nowMillis;
+
+    @BeforeMethod
+    public void createMonitor() {
+        nowMillis = 1_000;
+        metrics = new NodeMetrics();
+        monitor = new DispatchMonitor(metrics, () -> nowMillis);
+        lines = new ListAppender<>();
+        lines.start();
+        logger.addAppender(lines);
+        logger.setLevel(Level.INFO);
+    }
+
+    @AfterMethod
+    public void detachAppender() {
+        logger.detachAppender(lines);
+        logger.setLevel(null);
+    }
+
+    private static CompletedAdviceCall call(AdviceOutcome outcome, int status) {
+        return new CompletedAdviceCall(STEP, "10.1.0.35", WORKERS, outcome, status, 20);
+    }
+
+    private List<String> loggedLines() {
+        return lines.list.stream().map(ILoggingEvent::getFormattedMessage).toList();
+    }
+
+    private void assertMeasured(String line) {
+        String text = new String(metrics.text(), StandardCharsets.UTF_8);
+        assertTrue(text.lines().anyMatch(line::equals), "no line " + line + " in\n" + text);
+    }
+
+    @Test
+    public void warnsOfFirstRefusedCall() {
+        monitor.adviceCallCompleted(call(AdviceOutcome.REFUSED, 400));
+        assertEquals(
+                loggedLines(),
+                List.of("ADVICE failed step=job1.0.0 caller=10.1.0.35 workers=246 outcome=REFUSED status=400 calls=1"));
+        assertEquals(lines.list.get(0).getLevel(), Level.WARN);
+    }
+
+    @Test
+    public void warnsOfRefusedCallsEveryFiveSecondsWithTheirCount() {
+        for (int call = 0; call < 1_000; call++) {
+            monitor.adviceCallCompleted(call(AdviceOutcome.REFUSED, 400));
+            nowMillis += 10;
+        }
+        assertEquals(loggedLines().size(), 2);
+        assertTrue(loggedLines().get(1).endsWith(" calls=500"), loggedLines().get(1));
+    }
+
+    @Test
+    public void refusedCallsDoNotHideOtherFailures() {
+        monitor.adviceCallCompleted(call(AdviceOutcome.REFUSED, 400));
+        monitor.adviceCallCompleted(call(AdviceOutcome.OVERLOADED, 429));
+        assertEquals(loggedLines().size(), 2);
+        assertEquals(lines.list.get(1).getLevel(), Level.INFO, "an overloaded service recovers by itself");
+    }
+
+    @Test
+    public void answeredCallsAreNotLogged() {
+        monitor.adviceCallCompleted(call(AdviceOutcome.ANSWERED, 200));
+        assertEquals(loggedLines(), List.of());
+    }
+
+    @Test
+    public void countsCallsByOutcomeAndWorkersNamed() {
+        assertMeasured("wasabimount_advice_calls_total{outcome=\"REFUSED\"} 0.0");
+        monitor.adviceCallCompleted(call(AdviceOutcome.REFUSED, 400));
+        monitor.adviceCallCompleted(call(AdviceOutcome.REFUSED, 400));
+        monitor.adviceCallCompleted(call(AdviceOutcome.ANSWERED, 200));
+        assertMeasured("wasabimount_advice_calls_total{outcome=\"REFUSED\"} 2.0");
+        assertMeasured("wasabimount_advice_calls_total{outcome=\"ANSWERED\"} 1.0");
+        assertMeasured("wasabimount_advice_workers_bucket{le=\"200.0\"} 0");
+        assertMeasured("wasabimount_advice_workers_bucket{le=\"500.0\"} 3");
+        assertMeasured("wasabimount_advice_seconds_count 3");
+    }
+
+    @Test
+    public void measuresWorkersAndWaitingStepsUntilItResigns() {
+        assertMeasured("wasabimount_waiting_steps{reason=\"no_advice\"} 0.0");
+        monitor.statusSampled(new DispatchStatus(WORKERS, 240, Map.of(WaitReason.NO_ADVICE, 12L), List.of()));
+        assertMeasured("wasabimount_workers_known 246.0");
+        assertMeasured("wasabimount_workers_usable 240.0");
+        assertMeasured("wasabimount_waiting_steps{reason=\"no_advice\"} 12.0");
+        assertMeasured("wasabimount_waiting_steps{reason=\"no_room\"} 0.0");
+        monitor.statusSampled(new DispatchStatus(WORKERS, 240, Map.of(WaitReason.NO_ROOM, 1L), List.of()));
+        assertMeasured("wasabimount_waiting_steps{reason=\"no_advice\"} 0.0");
+        monitor.resigned();
+        assertMeasured("wasabimount_workers_known 0.0");
+        assertMeasured("wasabimount_waiting_steps{reason=\"no_room\"} 0.0");
+        assertEquals(loggedLines(), List.of());
+    }
+
+    @Test
+    public void logsStepsThatWaitLongWithTheirReason() {
+        monitor.statusSampled(new DispatchStatus(
+                WORKERS,
+                240,
+                Map.of(WaitReason.NO_ROOM, 3L, WaitReason.NO_ADVICE, 12L),
+                List.of(new DispatchStatus.LongWait(
+                        STEP, "queue", WaitReason.NO_ADVICE, 6, 2_040, Optional.of(AdviceOutcome.REFUSED)))));
+        assertEquals(
+                loggedLines(),
+                List.of(
+                        "WAIT step=job1.0.0 queue=queue reason=no_advice tasks=6 waitedMillis=2040 lastAdvice=REFUSED",
+                        "WAITING workersKnown=246 workersUsable=240 no_advice=12 no_room=3"));
+    }
+}
--- a/protocol/src/main/java/org/wasabimount/protocol/peer/AdviceReply.java
+++ b/protocol/src/main/java/org/wasabimount/protocol/peer/AdviceReply.java
@@ -215,6 +215,82 @@
     validMillis_ = 0L;
   }
 
+  public static final int FAILURE_FIELD_NUMBER = 6;
+  private int failure_;
+  /**
+   * <pre>
+   * Number of the failure, zero if the call was answered.
+   * </pre>
+   *
+   * <code>int32 failure = 6;</code>
+   * @return The failure.
+   */
+  @java.lang.Override
+  public int getFailure() {
+    return failure_;
+  }
+  /**
+   * <pre>
+   * Number of the failure, zero if the call was answered.
+   * </pre>
+   *
+   * <code>int32 failure = 6;</code>
+   * @param value The failure to set.
+   */
+  private void setFailure(int value) {
+    
+    failure_ = value;
+  }
+  /**
+   * <pre>
+   * Number of the failure, zero if the call was answered.
+   * </pre>
+   *
+   * <code>int32 failure = 6;</code>
+   */
+  private void clearFailure() {
+
+    failure_ = 0;
+  }
+
+  public static final int STATUS_FIELD_NUMBER = 7;
+  private int status_;
+  /**
+   * <pre>
+   * HTTP status of the service&#39;s response, zero if there was none.
+   * </pre>
+   *
+   * <code>int32 status = 7;</code>
+   * @return The status.
+   */
+  @java.lang.Override
+  public int getStatus() {
+    return status_;
+  }
+  /**
+   * <pre>
+   * HTTP status of the service&#39;s response, zero if there was none.
+   * </pre>
+   *
+   * <code>int32 status = 7;</code>
+   * @param value The status to set.
+   */
+  private void setStatus(int value) {
+    
+    status_ = value;
+  }
+  /**
+   * <pre>
+   * HTTP status of the service&#39;s response, zero if there was none.
+   * </pre>
+   *
+   * <code>int32 status = 7;</code>
+   */
+  private void clearStatus() {
+
+    status_ = 0;
+  }
+
   public static org.wasabimount.protocol.peer.AdviceReply parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -526,6 +602,86 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * Number of the failure, zero if the call was answered.
+     * </pre>
+     *
+     * <code>int32 failure = 6;</code>
+     * @return The failure.
+     */
+    @java.lang.Override
+    public int getFailure() {
+      return instance.getFailure();
+    }
+    /**
+     * <pre>
+     * Number of the failure, zero if the call was answered.
+     * </pre>
+     *
+     * <code>int32 failure = 6;</code>
+     * @param value The failure to set.
+     * @return This builder for chaining.
+     */
+    public Builder setFailure(int value) {
+      copyOnWrite();
+      instance.setFailure(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Number of the failure, zero if the call was answered.
+     * </pre>
+     *
+     * <code>int32 failure = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearFailure() {
+      copyOnWrite();
+      instance.clearFailure();
+      return this;
+    }
+
+    /**
+     * <pre>
+     * HTTP status of the service&#39;s response, zero if there was none.
+     * </pre>
+     *
+     * <code>int32 status = 7;</code>
+     * @return The status.
+     */
+    @java.lang.Override
+    public int getStatus() {
+      return instance.getStatus();
+    }
+    /**
+     * <pre>
+     * HTTP status of the service&#39;s response, zero if there was none.
+     * </pre>
+     *
+     * <code>int32 status = 7;</code>
+     * @param value The status to set.
+     * @return This builder for chaining.
+     */
+    public Builder setStatus(int value) {
+      copyOnWrite();
+      instance.setStatus(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * HTTP status of the service&#39;s response, zero if there was none.
+     * </pre>
+     *
+     * <code>int32 status = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearStatus() {
+      copyOnWrite();
+      instance.clearStatus();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:wasabimount.peer.AdviceReply)
   }
   @java.lang.Override
@@ -548,10 +704,12 @@
             "tickets_",
             org.wasabimount.protocol.peer.Ticket.class,
             "validMillis_",
+            "failure_",
+            "status_",
           };
           java.lang.String info =
-              "\u0000\u0005\u0000\u0000\u0001\u0005\u0005\u0000\u0001\u0000\u0001\u0003\u0002\u0007" +
-              "\u0003\u0007\u0004\u001b\u0005\u0002";
+              "\u0000\u0007\u0000\u0000\u0001\u0007\u0007\u0000\u0001\u0000\u0001\u0003\u0002\u0007" +
+              "\u0003\u0007\u0004\u001b\u0005\u0002\u0006\u0004\u0007\u0004";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/protocol/src/main/java/org/wasabimount/protocol/peer/AdviceReplyOrBuilder.java
+++ b/protocol/src/main/java/org/wasabimount/protocol/peer/AdviceReplyOrBuilder.java
@@ -47,4 +47,24 @@
    * @return The validMillis.
    */
   long getValidMillis();
+
+  /**
+   * <pre>
+   * Number of the failure, zero if the call was answered.
+   * </pre>
+   *
+   * <code>int32 failure = 6;</code>
+   * @return The failure.
+   */
+  int getFailure();
+
+  /**
+   * <pre>
+   * HTTP status of the service&#39;s response, zero if there was none.
+   * </pre>
+   *
+   * <code>int32 status = 7;</code>
+   * @return The status.
+   */
+  int getStatus();
 }
