Announce nodes often only where a loss must be noticed quickly

A large part was presences: each control node told each other node about itself every 250 ms, each entry node each control node, 2,272 messages a second, and each message listed all replicas.

Now a presence is sent in each round of 250 ms only between the leader and every other node and from each replica to the voters, one of whom leads next and must know who was silent. All others hear from each other every 3 s. What must be known at once is told at once: to all when a node begins or ceases to lead or drains, to the new leader by everyone who learns of it, and to a peer as soon as a connection to it is established, which also makes a new node find the others sooner. While no leader is known, all replicas are told in each round, as before. Replicas are listed when the list changed, and every 3 s.

A link that went silent without an error used to be noticed by ages of frames that assumed an interval of 250 ms. Now the receipt of the oldest unconfirmed presence is checked, which holds at any interval, and a node that begins to lead looks at all its links 800 ms later. ALIVE_TIMEOUT (800 ms), the reconnection after 2.5 s and the replacement of a voter after 2 s are unchanged.

Ruled out: counting any frame as a sign of life in alive(), which would change when operations are refused; one interval in the presence itself, which does not help in the moment in which the leader changes.

PeersTest, 8 control and 32 entry nodes in virtual time: 2,272 messages a second with the seldom interval set to 250 ms, 519 now.

wasabimount_peers now counts all nodes only on the leader.

--- a/daemon/src/main/java/org/wasabimount/daemon/node/JobNode.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/node/JobNode.java
@@ -7,10 +7,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 
 import org.wasabimount.core.Clock;
 import org.wasabimount.core.ResultCode;
@@ -53,7 +55,6 @@
     private static final System.Logger LOG = System.getLogger("wasabimount.node");
 
     private static final long TICK_INTERVAL_MILLIS = 20;
-    private static final long PRESENCE_INTERVAL_MILLIS = 250;
 
     /** Minimum election timeout, in milliseconds: the time of forty syncs on the slowest disk. */
     private static final long ELECTION_TIMEOUT_MILLIS = 400;
@@ -106,10 +107,11 @@
         Optional<DataFolder> folder = settings.dataFolder().map(DataFolder::new);
         this.identity = folder.isPresent() ? Optional.of(identity(folder.get())) : Optional.empty();
         this.group = folder.isPresent() ? Optional.of(createGroup(folder.get(), workers)) : Optional.empty();
-        this.peers = new Peers(settings, network, this::presence, clock);
+        this.peers = new Peers(settings, network, new PeersSelf(), clock);
         this.gateway = new OperationGateway(
                 network, this::executeLocally, name -> leader(), name -> peers.replicas(), peers::alive, timers, clock);
         peers.setReplicaListener(this::replicaAnnounced);
+        network.setLinkListener(peers::linkOpened);
         gateway.setRetryListener(metrics::operationRetried);
         registerGauges();
     }
@@ -194,7 +196,7 @@
         group.map(JobGroup::thread).ifPresent(GroupThread::start);
         network.listen(settings.peerAddress(settings.vm()), this::receive);
         group.map(JobGroup::thread).ifPresent(thread -> schedule(thread::tick, TICK_INTERVAL_MILLIS));
-        schedule(peers::round, PRESENCE_INTERVAL_MILLIS);
+        schedule(peers::round, Peers.ROUND_INTERVAL_MILLIS);
         schedule(this::followLeader, TICK_INTERVAL_MILLIS);
         LOG.log(
                 System.Logger.Level.INFO,
@@ -276,8 +278,8 @@
     }
 
     /**
-     * Follows changes of the leader: a new leader announces itself immediately, and operations that the previous leader
-     * left without a reply are sent to the new one.
+     * Follows changes of the leader: a new leader announces itself immediately, the other nodes announce themselves to
+     * it, and operations that the previous leader left without a reply are sent to the new one.
      */
     private void followLeader() {
         String leader = leader();
@@ -289,9 +291,7 @@
             return;
         }
         lastSeenLeader = leader;
-        if (group.map(hosted -> hosted.thread().leading()).orElse(false)) {
-            peers.round();
-        }
+        peers.round();
         gateway.leaderChanged(ReplicaIdentity.parse(leader).vm());
     }
 
@@ -307,16 +307,31 @@
         return group.map(hosted -> hosted.execute(operation.getJob()));
     }
 
-    private Presence.Builder presence() {
-        Presence.Builder presence = Presence.newBuilder()
-                .setReplica(identity.map(ReplicaIdentity::toString).orElse(""))
-                .setEntry(group.isEmpty())
-                .setLeader(group.map(hosted -> hosted.thread().leader()).orElse(""))
-                .setDraining(draining);
-        if (group.isPresent()) {
-            peers.replicaNames().forEach(presence::addReplicaVms);
+    /** This node as its peers see it. */
+    private final class PeersSelf implements Peers.Self {
+
+        @Override
+        public Presence presence() {
+            return Presence.newBuilder()
+                    .setReplica(identity.map(ReplicaIdentity::toString).orElse(""))
+                    .setEntry(group.isEmpty())
+                    .setLeader(group.map(hosted -> hosted.thread().leader()).orElse(""))
+                    .setDraining(draining)
+                    .build();
+        }
+
+        @Override
+        public String leader() {
+            return JobNode.this.leader();
+        }
+
+        @Override
+        public Set<VmId> voters() {
+            return group.map(hosted -> hosted.thread().membership().getVotersList().stream()
+                            .map(voter -> ReplicaIdentity.parse(voter).vm())
+                            .collect(Collectors.toSet()))
+                    .orElse(Set.of());
         }
-        return presence;
     }
 
     private void replicaAnnounced(ReplicaIdentity replica) {
--- a/daemon/src/main/java/org/wasabimount/daemon/peer/PeerLink.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/peer/PeerLink.java
@@ -16,12 +16,14 @@
 
     private final Bootstrap bootstrap;
     private final InetSocketAddress address;
+    private final Runnable openListener;
     private volatile Channel channel;
     private volatile boolean closed;
 
-    PeerLink(Bootstrap bootstrap, InetSocketAddress address) {
+    PeerLink(Bootstrap bootstrap, InetSocketAddress address, Runnable openListener) {
         this.bootstrap = bootstrap;
         this.address = address;
+        this.openListener = openListener;
     }
 
     void open() {
@@ -65,6 +67,7 @@
         if (connect.isSuccess()) {
             channel = connect.channel();
             channel.closeFuture().addListener(lost -> reopen());
+            openListener.run();
         } else {
             reopen();
         }
--- a/daemon/src/main/java/org/wasabimount/daemon/peer/PeerNetwork.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/peer/PeerNetwork.java
@@ -31,7 +31,7 @@
 import io.netty.handler.codec.protobuf.ProtobufEncoder;
 
 /** Sends frames to the other daemons and receives frames from them. */
-public final class PeerNetwork {
+public final class PeerNetwork implements PeerLinks {
 
     private static final System.Logger LOG = System.getLogger("wasabimount.peer");
     private static final int MAX_FRAME_BYTES = 64 << 20;
@@ -49,6 +49,7 @@
     private final MultiThreadIoEventLoopGroup eventLoops =
             new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private volatile Consumer<Envelope> receiver = envelope -> {};
+    private volatile Consumer<VmId> linkListener = vm -> {};
     private Channel server;
 
     /**
@@ -94,11 +95,15 @@
     }
 
     /**
-     * Connects to another daemon, and reconnects whenever the connection is lost.
+     * Sets the listener that is called whenever a connection to another daemon is established.
      *
-     * @param vm the other VM
-     * @param address the address on which it accepts connections
+     * @param listener receives the other VM, on the event loop's thread
      */
+    public void setLinkListener(Consumer<VmId> listener) {
+        linkListener = listener;
+    }
+
+    @Override
     public void connect(VmId vm, InetSocketAddress address) {
         Bootstrap bootstrap = new Bootstrap()
                 .group(eventLoops)
@@ -109,17 +114,13 @@
                         ChannelOption.WRITE_BUFFER_WATER_MARK,
                         new WriteBufferWaterMark(LOW_WATER_BYTES, HIGH_WATER_BYTES))
                 .handler(new ConnectionInitializer(false));
-        PeerLink link = new PeerLink(bootstrap, address);
+        PeerLink link = new PeerLink(bootstrap, address, () -> linkListener.accept(vm));
         if (links.putIfAbsent(vm, link) == null) {
             link.open();
         }
     }
 
-    /**
-     * Closes the link to another daemon, without reconnecting.
-     *
-     * @param vm the other VM
-     */
+    @Override
     public void disconnect(VmId vm) {
         PeerLink link = links.remove(vm);
         if (link != null) {
@@ -127,11 +128,7 @@
         }
     }
 
-    /**
-     * Closes the connection to another daemon and opens a new one; called when frames on it do not arrive.
-     *
-     * @param vm the other VM
-     */
+    @Override
     public void reconnect(VmId vm) {
         PeerLink link = links.get(vm);
         if (link != null) {
@@ -139,13 +136,7 @@
         }
     }
 
-    /**
-     * Sends a frame, or drops it if the link is down.
-     *
-     * @param to the other VM
-     * @param frame the frame; this method sets its sender
-     * @return false if the frame was certainly not sent
-     */
+    @Override
     public boolean send(VmId to, Envelope.Builder frame) {
         PeerLink link = links.get(to);
         if (link == null) {
