Follow the leader by events instead of polling it every 20 ms

Seen by callers: an idle entry node, which has nothing to do, woke its timer thread 50 times a second, and each time sorted all peers by the time of their last presence to find the leader. In the cell with 32 entry nodes that alone is 1,600 wake-ups a second.

The leader known to a node changes when a presence that names another leader arrives, when the node's own replica learns of another leader, or when the leader has been silent for 800 ms. The first two are events and are now handled as such, which is sooner than a poll; the third is checked with each round of 250 ms and with each operation, so that an operation is still refused from 0.8 s without a leader on. That time begins at the first operation or round that finds no leader, thus up to 250 ms later on an idle node, never earlier. Peers finds the leader in one pass without sorting, with the same preference for the latest that reports itself.

A node that learns that there is no leader, not only of another one, now announces itself at once: a leader that steps down is known to be one 250 ms sooner.

--- a/daemon/src/main/java/org/wasabimount/daemon/log/GroupThread.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/log/GroupThread.java
@@ -45,6 +45,7 @@
     private final TaskRing ring;
     private final TreeMap<Long, Proposal> proposals = new TreeMap<>();
     private final List<Runnable> afterFlush = new ArrayList<>();
+    private volatile Runnable leaderListener = () -> {};
     private HardState hardState;
     private LogSnapshot lastSnapshot;
     private long appliedIndex;
@@ -153,6 +154,15 @@
         afterFlush.add(task);
     }
 
+    /**
+     * Sets the listener that is called whenever another leader, or none, is known.
+     *
+     * @param listener called on the group's thread; must not block
+     */
+    public void setLeaderListener(Runnable listener) {
+        leaderListener = listener;
+    }
+
     /**
      * Returns a refusal that names the leader if it is known.
      *
@@ -311,9 +321,13 @@
         leading = nowLeading;
         membership = replica.membership();
         commitIndex = replica.commitIndex();
+        boolean leaderChanged = !replica.leader().equals(leader);
         leader = replica.leader();
         boolean upToDate = nowLeading ? replica.mayDecide(clock.millis()) : replica.caughtUpWithLeader();
         caughtUp = caughtUp || upToDate;
+        if (leaderChanged) {
+            leaderListener.run();
+        }
     }
 
     private void compactIfDue() throws IOException {
--- a/daemon/src/main/java/org/wasabimount/daemon/node/JobNode.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/node/JobNode.java
@@ -73,6 +73,8 @@
     /** Longest retry delay while there is no leader, in milliseconds; a leader may be elected at any moment. */
     private static final long MAX_RETRY_AFTER_MILLIS = 3_000;
 
+    private static final long LEADER_KNOWN = -1;
+
     private static final long LEADERSHIP_TRANSFER_TIMEOUT_MILLIS = 1_500;
     private static final long POLL_INTERVAL_MILLIS = 20;
 
@@ -88,8 +90,10 @@
     private final Optional<ReplicaIdentity> identity;
     private final Optional<JobGroup> group;
     private volatile boolean draining;
-    private volatile long leaderSeenMillis;
-    private String lastSeenLeader = "";
+    /** Since when no leader is known, {@link #LEADER_KNOWN} while one is. */
+    private volatile long leaderlessSinceMillis;
+
+    private volatile String lastSeenLeader = "";
 
     /**
      * Creates a node; {@link #start} starts it.
@@ -102,7 +106,7 @@
     public JobNode(NodeSettings settings, WorkerCalls workers, AdviceCalls advice) throws IOException {
         this.settings = settings;
         this.advice = advice;
-        this.leaderSeenMillis = clock.millis();
+        this.leaderlessSinceMillis = clock.millis();
         this.network = new PeerNetwork(settings.vm(), null);
         Optional<DataFolder> folder = settings.dataFolder().map(DataFolder::new);
         this.identity = folder.isPresent() ? Optional.of(identity(folder.get())) : Optional.empty();
@@ -111,7 +115,9 @@
         this.gateway = new OperationGateway(
                 network, this::executeLocally, name -> leader(), name -> peers.replicas(), peers::alive, timers, clock);
         peers.setReplicaListener(this::replicaAnnounced);
+        peers.setLeaderListener(this::leaderReported);
         network.setLinkListener(peers::linkOpened);
+        group.map(JobGroup::thread).ifPresent(thread -> thread.setLeaderListener(this::leaderReported));
         gateway.setRetryListener(metrics::operationRetried);
         registerGauges();
     }
@@ -196,8 +202,7 @@
         group.map(JobGroup::thread).ifPresent(GroupThread::start);
         network.listen(settings.peerAddress(settings.vm()), this::receive);
         group.map(JobGroup::thread).ifPresent(thread -> schedule(thread::tick, TICK_INTERVAL_MILLIS));
-        schedule(peers::round, Peers.ROUND_INTERVAL_MILLIS);
-        schedule(this::followLeader, TICK_INTERVAL_MILLIS);
+        schedule(this::round, Peers.ROUND_INTERVAL_MILLIS);
         LOG.log(
                 System.Logger.Level.INFO,
                 "NODE start vm={0} domain={1} replica={2} seeds={3} firstStart={4}",
@@ -217,7 +222,7 @@
      */
     public CompletableFuture<Reply> execute(JobOperation operation, long timeoutMillis) {
         long arrivedMillis = clock.millis();
-        long leaderlessMillis = arrivedMillis - leaderSeenMillis;
+        long leaderlessMillis = leaderlessMillis(arrivedMillis);
         CompletableFuture<Reply> result = leaderlessMillis > MAX_LEADERLESS_MILLIS
                 ? CompletableFuture.completedFuture(noLeader(leaderlessMillis))
                 : gateway.execute(
@@ -277,22 +282,47 @@
         peers.addSeeds(seeds);
     }
 
+    private void round() {
+        peers.round();
+        followLeader();
+    }
+
+    /** Called on the threads that receive reports, so it only schedules the work, and only if there is any. */
+    private void leaderReported() {
+        if (!leader().equals(lastSeenLeader)) {
+            timers.execute(logFailure(this::followLeader));
+        }
+    }
+
     /**
      * Follows changes of the leader: a new leader announces itself immediately, the other nodes announce themselves to
      * it, and operations that the previous leader left without a reply are sent to the new one.
      */
     private void followLeader() {
         String leader = leader();
-        if (leader.isEmpty()) {
-            return;
-        }
-        leaderSeenMillis = clock.millis();
+        leaderlessMillis(clock.millis());
         if (leader.equals(lastSeenLeader)) {
             return;
         }
         lastSeenLeader = leader;
         peers.round();
-        gateway.leaderChanged(ReplicaIdentity.parse(leader).vm());
+        if (!leader.isEmpty()) {
+            gateway.leaderChanged(ReplicaIdentity.parse(leader).vm());
+        }
+    }
+
+    /** Returns for how long no leader has been known, zero if one is known. */
+    private long leaderlessMillis(long nowMillis) {
+        if (!leader().isEmpty()) {
+            leaderlessSinceMillis = LEADER_KNOWN;
+            return 0;
+        }
+        long sinceMillis = leaderlessSinceMillis;
+        if (sinceMillis == LEADER_KNOWN) {
+            leaderlessSinceMillis = nowMillis;
+            return 0;
+        }
+        return nowMillis - sinceMillis;
     }
 
     /** Returns the identity of the leader known to this node, empty if none is known. */
@@ -425,17 +455,17 @@
     }
 
     private void schedule(Runnable task, long periodMillis) {
-        timers.scheduleAtFixedRate(
-                () -> {
-                    try {
-                        task.run();
-                    } catch (RuntimeException e) {
-                        LOG.log(System.Logger.Level.ERROR, "NODE timer task failed", e);
-                    }
-                },
-                periodMillis,
-                periodMillis,
-                TimeUnit.MILLISECONDS);
+        timers.scheduleAtFixedRate(logFailure(task), periodMillis, periodMillis, TimeUnit.MILLISECONDS);
+    }
+
+    private static Runnable logFailure(Runnable task) {
+        return () -> {
+            try {
+                task.run();
+            } catch (RuntimeException e) {
+                LOG.log(System.Logger.Level.ERROR, "NODE timer task failed", e);
+            }
+        };
     }
 
     private static void pause(long millis) {
--- a/daemon/src/main/java/org/wasabimount/daemon/node/Peers.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/node/Peers.java
@@ -1,11 +1,9 @@
 package org.wasabimount.daemon.node;
 
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
@@ -57,6 +55,7 @@
     private final Clock clock;
     private final Map<VmId, Peer> peers = new ConcurrentHashMap<>();
     private volatile Consumer<ReplicaIdentity> replicaListener = replica -> {};
+    private volatile Runnable leaderListener = () -> {};
     private volatile boolean leading;
     private volatile long leadingChangedMillis;
     private boolean announcedDraining;
@@ -123,6 +122,11 @@
         replicaListener = listener;
     }
 
+    /** Sets the listener that is called when a node reports another leader than before. */
+    void setLeaderListener(Runnable listener) {
+        leaderListener = listener;
+    }
+
     private Peer getOrAdd(VmId vm) {
         if (vm.equals(settings.vm())) {
             return null;
@@ -150,6 +154,7 @@
             return;
         }
         long nowMillis = clock.millis();
+        boolean leaderChanged = !presence.getLeader().equals(peer.lastPresence.getLeader());
         peer.lastPresence = presence;
         peer.lastPresenceMillis = nowMillis;
         if (!peer.alive) {
@@ -166,6 +171,9 @@
         if (peer.replica()) {
             replicaListener.accept(ReplicaIdentity.parse(presence.getReplica()));
         }
+        if (leaderChanged) {
+            leaderListener.run();
+        }
     }
 
     /** Reopens the link to a node that has not received what was sent on it. */
@@ -342,22 +350,23 @@
      * that another node reports; empty if there is none.
      */
     String leader() {
-        List<Presence> latestFirst = peers.entrySet().stream()
-                .filter(peer -> alive(peer.getKey()))
-                .map(Map.Entry::getValue)
-                .filter(peer -> !peer.lastPresence.getLeader().isEmpty())
-                .sorted(Comparator.comparingLong((Peer peer) -> peer.lastPresenceMillis)
-                        .reversed())
-                .map(peer -> peer.lastPresence)
-                .toList();
-        // Latest first, as a leader that was cut off or suspended may have reported itself before its successor did.
-        Optional<String> selfDeclaredLeader = latestFirst.stream()
-                .filter(presence -> presence.getLeader().equals(presence.getReplica()))
-                .map(Presence::getLeader)
-                .findFirst();
-        return selfDeclaredLeader
-                .or(() -> latestFirst.stream().map(Presence::getLeader).findFirst())
-                .orElse("");
+        long nowMillis = clock.millis();
+        Peer selfDeclaredLeader = null;
+        Peer latest = null;
+        for (Peer peer : peers.values()) {
+            if (alive(peer, nowMillis) && !peer.lastPresence.getLeader().isEmpty()) {
+                // The latest one, as a leader that was cut off or suspended may have reported itself before its
+                // successor did.
+                latest = later(peer, latest);
+                selfDeclaredLeader = peer.leads() ? later(peer, selfDeclaredLeader) : selfDeclaredLeader;
+            }
+        }
+        Peer source = selfDeclaredLeader == null ? latest : selfDeclaredLeader;
+        return source == null ? "" : source.lastPresence.getLeader();
+    }
+
+    private static Peer later(Peer peer, Peer other) {
+        return other == null || peer.lastPresenceMillis > other.lastPresenceMillis ? peer : other;
     }
 
     /** Returns the names of the VMs to list in this node's presence: those that may hold replicas and are not lost. */
--- a/daemon/src/test/java/org/wasabimount/daemon/node/PeersTest.java
+++ b/daemon/src/test/java/org/wasabimount/daemon/node/PeersTest.java
@@ -98,6 +98,28 @@
         assertEquals(next.peers().available().size(), REPLICAS + ENTRIES - 1, "who can call the advice service");
     }
 
+    @Test
+    public void onlyChangesOfLeaderAreReported() {
+        int reports = leaderReports();
+        cell.runFor(TimeUnit.SECONDS.toMillis(30));
+        assertEquals(leaderReports(), reports);
+        cell.elect(replicas.get(2));
+        cell.runFor(TimeUnit.SECONDS.toMillis(1));
+        assertTrue(leaderReports() > reports);
+    }
+
+    private int leaderReports() {
+        return entries.stream().mapToInt(SimulatedPeers.Node::leaderReports).sum();
+    }
+
+    @Test
+    public void latestOfTwoThatReportThemselvesLeads() {
+        SimulatedPeers.Node next = replicas.get(0);
+        next.follow(next.identity());
+        cell.runFor(SimulatedPeers.LINK_DELAY_MILLIS);
+        entries.forEach(entry -> assertEquals(entry.leader(), next.identity()));
+    }
+
     @Test
     public void nextLeaderKnowsSinceWhenVoterIsSilent() {
         cell.stop(leader);
--- a/daemon/src/test/java/org/wasabimount/daemon/node/SimulatedPeers.java
+++ b/daemon/src/test/java/org/wasabimount/daemon/node/SimulatedPeers.java
@@ -55,6 +55,7 @@
         private boolean draining;
         private boolean stopped;
         private int reconnects;
+        private int leaderReports;
 
         private Node(VmId vm, boolean replica, List<VmId> seeds) {
             this.vm = vm;
@@ -69,12 +70,20 @@
                     voters.size(),
                     new DispatchSettings(6_000, 3_000, 120_000, 2_000, 200));
             this.peers = new Peers(settings, this, this, () -> nowMillis);
+            peers.setLeaderListener(() -> {
+                leaderReports++;
+                followLeader();
+            });
         }
 
         Peers peers() {
             return peers;
         }
 
+        int leaderReports() {
+            return leaderReports;
+        }
+
         int reconnects() {
             return reconnects;
         }
@@ -118,7 +127,6 @@
             if (!stopped) {
                 peers.frameReceived(from);
                 peers.receive(from, presence);
-                followLeader();
             }
         }
 
