--- a/daemon/src/main/java/org/wasabimount/daemon/node/JobNode.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/node/JobNode.java
@@ -5,10 +5,12 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 
 import org.wasabimount.core.Clock;
 import org.wasabimount.core.ResultCode;
@@ -51,7 +53,6 @@
     private static final System.Logger LOG = System.getLogger("wasabimount.node");
 
     private static final long TICK_INTERVAL_MILLIS = 20;
-    private static final long PRESENCE_INTERVAL_MILLIS = 250;
 
     /** Minimum election timeout, in milliseconds: the time of forty syncs on the slowest disk. */
     private static final long ELECTION_TIMEOUT_MILLIS = 400;
@@ -70,6 +71,8 @@
     /** Longest retry delay while there is no leader, in milliseconds; a leader may be elected at any moment. */
     private static final long MAX_RETRY_AFTER_MILLIS = 3_000;
 
+    private static final long LEADER_KNOWN = -1;
+
     private static final long LEADERSHIP_TRANSFER_TIMEOUT_MILLIS = 1_500;
     private static final long POLL_INTERVAL_MILLIS = 20;
 
@@ -85,8 +88,10 @@
     private final Optional<ReplicaIdentity> identity;
     private final Optional<JobGroup> group;
     private volatile boolean draining;
-    private volatile long leaderSeenMillis;
-    private String lastSeenLeader = "";
+    /** Since when no leader is known, {@link #LEADER_KNOWN} while one is. */
+    private volatile long leaderlessSinceMillis;
+
+    private volatile String lastSeenLeader = "";
 
     /**
      * Creates a node; {@link #start} starts it.
@@ -99,15 +104,18 @@
     public JobNode(NodeSettings settings, WorkerCalls workers, AdviceCalls advice) throws IOException {
         this.settings = settings;
         this.advice = advice;
-        this.leaderSeenMillis = clock.millis();
+        this.leaderlessSinceMillis = clock.millis();
         this.network = new PeerNetwork(settings.vm(), null);
         Optional<DataFolder> folder = settings.dataFolder().map(DataFolder::new);
         this.identity = folder.isPresent() ? Optional.of(identity(folder.get())) : Optional.empty();
         this.group = folder.isPresent() ? Optional.of(createGroup(folder.get(), workers)) : Optional.empty();
-        this.peers = new Peers(settings, network, this::presence, clock);
+        this.peers = new Peers(settings, network, new PeersSelf(), clock);
         this.gateway = new OperationGateway(
                 network, this::executeLocally, name -> leader(), name -> peers.replicas(), peers::alive, timers, clock);
         peers.setReplicaListener(this::replicaAnnounced);
+        peers.setLeaderListener(this::leaderReported);
+        network.setLinkListener(peers::linkOpened);
+        group.map(JobGroup::thread).ifPresent(thread -> thread.setLeaderListener(this::leaderReported));
         gateway.setRetryListener(metrics::operationRetried);
         registerGauges();
     }
@@ -192,8 +200,7 @@
         group.map(JobGroup::thread).ifPresent(GroupThread::start);
         network.listen(settings.peerAddress(settings.vm()), this::receive);
         group.map(JobGroup::thread).ifPresent(thread -> schedule(thread::tick, TICK_INTERVAL_MILLIS));
-        schedule(peers::round, PRESENCE_INTERVAL_MILLIS);
-        schedule(this::followLeader, TICK_INTERVAL_MILLIS);
+        schedule(this::round, Peers.ROUND_INTERVAL_MILLIS);
         LOG.log(
                 System.Logger.Level.INFO,
                 "NODE start vm={0} domain={1} replica={2} seeds={3} firstStart={4}",
@@ -213,7 +220,7 @@
      */
     public CompletableFuture<Reply> execute(JobOperation operation, long timeoutMillis) {
         long arrivedMillis = clock.millis();
-        long leaderlessMillis = arrivedMillis - leaderSeenMillis;
+        long leaderlessMillis = leaderlessMillis(arrivedMillis);
         CompletableFuture<Reply> result = leaderlessMillis > MAX_LEADERLESS_MILLIS
                 ? CompletableFuture.completedFuture(noLeader(leaderlessMillis))
                 : gateway.execute(
@@ -273,24 +280,47 @@
         peers.addSeeds(seeds);
     }
 
+    private void round() {
+        peers.round();
+        followLeader();
+    }
+
+    /** Called on the threads that receive reports, so it only schedules the work, and only if there is any. */
+    private void leaderReported() {
+        if (!leader().equals(lastSeenLeader)) {
+            timers.execute(logFailure(this::followLeader));
+        }
+    }
+
     /**
-     * Follows changes of the leader: a new leader announces itself immediately, and operations that the previous leader
-     * left without a reply are sent to the new one.
+     * Follows changes of the leader: a new leader announces itself immediately, the other nodes announce themselves to
+     * it, and operations that the previous leader left without a reply are sent to the new one.
      */
     private void followLeader() {
         String leader = leader();
-        if (leader.isEmpty()) {
-            return;
-        }
-        leaderSeenMillis = clock.millis();
+        leaderlessMillis(clock.millis());
         if (leader.equals(lastSeenLeader)) {
             return;
         }
         lastSeenLeader = leader;
-        if (group.map(hosted -> hosted.thread().leading()).orElse(false)) {
-            peers.round();
+        peers.round();
+        if (!leader.isEmpty()) {
+            gateway.leaderChanged(ReplicaIdentity.parse(leader).vm());
         }
-        gateway.leaderChanged(ReplicaIdentity.parse(leader).vm());
+    }
+
+    /** Returns for how long no leader has been known, zero if one is known. */
+    private long leaderlessMillis(long nowMillis) {
+        if (!leader().isEmpty()) {
+            leaderlessSinceMillis = LEADER_KNOWN;
+            return 0;
+        }
+        long sinceMillis = leaderlessSinceMillis;
+        if (sinceMillis == LEADER_KNOWN) {
+            leaderlessSinceMillis = nowMillis;
+            return 0;
+        }
+        return nowMillis - sinceMillis;
     }
 
     /** Returns the identity of the leader known to this node, empty if none is known. */
@@ -305,16 +335,31 @@
         return group.map(hosted -> hosted.execute(operation.getJob()));
     }
 
-    private Presence.Builder presence() {
-        Presence.Builder presence = Presence.newBuilder()
-                .setReplica(identity.map(ReplicaIdentity::toString).orElse(""))
-                .setEntry(group.isEmpty())
-                .setLeader(group.map(hosted -> hosted.thread().leader()).orElse(""))
-                .setDraining(draining);
-        if (group.isPresent()) {
-            peers.replicaNames().forEach(presence::addReplicaVms);
+    /** This node as its peers see it. */
+    private final class PeersSelf implements Peers.Self {
+
+        @Override
+        public Presence presence() {
+            return Presence.newBuilder()
+                    .setReplica(identity.map(ReplicaIdentity::toString).orElse(""))
+                    .setEntry(group.isEmpty())
+                    .setLeader(group.map(hosted -> hosted.thread().leader()).orElse(""))
+                    .setDraining(draining)
+                    .build();
+        }
+
+        @Override
+        public String leader() {
+            return JobNode.this.leader();
+        }
+
+        @Override
+        public Set<VmId> voters() {
+            return group.map(hosted -> hosted.thread().membership().getVotersList().stream()
+                            .map(voter -> ReplicaIdentity.parse(voter).vm())
+                            .collect(Collectors.toSet()))
+                    .orElse(Set.of());
         }
-        return presence;
     }
 
     private void replicaAnnounced(ReplicaIdentity replica) {
@@ -397,17 +442,17 @@
     }
 
     private void schedule(Runnable task, long periodMillis) {
-        timers.scheduleAtFixedRate(
-                () -> {
-                    try {
-                        task.run();
-                    } catch (RuntimeException e) {
-                        LOG.log(System.Logger.Level.ERROR, "NODE timer task failed", e);
-                    }
-                },
-                periodMillis,
-                periodMillis,
-                TimeUnit.MILLISECONDS);
+        timers.scheduleAtFixedRate(logFailure(task), periodMillis, periodMillis, TimeUnit.MILLISECONDS);
+    }
+
+    private static Runnable logFailure(Runnable task) {
+        return () -> {
+            try {
+                task.run();
+            } catch (RuntimeException e) {
+                LOG.log(System.Logger.Level.ERROR, "NODE timer task failed", e);
+            }
+        };
     }
 
     private static void pause(long millis) {
