Measure what the dispatcher examines, with failing tests of its cost

ExaminedCounts counts what each part of the dispatcher examines. PanelLoad plays the deployment's load on a simulated cell in virtual time, with advice that succeeds and names at most 100 workers, and prints counts and thread processor time.

--- a/core/src/main/java/org/wasabimount/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/Dispatcher.java
@@ -60,6 +60,7 @@
     private final SchedulingOrder order;
     private final WorkerManager workers;
     private final AdviceManager advice = new AdviceManager();
+    private final ExaminedCounts examined = new ExaminedCounts();
     private final Map<String, JobPlan> plans = new LinkedHashMap<>();
     private List<DispatchAction> actions = new ArrayList<>();
     private Consumer<Job> ended = job -> {};
@@ -89,7 +90,7 @@
         this.table = table;
         this.order = order;
         this.nowMillis = nowMillis;
-        this.workers = new WorkerManager(settings, table, fence, this::add, nowMillis);
+        this.workers = new WorkerManager(settings, table, fence, this::add, examined, nowMillis);
         table.jobs().stream().filter(Job::open).forEach(job -> {
             long ageMillis = Math.max(0, wallMillis - job.acceptedMillis());
             plans.put(job.id(), new JobPlan(job, nowMillis - ageMillis));
@@ -250,6 +251,7 @@
      * @return the refusal, empty if the job is accepted
      */
     public Optional<Refusal> admit(JobSpec spec, Queue queue) {
+        examined.add(ExaminedCounts.Part.ADMIT, workers.trackedWorkers().size());
         long usableCpuMillis = workers.trackedWorkers().stream()
                 .filter(trackedWorker -> trackedWorker.countsForAdmission()
                         && trackedWorker.entry().incarnation().getPool().equals(queue.getPool()))
@@ -273,8 +275,9 @@
         return latest >= nowMillis && latest <= latestStartMillis;
     }
 
-    private static double waitingWork(Job job) {
+    private double waitingWork(Job job) {
         return job.tasks()
+                .peek(task -> examined.add(ExaminedCounts.Part.ADMIT, 1))
                 .filter(JobTask::awaitsPlacement)
                 .mapToDouble(task -> {
                     var step = job.step(task.id().step());
@@ -295,7 +298,7 @@
         if (stateChanged || nowMillis >= roundDueMillis) {
             stateChanged = false;
             roundDueMillis = nowMillis + MAX_ROUND_INTERVAL_MILLIS;
-            new PlacementRound(workers, advice, this::add, nowMillis).run(ready(wallMillis));
+            new PlacementRound(workers, advice, this::add, examined, nowMillis).run(ready(wallMillis));
         }
         if (nowMillis >= forgetDueMillis) {
             forgetDueMillis = nowMillis + FORGET_INTERVAL_MILLIS;
@@ -320,6 +323,8 @@
         List<ReadyStep> steps = new ArrayList<>();
         for (int number = 0; number < job.spec().getStepsCount(); number++) {
             StepId id = new StepId(job.id(), occurrence, number);
+            examined.add(
+                    ExaminedCounts.Part.READY, job.tasks(occurrence, number).size());
             List<JobTask> waiting = job.tasks(occurrence, number).stream()
                     .filter(JobTask::awaitsPlacement)
                     .filter(task -> !workers.placementPending(task.id()))
@@ -394,6 +399,11 @@
         stateChanged = true;
     }
 
+    /** Returns how many items were examined so far. */
+    ExaminedCounts examined() {
+        return examined;
+    }
+
     private void add(DispatchAction action) {
         actions.add(action);
     }
--- a/core/src/main/java/org/wasabimount/core/dispatch/PlacementRound.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/PlacementRound.java
@@ -38,6 +38,7 @@
     private final WorkerManager workers;
     private final AdviceManager advice;
     private final Consumer<DispatchAction> actions;
+    private final ExaminedCounts examined;
     private final long nowMillis;
     private final Placer placer;
     private final List<TrackedWorker> usable;
@@ -45,15 +46,22 @@
     private boolean reserved;
     private int ticketRenewals;
 
-    PlacementRound(WorkerManager workers, AdviceManager advice, Consumer<DispatchAction> actions, long nowMillis) {
+    PlacementRound(
+            WorkerManager workers,
+            AdviceManager advice,
+            Consumer<DispatchAction> actions,
+            ExaminedCounts examined,
+            long nowMillis) {
         this.workers = workers;
         this.advice = advice;
         this.actions = actions;
+        this.examined = examined;
+        examined.add(ExaminedCounts.Part.ROUND, workers.trackedWorkers().size());
         this.nowMillis = nowMillis;
         this.usable = workers.trackedWorkers().stream()
                 .filter(trackedWorker -> trackedWorker.usable(nowMillis))
                 .toList();
-        this.placer = new Placer(usable);
+        this.placer = new Placer(usable, examined);
         this.reservableCpuMillis = MAX_RESERVED_SHARE
                 * usable.stream()
                         .mapToLong(trackedWorker ->
@@ -86,11 +94,13 @@
 
     private boolean failedRecently(ReadyStep step, TrackedWorker trackedWorker) {
         return step.waiting().stream()
+                .peek(task -> examined.add(ExaminedCounts.Part.ROUND, 1))
                 .anyMatch(task ->
                         workers.failedOn(task.id(), trackedWorker.entry().id(), nowMillis));
     }
 
     private boolean hasTicket(ReadyStep step, TrackedWorker trackedWorker) {
+        examined.add(ExaminedCounts.Part.ROUND, 1);
         return advice.ticket(step.id(), trackedWorker.entry().id(), nowMillis).isPresent();
     }
 
--- a/core/src/main/java/org/wasabimount/core/dispatch/Placer.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/Placer.java
@@ -26,9 +26,11 @@
  */
 final class Placer {
 
+    private final ExaminedCounts examined;
     private final Map<TrackedWorker, Capacity> freeCapacities = new LinkedHashMap<>();
 
-    Placer(List<TrackedWorker> usableWorkers) {
+    Placer(List<TrackedWorker> usableWorkers, ExaminedCounts examined) {
+        this.examined = examined;
         usableWorkers.forEach(trackedWorker -> freeCapacities.put(trackedWorker, trackedWorker.freeCapacity()));
     }
 
@@ -47,6 +49,7 @@
 
     /** Chooses workers for as many tasks as fit; for a gang, for all of its tasks or none. */
     Map<JobTask, TrackedWorker> choose(ReadyStep step, Predicate<TrackedWorker> allowed) {
+        examined.add(ExaminedCounts.Part.ROUND, freeCapacities.size());
         List<TrackedWorker> candidates = freeCapacities.keySet().stream()
                 .filter(allowed)
                 .filter(trackedWorker -> step.size().fitsIn(freeCapacity(trackedWorker)))
@@ -69,6 +72,7 @@
                         placeTogether && !domains.isEmpty() && !domains.contains(trackedWorker.domain()))
                 .thenComparingDouble(trackedWorker -> freeShare(trackedWorker));
         for (JobTask task : step.waiting()) {
+            examined.add(ExaminedCounts.Part.ROUND, candidates.size());
             Optional<TrackedWorker> best = candidates.stream()
                     .filter(trackedWorker ->
                             step.size().fitsIn(freeCapacity(trackedWorker)) && belowLimit(step, counts, trackedWorker))
@@ -145,6 +149,7 @@
                 .toList();
         List<TrackedWorker> targets = new ArrayList<>();
         for (int task = 0; task < step.waiting().size(); task++) {
+            examined.add(ExaminedCounts.Part.ROUND, candidates.size());
             Optional<TrackedWorker> earliestWorker = candidates.stream()
                     .filter(trackedWorker -> belowLimit(step, counts, trackedWorker))
                     .filter(trackedWorker -> step.size()
@@ -168,6 +173,7 @@
      * Returns the estimated time until a size fits on a worker beside the allocations of this round, in milliseconds.
      */
     long earliestFitMillis(TrackedWorker trackedWorker, Capacity size, long nowMillis) {
+        examined.add(ExaminedCounts.Part.ROUND, trackedWorker.runs().size());
         Capacity taken = trackedWorker.freeCapacity().minus(freeCapacity(trackedWorker));
         return trackedWorker.millisUntilFits(size.plus(taken), nowMillis);
     }
--- a/core/src/main/java/org/wasabimount/core/dispatch/WorkerManager.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/WorkerManager.java
@@ -84,17 +84,24 @@
     private final JobTable table;
     private final long fence;
     private final Consumer<DispatchAction> actions;
+    private final ExaminedCounts examined;
     private final Map<IncarnationId, TrackedWorker> trackedWorkers = new LinkedHashMap<>();
     private final Set<TaskId> placementPending = new HashSet<>();
     private final Map<TaskId, Map<IncarnationId, Long>> failedOn = new HashMap<>();
     private final SlowWorkerDetector slowWorkerDetector = new SlowWorkerDetector();
 
     WorkerManager(
-            DispatchSettings settings, JobTable table, long fence, Consumer<DispatchAction> actions, long nowMillis) {
+            DispatchSettings settings,
+            JobTable table,
+            long fence,
+            Consumer<DispatchAction> actions,
+            ExaminedCounts examined,
+            long nowMillis) {
         this.settings = settings;
         this.table = table;
         this.fence = fence;
         this.actions = actions;
+        this.examined = examined;
         table.workers().forEach(worker -> adopt(worker, nowMillis));
     }
 
@@ -185,6 +192,7 @@
     /** Sends all due lease renewals, starts and stops, and handles expired leases. */
     void tick(long nowMillis) {
         List.copyOf(trackedWorkers.values()).forEach(trackedWorker -> {
+            examined.add(ExaminedCounts.Part.TICK, 1 + trackedWorker.runs().size());
             if (trackedWorker.renewalDue(nowMillis)) {
                 renewLease(trackedWorker, nowMillis);
             }
@@ -634,7 +642,8 @@
 
     private Stream<TrackedRun> runs() {
         return List.copyOf(trackedWorkers.values()).stream()
-                .flatMap(trackedWorker -> List.copyOf(trackedWorker.runs()).stream());
+                .flatMap(trackedWorker -> List.copyOf(trackedWorker.runs()).stream())
+                .peek(trackedRun -> examined.add(ExaminedCounts.Part.END, 1));
     }
 
     private Step step(StepId id) {
--- /dev/null
+++ b/core/src/test/java/org/wasabimount/core/dispatch/DispatcherCostTest.java
@@ -0,0 +1,105 @@
+package org.wasabimount.core.dispatch;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import org.testng.annotations.Test;
+import org.wasabimount.core.cell.Capacity;
+
+/**
+ * Bounds how many items the dispatcher examines, in virtual time and with fixed seeds, so that its processor time does
+ * not grow with the workers times the waiting steps.
+ */
+public class DispatcherCostTest {
+
+    private static final int FEW_WORKERS = 33;
+    private static final int MANY_WORKERS = 246;
+
+    @Test(groups = "known-red")
+    public void admissionDoesNotExamineIdleWorkers() {
+        assertEquals(examinedByAdmission(idleCell(MANY_WORKERS)), examinedByAdmission(idleCell(FEW_WORKERS)));
+    }
+
+    @Test(groups = "known-red")
+    public void endOfJobDoesNotExamineRunsOfOtherJobs() {
+        SimulatedCell cell = busyCell(MANY_WORKERS);
+        submitWaitingJobs(cell, 1);
+        long before = cell.dispatcher.examined().of(ExaminedCounts.Part.END);
+        cell.cancel("waiting1");
+        assertEquals(cell.dispatcher.examined().of(ExaminedCounts.Part.END), before);
+    }
+
+    @Test(groups = "known-red")
+    public void idleTickDoesNotExamineAssignedRuns() {
+        SimulatedCell cell = busyCell(MANY_WORKERS);
+        long before = cell.dispatcher.examined().of(ExaminedCounts.Part.TICK);
+        for (int call = 0; call < 100; call++) {
+            cell.dispatcher.work(cell.wallMillis());
+        }
+        assertTrue(
+                cell.dispatcher.examined().of(ExaminedCounts.Part.TICK) - before <= 100,
+                "examined " + (cell.dispatcher.examined().of(ExaminedCounts.Part.TICK) - before));
+    }
+
+    @Test(groups = "known-red")
+    public void admissionDoesNotExamineWaitingTasks() {
+        SimulatedCell cell = busyCell(FEW_WORKERS);
+        submitWaitingJobs(cell, 20);
+        long withFewJobs = examinedByAdmission(cell);
+        submitWaitingJobs(cell, 20);
+        assertEquals(examinedByAdmission(cell), withFewJobs + 20, "one item for each open job");
+    }
+
+    private static long examinedByAdmission(SimulatedCell cell) {
+        long before = cell.dispatcher.examined().of(ExaminedCounts.Part.ADMIT);
+        cell.dispatcher.admit(cell.job("next", 1, PanelLoad.WORKER, false), cell.queue());
+        return cell.dispatcher.examined().of(ExaminedCounts.Part.ADMIT) - before;
+    }
+
+    @Test(groups = "known-red")
+    public void readyStepsAreCollectedWithoutExaminingTasksOfOpenJobs() {
+        SimulatedCell cell = busyCell(FEW_WORKERS);
+        submitWaitingJobs(cell, 20);
+        cell.run(100);
+        long before = cell.dispatcher.examined().of(ExaminedCounts.Part.READY);
+        cell.run(1_000);
+        long perRound = (cell.dispatcher.examined().of(ExaminedCounts.Part.READY) - before) / 25;
+        assertTrue(perRound <= 3 * 21, "examined " + perRound + " in each round for 21 steps");
+    }
+
+    @Test(groups = "known-red")
+    public void waitingStepsDoNotExamineFullWorkers() {
+        SimulatedCell cell = busyCell(MANY_WORKERS);
+        submitWaitingJobs(cell, 100);
+        cell.run(100);
+        long before = cell.dispatcher.examined().of(ExaminedCounts.Part.ROUND);
+        cell.run(1_000);
+        long perRound = (cell.dispatcher.examined().of(ExaminedCounts.Part.ROUND) - before) / 25;
+        assertTrue(
+                perRound <= 2 * (MANY_WORKERS + 100),
+                "examined " + perRound + " in each round for 100 steps and " + MANY_WORKERS + " full workers");
+    }
+
+    private static SimulatedCell idleCell(int workers) {
+        SimulatedCell cell = new SimulatedCell(1);
+        cell.addresses(workers).forEach(address -> cell.worker("w" + address, address, PanelLoad.WORKER));
+        cell.run(PanelLoad.SETTLE_MILLIS);
+        return cell;
+    }
+
+    /** Starts a cell whose workers each have one task that uses all of it for a long time. */
+    private static SimulatedCell busyCell(int workers) {
+        SimulatedCell cell = idleCell(workers);
+        cell.workMillis(1_000_000);
+        cell.submit(cell.job("busy", workers, PanelLoad.WORKER, false));
+        cell.run(PanelLoad.SETTLE_MILLIS);
+        return cell;
+    }
+
+    private static void submitWaitingJobs(SimulatedCell cell, int count) {
+        int first = cell.table.jobs().size();
+        for (int number = first; number < first + count; number++) {
+            cell.submit(cell.job("waiting" + number, 10, new Capacity(1_000, 1_000, 0), false));
+        }
+    }
+}
--- a/core/src/test/java/org/wasabimount/core/dispatch/SimulatedCell.java
+++ b/core/src/test/java/org/wasabimount/core/dispatch/SimulatedCell.java
@@ -40,12 +40,13 @@
     static final long LEASE_MILLIS = 6_000;
     static final long GANG_MILLIS = 3_000;
 
-    private static final long STEP_MILLIS = 5;
     private static final long COMMIT_MILLIS = 6;
     private static final long NETWORK_DELAY_MILLIS = 1;
     private static final long ANNOUNCE_MILLIS = 1_500;
     private static final long CALL_TIMEOUT_MILLIS = 1_000;
     private static final long TICKET_MILLIS = 1_500;
+    private static final int MAX_ADVISED_WORKERS = 100;
+    private static final int PERCENT = 100;
     private static final long EPOCH_MILLIS = 1_700_000_000_000L;
 
     final Random random;
@@ -63,6 +64,19 @@
     double delayedOrderShare;
     double lostResponseShare;
     int adviceCalls;
+
+    /** Number of commits and results that the dispatcher has received. */
+    long eventCount;
+
+    /** Time between two calls of {@link Dispatcher#work}. */
+    long stepMillis = 5;
+
+    /** Carries out every call of the dispatcher. */
+    Meter meter = (part, call) -> call.run();
+
+    /** Percentage of the workers that may run a step, by the queue of its job; two thirds where it is not set. */
+    final Map<String, Integer> eligiblePercents = new HashMap<>();
+
     boolean leaderSuspended;
     private final SchedulingOrder order;
     private final PriorityQueue<Event> events =
@@ -85,6 +99,11 @@
             .setMaxAttempts(4)
             .build();
 
+    /** Measures the calls of the dispatcher. */
+    interface Meter {
+        void measure(String part, Runnable call);
+    }
+
     private record Event(long atMillis, long number, Runnable run) {}
 
     SimulatedCell(long seed) {
@@ -112,11 +131,18 @@
 
     private long queueVersion = 1;
 
-    private void put(Queue changed) {
+    /** Replaces the queues of the table; jobs are submitted to the first unless another queue is named. */
+    void putQueues(List<Queue> changed) {
+        queue = changed.get(0);
+        queueVersion++;
+        put(changed.toArray(Queue[]::new));
+    }
+
+    private void put(Queue... changed) {
         apply(JobCommand.newBuilder()
                 .setPutQueues(QueueTable.newBuilder()
                         .setVersion(queueVersion)
-                        .addQueues(changed)
+                        .addAllQueues(List.of(changed))
                         .addPools(Pool.newBuilder().setName("pool")))
                 .build());
     }
@@ -217,7 +243,7 @@
     void run(long millis) {
         long untilMillis = nowMillis + millis;
         while (nowMillis < untilMillis) {
-            nowMillis += STEP_MILLIS;
+            nowMillis += stepMillis;
             while (!events.isEmpty() && events.peek().atMillis() <= nowMillis) {
                 events.poll().run().run();
             }
@@ -225,7 +251,9 @@
             startCompleteGangs();
             if (!leaderSuspended) {
                 dispatcher.at(nowMillis);
-                dispatcher.work(EPOCH_MILLIS + nowMillis).forEach(this::execute);
+                List<DispatchAction> dueActions = new ArrayList<>();
+                meter.measure("work", () -> dueActions.addAll(dispatcher.work(wallMillis())));
+                dueActions.forEach(this::execute);
             }
         }
     }
@@ -236,11 +264,14 @@
 
     private void apply(JobCommand command) {
         dispatcher.at(nowMillis);
-        ResultCode code = table.apply(
-                command.toBuilder().setTimeMillis(EPOCH_MILLIS + nowMillis).build());
-        if (code != ResultCode.OK) {
-            dispatcher.refused(command);
-        }
+        eventCount++;
+        meter.measure("commit", () -> {
+            ResultCode code = table.apply(
+                    command.toBuilder().setTimeMillis(EPOCH_MILLIS + nowMillis).build());
+            if (code != ResultCode.OK) {
+                dispatcher.refused(command);
+            }
+        });
     }
 
     private void execute(DispatchAction action) {
@@ -319,7 +350,8 @@
     private void deliver(Dispatcher sender, Runnable result) {
         if (sender == dispatcher && !leaderSuspended) {
             dispatcher.at(nowMillis);
-            result.run();
+            eventCount++;
+            meter.measure("result", result);
         }
     }
 
@@ -382,21 +414,26 @@
                                     renewLease.worker().id(), currentResult, requestedMillis)));
         } else {
             after(
-                    STEP_MILLIS,
+                    stepMillis,
                     () -> completeRenewal(renewLease, sender, worker, worker.listRuns(), requestedMillis, untilMillis));
         }
     }
 
     private void callAdvice(DispatchAction.RequestAdvice requestAdvice, Dispatcher sender) {
         adviceCalls++;
-        double cost = queue.getAdvice().getCallMillis()
-                + queue.getAdvice().getWorkerMillis() * requestAdvice.workers().size();
+        String queueName =
+                table.job(requestAdvice.step().job()).orElseThrow().queue().getName();
+        AdviceCost advice = table.queue(queueName).orElse(queue).getAdvice();
+        List<String> queried =
+                requestAdvice.workers().stream().limit(MAX_ADVISED_WORKERS).toList();
+        double cost = advice.getCallMillis() + advice.getWorkerMillis() * queried.size();
+        long validMillis = advice.getValidMillis();
         after((long) cost, () -> {
             Map<String, String> tickets = new HashMap<>();
-            requestAdvice.workers().stream()
-                    .filter(worker -> mayRun(requestAdvice.step().toString(), worker))
-                    .forEach(worker -> tickets.put(worker, "t" + (nowMillis + TICKET_MILLIS)));
-            deliver(sender, () -> sender.advised(requestAdvice.id(), new AdviceResult(true, tickets, TICKET_MILLIS)));
+            queried.stream()
+                    .filter(worker -> mayRun(queueName, requestAdvice.step().toString(), worker))
+                    .forEach(worker -> tickets.put(worker, "t" + (nowMillis + validMillis)));
+            deliver(sender, () -> sender.advised(requestAdvice.id(), new AdviceResult(true, tickets, validMillis)));
         });
     }
 
@@ -405,6 +442,13 @@
         return Math.floorMod((step + worker).hashCode(), 3) != 0;
     }
 
+    private boolean mayRun(String queueName, String step, String worker) {
+        Integer percent = eligiblePercents.get(queueName);
+        return percent == null
+                ? mayRun(step, worker)
+                : new Random((step + worker).hashCode()).nextInt(PERCENT) < percent;
+    }
+
     boolean validTicket(String ticket, SimulatedWorker worker) {
         return ticket.startsWith("t") && nowMillis <= Long.parseLong(ticket.substring(1));
     }
