--- a/core/src/test/java/org/wasabimount/core/dispatch/SimulatedCell.java
+++ b/core/src/test/java/org/wasabimount/core/dispatch/SimulatedCell.java
@@ -45,7 +45,7 @@
     private static final long ANNOUNCE_MILLIS = 1_500;
     private static final long CALL_TIMEOUT_MILLIS = 1_000;
     private static final long TICKET_MILLIS = 1_500;
-    private static final int MAX_ADVISED_WORKERS = 100;
+    private static final int MAX_ADVICE_WORKERS = 100;
     private static final int PERCENT = 100;
     private static final long EPOCH_MILLIS = 1_700_000_000_000L;
 
@@ -421,16 +421,20 @@
 
     private void callAdvice(DispatchAction.RequestAdvice requestAdvice, Dispatcher sender) {
         adviceCalls++;
+        if (requestAdvice.workers().size() > MAX_ADVICE_WORKERS) {
+            after(
+                    NETWORK_DELAY_MILLIS,
+                    () -> deliver(sender, () -> sender.advised(requestAdvice.id(), AdviceResult.NONE)));
+            return;
+        }
         String queueName =
                 table.job(requestAdvice.step().job()).orElseThrow().queue().getName();
         AdviceCost advice = table.queue(queueName).orElse(queue).getAdvice();
-        List<String> queried =
-                requestAdvice.workers().stream().limit(MAX_ADVISED_WORKERS).toList();
-        double cost = advice.getCallMillis() + advice.getWorkerMillis() * queried.size();
+        double cost = advice.getCallMillis() + advice.getWorkerMillis() * requestAdvice.workers().size();
         long validMillis = advice.getValidMillis();
         after((long) cost, () -> {
             Map<String, String> tickets = new HashMap<>();
-            queried.stream()
+            requestAdvice.workers().stream()
                     .filter(worker -> mayRun(queueName, requestAdvice.step().toString(), worker))
                     .forEach(worker -> tickets.put(worker, "t" + (nowMillis + validMillis)));
             deliver(sender, () -> sender.advised(requestAdvice.id(), new AdviceResult(true, tickets, validMillis)));
