Examine a waiting step once a round, not once per worker

Cause: each round evaluated every waiting step against every worker, with a stream over the step's tasks for each worker (failedRecently), two hash look-ups for its ticket, and all of it again for the renewal of tickets, also when the step's call was still open or no VM could make one. A gang's reservation sorted the runs of each worker for each task. Change: a Placer is made for each pool, with the largest free capacity: a step that fits nowhere is skipped at once. Room is compared before labels, failures and tickets; failures are kept by step, advice is looked up once a step. No candidates are collected while the step's call is open or no VM is idle. A reservation takes the earliest offer from a queue with one offer per worker, and a worker's runs are sorted once a round. WorkerRoom holds the room on a worker during one round. Two small differences: a step with an open call counts for the limit of renewals also when no worker has room, and a gang without enough eligible workers queries only workers of its pool and label.

--- a/core/src/main/java/org/wasabimount/core/dispatch/AdviceManager.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/AdviceManager.java
@@ -39,6 +39,8 @@
     /** Maximum number of workers in one call; the service rejects calls that name more. */
     static final int MAX_WORKERS_PER_CALL = 100;
 
+    private static final StepAdvice NO_ADVICE = new StepAdvice();
+
     private final Map<String, Caller> callers = new LinkedHashMap<>();
     private final Map<Long, Call> openCalls = new HashMap<>();
     private final Map<StepId, StepAdvice> steps = new HashMap<>();
@@ -60,11 +62,56 @@
     private record Ticket(String text, long untilMillis) {}
 
     /** The cached advice for one step. */
-    private static final class StepAdvice {
+    static final class StepAdvice {
         private final Map<IncarnationId, Ticket> eligible = new HashMap<>();
         private final Set<IncarnationId> ineligible = new HashSet<>();
         private boolean callInProgress;
         private int resultCount;
+
+        boolean answered() {
+            return resultCount > 0;
+        }
+
+        boolean callInProgress() {
+            return callInProgress;
+        }
+
+        /** Returns whether the service has ever reported that a worker may run the step. */
+        boolean eligible(IncarnationId incarnation) {
+            return eligible.containsKey(incarnation);
+        }
+
+        /** Returns whether there is a ticket for a worker that is valid for long enough. */
+        boolean hasTicket(IncarnationId incarnation, long nowMillis) {
+            Ticket ticket = eligible.get(incarnation);
+            return ticket != null && nowMillis + TICKET_MARGIN_MILLIS < ticket.untilMillis;
+        }
+
+        /** Returns whether a worker has no valid ticket and is not reported as ineligible. */
+        boolean mayNeedTicket(IncarnationId incarnation, long nowMillis) {
+            return !ineligible.contains(incarnation) && !hasTicket(incarnation, nowMillis);
+        }
+    }
+
+    /** Returns the cached advice for a step, empty until a call for it is made. */
+    StepAdvice of(StepId step) {
+        return steps.getOrDefault(step, NO_ADVICE);
+    }
+
+    /** Returns whether a VM is available for a call. */
+    boolean callerIdle(double costMillis, long nowMillis) {
+        return idleCallers(nowMillis).size() > reservedCallers(costMillis);
+    }
+
+    private List<String> idleCallers(long nowMillis) {
+        return callers.entrySet().stream()
+                .filter(caller -> caller.getValue().call == 0 && nowMillis >= caller.getValue().backoffUntilMillis)
+                .map(Map.Entry::getKey)
+                .toList();
+    }
+
+    private int reservedCallers(double costMillis) {
+        return costMillis <= SHORT_CALL_MILLIS ? 0 : Math.min(RESERVED_FOR_SHORT_CALLS, callers.size() - 1);
     }
 
     /** Sets the VMs that can currently make calls. */
@@ -114,13 +161,8 @@
             throw new IllegalArgumentException(
                     "an advice call may name " + MAX_WORKERS_PER_CALL + " workers, not " + workers.size());
         }
-        List<String> idleCallers = callers.entrySet().stream()
-                .filter(caller -> caller.getValue().call == 0 && nowMillis >= caller.getValue().backoffUntilMillis)
-                .map(Map.Entry::getKey)
-                .toList();
-        int reservedCallers =
-                costMillis <= SHORT_CALL_MILLIS ? 0 : Math.min(RESERVED_FOR_SHORT_CALLS, callers.size() - 1);
-        if (idleCallers.size() <= reservedCallers) {
+        List<String> idleCallers = idleCallers(nowMillis);
+        if (idleCallers.size() <= reservedCallers(costMillis)) {
             return Optional.empty();
         }
         long id = nextId++;
--- a/core/src/main/java/org/wasabimount/core/dispatch/PlacementRound.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/PlacementRound.java
@@ -2,14 +2,14 @@
 
 import java.util.Collection;
 import java.util.Comparator;
-import java.util.LinkedHashMap;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
 
-import org.wasabimount.core.cell.Capacity;
 import org.wasabimount.core.job.IncarnationId;
 import org.wasabimount.core.job.JobTask;
 import org.wasabimount.core.job.RunId;
@@ -42,8 +42,7 @@
     private final Consumer<DispatchAction> actions;
     private final ExaminedCounts examined;
     private final long nowMillis;
-    private final Placer placer;
-    private final List<TrackedWorker> usable;
+    private final Map<String, Placer> placers = new HashMap<>();
     private double reservableCpuMillis;
     private boolean reserved;
     private int ticketRenewals;
@@ -58,14 +57,16 @@
         this.advice = advice;
         this.actions = actions;
         this.examined = examined;
-        examined.add(ExaminedCounts.Part.ROUND, workers.trackedWorkers().size());
         this.nowMillis = nowMillis;
-        this.usable = workers.trackedWorkers().stream()
+        examined.add(ExaminedCounts.Part.ROUND, workers.trackedWorkers().size());
+        Map<String, List<TrackedWorker>> usable = workers.trackedWorkers().stream()
                 .filter(trackedWorker -> trackedWorker.usable(nowMillis))
-                .toList();
-        this.placer = new Placer(usable, examined);
+                .collect(Collectors.groupingBy(
+                        trackedWorker -> trackedWorker.entry().incarnation().getPool()));
+        usable.forEach((pool, poolWorkers) -> placers.put(pool, new Placer(poolWorkers, examined)));
         this.reservableCpuMillis = MAX_RESERVED_SHARE
-                * usable.stream()
+                * usable.values().stream()
+                        .flatMap(List::stream)
                         .mapToLong(trackedWorker ->
                                 trackedWorker.entry().capacity().cpuMillis())
                         .sum();
@@ -76,45 +77,39 @@
     }
 
     private void consider(ReadyStep step) {
-        Predicate<TrackedWorker> fits = trackedWorker -> trackedWorker
-                        .entry()
-                        .incarnation()
-                        .getPool()
-                        .equals(step.queue().getPool())
-                && trackedWorker.hasLabel(step.step().getRequiredLabel())
-                && !failedRecently(step, trackedWorker);
-        Predicate<TrackedWorker> allowed =
-                step.requiresAdvice() ? fits.and(trackedWorker -> hasTicket(step, trackedWorker)) : fits;
-        Map<JobTask, TrackedWorker> chosen = placer.choose(step, allowed);
+        Placer placer = placers.get(step.queue().getPool());
+        if (placer == null) {
+            return;
+        }
+        examined.add(ExaminedCounts.Part.ROUND, 1);
+        String label = step.step().getRequiredLabel();
+        Set<IncarnationId> failedRecently = workers.failedRecently(step, nowMillis);
+        Predicate<WorkerRoom> suitable = room -> room.worker().hasLabel(label)
+                && !failedRecently.contains(room.worker().entry().id());
+        AdviceManager.StepAdvice stepAdvice = advice.of(step.id());
+        Map<JobTask, WorkerRoom> chosen = placer.choose(
+                step,
+                step.requiresAdvice()
+                        ? suitable.and(room ->
+                                stepAdvice.hasTicket(room.worker().entry().id(), nowMillis))
+                        : suitable);
         if (!chosen.isEmpty()) {
             place(step, chosen);
         }
         if (chosen.size() < step.waiting().size()) {
-            prepareRemaining(step, fits);
+            prepareRemaining(step, placer, suitable);
         }
     }
 
-    private boolean failedRecently(ReadyStep step, TrackedWorker trackedWorker) {
-        return step.waiting().stream()
-                .peek(task -> examined.add(ExaminedCounts.Part.ROUND, 1))
-                .anyMatch(task ->
-                        workers.failedOn(task.id(), trackedWorker.entry().id(), nowMillis));
-    }
-
-    private boolean hasTicket(ReadyStep step, TrackedWorker trackedWorker) {
-        examined.add(ExaminedCounts.Part.ROUND, 1);
-        return advice.ticket(step.id(), trackedWorker.entry().id(), nowMillis).isPresent();
-    }
-
-    private void place(ReadyStep step, Map<JobTask, TrackedWorker> chosen) {
+    private void place(ReadyStep step, Map<JobTask, WorkerRoom> chosen) {
         int gangRun = 1 + step.waiting().stream().mapToInt(JobTask::run).max().orElse(0);
         PlaceRuns.Builder command = PlaceRuns.newBuilder();
-        chosen.forEach((task, trackedWorker) -> {
+        chosen.forEach((task, room) -> {
             RunId run = new RunId(task.id(), step.gang() ? gangRun : task.run() + 1);
-            IncarnationId incarnation = trackedWorker.entry().id();
+            IncarnationId incarnation = room.worker().entry().id();
             workers.propose(
                     run,
-                    trackedWorker,
+                    room.worker(),
                     advice.ticket(step.id(), incarnation, nowMillis).orElse(""));
             command.addPlacements(Placement.newBuilder()
                     .setTask(task.id().toKey())
@@ -130,7 +125,7 @@
                 chosen.size(),
                 step.waiting().size(),
                 chosen.values().stream()
-                        .map(trackedWorker -> trackedWorker.entry().id().worker())
+                        .map(room -> room.worker().entry().id().worker())
                         .distinct()
                         .toList(),
                 Long.toString(step.latestStartMillis() - nowMillis));
@@ -138,82 +133,95 @@
                 JobCommand.newBuilder().setPlace(command).build()));
     }
 
-    private void prepareRemaining(ReadyStep step, Predicate<TrackedWorker> fits) {
-        Predicate<TrackedWorker> mayRun = step.requiresAdvice()
-                ? fits.and(trackedWorker ->
-                        advice.eligible(step.id(), trackedWorker.entry().id()))
-                : fits;
+    private void prepareRemaining(ReadyStep step, Placer placer, Predicate<WorkerRoom> suitable) {
         boolean eligibilityKnown = !step.requiresAdvice() || advice.answered(step.id());
         if (eligibilityKnown && step.gang()) {
-            reserveForGang(step, mayRun);
+            reserveForGang(step, placer, suitable);
         } else if (step.requiresAdvice()) {
-            renewTickets(step, fits);
+            renewTickets(step, placer, suitable);
         }
     }
 
-    private void reserveForGang(ReadyStep step, Predicate<TrackedWorker> mayRun) {
-        List<TrackedWorker> targets = placer.reserve(step, mayRun, nowMillis);
+    private void reserveForGang(ReadyStep step, Placer placer, Predicate<WorkerRoom> suitable) {
+        boolean mayReserve = mayReserve(step);
+        if (!mayReserve && (!step.requiresAdvice() || advice.callInProgress(step.id()))) {
+            return;
+        }
+        AdviceManager.StepAdvice stepAdvice = advice.of(step.id());
+        Predicate<WorkerRoom> mayRun = step.requiresAdvice()
+                ? suitable.and(room -> stepAdvice.eligible(room.worker().entry().id()))
+                : suitable;
+        Map<WorkerRoom, Integer> targets = placer.reserve(step, mayRun, nowMillis);
         if (targets.isEmpty()) {
-            renewTickets(
-                    step,
-                    trackedWorker -> mayRun.test(trackedWorker)
-                            || !advice.ineligible(
-                                    step.id(), trackedWorker.entry().id()));
+            if (step.requiresAdvice()) {
+                renewTickets(step, placer, suitable);
+            }
             return;
         }
-        Map<TrackedWorker, Long> counts = targets.stream()
-                .collect(Collectors.groupingBy(
-                        trackedWorker -> trackedWorker, LinkedHashMap::new, Collectors.counting()));
-        long readyInMillis = counts.entrySet().stream()
-                .mapToLong(target ->
-                        placer.earliestFitMillis(target.getKey(), step.size().times(target.getValue()), nowMillis))
+        long readyInMillis = targets.entrySet().stream()
+                .mapToLong(target -> target.getKey().millisUntilFits(step.size().times(target.getValue()), nowMillis))
                 .max()
                 .orElse(Long.MAX_VALUE);
-        reserveCapacity(step.size(), targets);
-        int workersToName = Math.min(counts.size(), AdviceManager.MAX_WORKERS_PER_CALL);
+        if (mayReserve) {
+            reserved = true;
+            reservableCpuMillis -= requiredCpuMillis(step);
+            targets.forEach((room, tasks) -> room.allocate(step.size().times(tasks)));
+        }
+        int workersToName = Math.min(targets.size(), AdviceManager.MAX_WORKERS_PER_CALL);
         double callMillis = step.requiresAdvice() ? JobPlan.adviceCallMillis(step.queue(), workersToName) : 0;
         if (step.requiresAdvice() && readyInMillis <= callMillis) {
-            requestAdvice(step, mostUrgentTickets(step, counts.keySet()), callMillis);
+            requestAdvice(step, mostUrgentTickets(stepAdvice, targets.keySet()), callMillis);
         }
     }
 
     /** Returns the workers whose tickets to request next; a gang may need more workers than one call can name. */
-    private List<TrackedWorker> mostUrgentTickets(ReadyStep step, Collection<TrackedWorker> targets) {
+    private List<TrackedWorker> mostUrgentTickets(AdviceManager.StepAdvice stepAdvice, Collection<WorkerRoom> targets) {
         return targets.stream()
-                .sorted(Comparator.comparing(trackedWorker -> hasTicket(step, trackedWorker)))
+                .map(WorkerRoom::worker)
+                .sorted(Comparator.comparing(trackedWorker ->
+                        stepAdvice.hasTicket(trackedWorker.entry().id(), nowMillis)))
                 .limit(AdviceManager.MAX_WORKERS_PER_CALL)
                 .toList();
     }
 
-    private void reserveCapacity(Capacity size, List<TrackedWorker> targets) {
-        double requiredCpuMillis = (double) size.cpuMillis() * targets.size();
-        // The first gang in order gets its reservation regardless of its size; otherwise a large gang would never
-        // start.
-        if (!reserved || requiredCpuMillis <= reservableCpuMillis) {
-            reserved = true;
-            reservableCpuMillis -= requiredCpuMillis;
-            targets.forEach(trackedWorker -> placer.allocate(trackedWorker, size));
-        }
+    /**
+     * Returns whether capacity may be reserved for a gang. The first gang in order gets its reservation regardless of
+     * its size; otherwise a large gang would never start.
+     */
+    private boolean mayReserve(ReadyStep step) {
+        return !reserved || requiredCpuMillis(step) <= reservableCpuMillis;
+    }
+
+    private static double requiredCpuMillis(ReadyStep step) {
+        return (double) step.size().cpuMillis() * step.waiting().size();
     }
 
     /**
      * Renews the tickets of the workers that may run a step, and queries workers that no call has named yet.
      */
-    private void renewTickets(ReadyStep step, Predicate<TrackedWorker> fits) {
-        boolean firstCall = !advice.answered(step.id());
-        if (!firstCall && ticketRenewals >= MAX_TICKET_RENEWALS) {
+    private void renewTickets(ReadyStep step, Placer placer, Predicate<WorkerRoom> suitable) {
+        AdviceManager.StepAdvice stepAdvice = advice.of(step.id());
+        boolean firstCall = !stepAdvice.answered();
+        if (!firstCall && (ticketRenewals >= MAX_TICKET_RENEWALS || !placer.mayFit(step.size()))) {
+            return;
+        }
+        if (stepAdvice.callInProgress()) {
+            ticketRenewals += firstCall ? 0 : 1;
+            return;
+        }
+        if (!advice.callerIdle(JobPlan.adviceCallMillis(step.queue(), 1), nowMillis)) {
             return;
         }
-        List<AdviceQuery.Candidate> candidates = usable.stream()
-                .filter(fits)
-                .filter(trackedWorker ->
-                        !advice.ineligible(step.id(), trackedWorker.entry().id()) && !hasTicket(step, trackedWorker))
-                .map(trackedWorker -> new AdviceQuery.Candidate(
-                        trackedWorker,
-                        advice.eligible(step.id(), trackedWorker.entry().id()),
-                        Placer.nearData(step, trackedWorker),
-                        step.size().timesIn(placer.freeCapacity(trackedWorker))))
-                .filter(candidate -> firstCall || candidate.tasksThatFit() > 0)
+        examined.add(ExaminedCounts.Part.ROUND, placer.rooms().size());
+        List<AdviceQuery.Candidate> candidates = placer.rooms().stream()
+                .filter(room -> firstCall || step.size().fitsIn(room.free()))
+                .filter(suitable)
+                .filter(room -> stepAdvice.mayNeedTicket(room.worker().entry().id(), nowMillis))
+                .map(room -> new AdviceQuery.Candidate(
+                        room.worker(),
+                        stepAdvice.eligible(room.worker().entry().id()),
+                        Placer.nearData(step, room.worker()),
+                        step.size().timesIn(room.free())))
                 .toList();
         List<TrackedWorker> workersToQuery =
                 AdviceQuery.select(candidates, step.waiting().size());
--- a/core/src/main/java/org/wasabimount/core/dispatch/Placer.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/Placer.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
@@ -17,7 +18,7 @@
 import org.wasabimount.core.job.JobTask;
 
 /**
- * Chooses workers for the tasks of one step.
+ * Chooses workers of one pool for the tasks of one step.
  *
  * <p>Designed for tasks that need from a small fraction to a third of a worker, some of them in gangs, where each step
  * may use only some of the workers. Single tasks are placed by best fit, so that free capacity for larger tasks
@@ -27,63 +28,89 @@
 final class Placer {
 
     private final ExaminedCounts examined;
-    private final Map<TrackedWorker, Capacity> freeCapacities = new LinkedHashMap<>();
+    private final List<WorkerRoom> rooms;
+
+    /** At least the free capacity of every worker in each dimension. */
+    private Capacity largestFree = Capacity.NONE;
 
     Placer(List<TrackedWorker> usableWorkers, ExaminedCounts examined) {
         this.examined = examined;
-        usableWorkers.forEach(trackedWorker -> freeCapacities.put(trackedWorker, trackedWorker.freeCapacity()));
+        this.rooms = usableWorkers.stream().map(WorkerRoom::new).toList();
+        updateLargestFree();
     }
 
-    /** Returns the free capacity of a worker after the placements and reservations of this round. */
-    Capacity freeCapacity(TrackedWorker trackedWorker) {
-        return freeCapacities.getOrDefault(trackedWorker, Capacity.NONE);
+    /** Returns the room on each usable worker of the pool. */
+    List<WorkerRoom> rooms() {
+        return rooms;
     }
 
-    /**
-     * Allocates capacity on a worker to a task or a gang's reservation; reservations may make the free capacity
-     * negative.
-     */
-    void allocate(TrackedWorker trackedWorker, Capacity size) {
-        freeCapacities.computeIfPresent(trackedWorker, (key, freeCapacity) -> freeCapacity.minus(size));
+    /** Returns false if a size certainly fits on no worker. */
+    boolean mayFit(Capacity size) {
+        return size.fitsIn(largestFree);
+    }
+
+    private void updateLargestFree() {
+        examined.add(ExaminedCounts.Part.ROUND, rooms.size());
+        long cpuMillis = 0;
+        long memoryMegabytes = 0;
+        long accelerators = 0;
+        for (WorkerRoom room : rooms) {
+            cpuMillis = Math.max(cpuMillis, room.free().cpuMillis());
+            memoryMegabytes = Math.max(memoryMegabytes, room.free().memoryMegabytes());
+            accelerators = Math.max(accelerators, room.free().accelerators());
+        }
+        largestFree = new Capacity(cpuMillis, memoryMegabytes, accelerators);
     }
 
     /** Chooses workers for as many tasks as fit; for a gang, for all of its tasks or none. */
-    Map<JobTask, TrackedWorker> choose(ReadyStep step, Predicate<TrackedWorker> allowed) {
-        examined.add(ExaminedCounts.Part.ROUND, freeCapacities.size());
-        List<TrackedWorker> candidates = freeCapacities.keySet().stream()
-                .filter(allowed)
-                .filter(trackedWorker -> step.size().fitsIn(freeCapacity(trackedWorker)))
-                .toList();
+    Map<JobTask, WorkerRoom> choose(ReadyStep step, Predicate<WorkerRoom> allowed) {
+        Capacity size = step.size();
+        if (!mayFit(size)) {
+            return Map.of();
+        }
+        examined.add(ExaminedCounts.Part.ROUND, rooms.size());
+        List<WorkerRoom> fitting =
+                rooms.stream().filter(room -> size.fitsIn(room.free())).toList();
+        if (fitting.isEmpty()) {
+            updateLargestFree();
+            return Map.of();
+        }
+        List<WorkerRoom> candidates = fitting.stream().filter(allowed).toList();
         if (candidates.isEmpty()) {
             return Map.of();
         }
         return step.gang() ? placeTogether(step, candidates) : placeIndividually(step, candidates);
     }
 
-    private Map<JobTask, TrackedWorker> placeIndividually(ReadyStep step, List<TrackedWorker> candidates) {
-        Map<JobTask, TrackedWorker> chosen = new LinkedHashMap<>();
-        Map<TrackedWorker, Integer> counts = runCounts(step);
+    private Map<JobTask, WorkerRoom> placeIndividually(ReadyStep step, List<WorkerRoom> candidates) {
+        Capacity size = step.size();
+        Map<JobTask, WorkerRoom> chosen = new LinkedHashMap<>();
+        Map<WorkerRoom, Integer> counts = runCounts(step, candidates);
         Set<String> domains = domainsInUse(step);
         // Long-running tasks serve independently and are better spread over failure domains, so they are not grouped.
         boolean placeTogether = !step.step().getLongRunning();
-        Comparator<TrackedWorker> bestFit = Comparator.<TrackedWorker, Boolean>comparing(
-                        trackedWorker -> !nearData(step, trackedWorker))
-                .thenComparing(trackedWorker ->
-                        placeTogether && !domains.isEmpty() && !domains.contains(trackedWorker.domain()))
-                .thenComparingDouble(trackedWorker -> freeShare(trackedWorker));
+        Comparator<WorkerRoom> bestFit = Comparator.<WorkerRoom, Boolean>comparing(
+                        room -> !nearData(step, room.worker()))
+                .thenComparing(room -> placeTogether
+                        && !domains.isEmpty()
+                        && !domains.contains(room.worker().domain()))
+                .thenComparingDouble(WorkerRoom::freeShare);
         for (JobTask task : step.waiting()) {
             examined.add(ExaminedCounts.Part.ROUND, candidates.size());
-            Optional<TrackedWorker> best = candidates.stream()
-                    .filter(trackedWorker ->
-                            step.size().fitsIn(freeCapacity(trackedWorker)) && belowLimit(step, counts, trackedWorker))
-                    .min(bestFit);
-            if (best.isEmpty()) {
+            WorkerRoom best = null;
+            for (WorkerRoom room : candidates) {
+                boolean possible = size.fitsIn(room.free()) && belowLimit(step, counts, room);
+                if (possible && (best == null || bestFit.compare(room, best) < 0)) {
+                    best = room;
+                }
+            }
+            if (best == null) {
                 break;
             }
-            allocate(best.get(), step.size());
-            counts.merge(best.get(), 1, Integer::sum);
-            domains.add(best.get().domain());
-            chosen.put(task, best.get());
+            best.allocate(size);
+            counts.merge(best, 1, Integer::sum);
+            domains.add(best.worker().domain());
+            chosen.put(task, best);
         }
         return chosen;
     }
@@ -96,103 +123,123 @@
                 .stream()
                 .flatMap(task -> task.incarnation().stream())
                 .collect(Collectors.toSet());
-        return freeCapacities.keySet().stream()
+        if (incarnations.isEmpty()) {
+            return new HashSet<>();
+        }
+        return rooms.stream()
+                .map(WorkerRoom::worker)
                 .filter(trackedWorker ->
                         incarnations.contains(trackedWorker.entry().id()))
                 .map(TrackedWorker::domain)
                 .collect(Collectors.toCollection(HashSet::new));
     }
 
-    private Map<JobTask, TrackedWorker> placeTogether(ReadyStep step, List<TrackedWorker> candidates) {
+    private Map<JobTask, WorkerRoom> placeTogether(ReadyStep step, List<WorkerRoom> candidates) {
+        Map<JobTask, WorkerRoom> chosen = Map.of();
         if (step.step().getColocated()) {
-            Optional<Map<JobTask, TrackedWorker>> onOneRack =
-                    candidates.stream().collect(Collectors.groupingBy(TrackedWorker::rack)).values().stream()
-                            .map(rack -> placeAll(step, rack))
-                            .filter(chosen -> !chosen.isEmpty())
-                            .findFirst();
-            if (onOneRack.isPresent()) {
-                onOneRack.get().values().forEach(trackedWorker -> allocate(trackedWorker, step.size()));
-                return onOneRack.get();
-            }
+            chosen = candidates.stream()
+                    .collect(Collectors.groupingBy(room -> room.worker().rack()))
+                    .values()
+                    .stream()
+                    .map(rack -> placeAll(step, rack))
+                    .filter(onRack -> !onRack.isEmpty())
+                    .findFirst()
+                    .orElse(chosen);
         }
-        Map<JobTask, TrackedWorker> chosen = placeAll(step, candidates);
-        chosen.values().forEach(trackedWorker -> allocate(trackedWorker, step.size()));
+        if (chosen.isEmpty()) {
+            chosen = placeAll(step, candidates);
+        }
+        chosen.values().forEach(room -> room.allocate(step.size()));
         return chosen;
     }
 
-    private Map<JobTask, TrackedWorker> placeAll(ReadyStep step, List<TrackedWorker> candidates) {
-        Map<TrackedWorker, Integer> counts = runCounts(step);
-        List<TrackedWorker> mostFreeFirst = new ArrayList<>(candidates);
-        mostFreeFirst.sort(Comparator.<TrackedWorker, Boolean>comparing(trackedWorker -> !nearData(step, trackedWorker))
-                .thenComparing(Comparator.comparingDouble(this::freeShare).reversed()));
-        Map<JobTask, TrackedWorker> chosen = new LinkedHashMap<>();
+    private Map<JobTask, WorkerRoom> placeAll(ReadyStep step, List<WorkerRoom> candidates) {
+        Capacity size = step.size();
+        int tasks = step.waiting().size();
+        long fitting = 0;
+        for (WorkerRoom room : candidates) {
+            fitting += Math.min(tasks, size.timesIn(room.free()));
+        }
+        if (fitting < tasks) {
+            return Map.of();
+        }
+        examined.add(ExaminedCounts.Part.ROUND, candidates.size());
+        Map<WorkerRoom, Integer> counts = runCounts(step, candidates);
+        List<WorkerRoom> mostFreeFirst = new ArrayList<>(candidates);
+        mostFreeFirst.sort(Comparator.<WorkerRoom, Boolean>comparing(room -> !nearData(step, room.worker()))
+                .thenComparing(Comparator.comparingDouble(WorkerRoom::freeShare).reversed()));
+        Map<JobTask, WorkerRoom> chosen = new LinkedHashMap<>();
         int nextTask = 0;
-        for (TrackedWorker trackedWorker : mostFreeFirst) {
-            long fits = step.size().timesIn(freeCapacity(trackedWorker));
-            while (fits > 0 && nextTask < step.waiting().size() && belowLimit(step, counts, trackedWorker)) {
-                chosen.put(step.waiting().get(nextTask++), trackedWorker);
-                counts.merge(trackedWorker, 1, Integer::sum);
+        for (WorkerRoom room : mostFreeFirst) {
+            long fits = size.timesIn(room.free());
+            while (fits > 0 && nextTask < tasks && belowLimit(step, counts, room)) {
+                chosen.put(step.waiting().get(nextTask++), room);
+                counts.merge(room, 1, Integer::sum);
                 fits--;
             }
         }
-        return nextTask == step.waiting().size() ? chosen : Map.of();
+        return nextTask == tasks ? chosen : Map.of();
     }
 
-    /** Chooses the workers on which capacity is reserved for a gang: those where it is available earliest. */
-    List<TrackedWorker> reserve(ReadyStep step, Predicate<TrackedWorker> allowed, long nowMillis) {
-        Map<TrackedWorker, Integer> counts = runCounts(step);
-        Map<TrackedWorker, Integer> targetCounts = new HashMap<>();
-        List<TrackedWorker> candidates = freeCapacities.keySet().stream()
+    /** The next task that could be given to a worker, and when it is estimated to fit. */
+    private record Offer(WorkerRoom room, int order, int tasks, long fitsInMillis) {}
+
+    /**
+     * Chooses the workers on which capacity is reserved for a gang: those where it is available earliest.
+     *
+     * @return the number of tasks for each worker, empty if the gang can't be placed even when all runs have ended
+     */
+    Map<WorkerRoom, Integer> reserve(ReadyStep step, Predicate<WorkerRoom> allowed, long nowMillis) {
+        Capacity size = step.size();
+        List<WorkerRoom> candidates = rooms.stream()
+                .filter(room -> size.fitsIn(room.worker().entry().capacity()))
                 .filter(allowed)
-                .filter(trackedWorker ->
-                        step.size().fitsIn(trackedWorker.entry().capacity()))
                 .toList();
-        List<TrackedWorker> targets = new ArrayList<>();
+        Map<WorkerRoom, Integer> counts = runCounts(step, candidates);
+        examined.add(ExaminedCounts.Part.ROUND, rooms.size());
+        PriorityQueue<Offer> earliestFirst = new PriorityQueue<>(
+                Comparator.comparingLong(Offer::fitsInMillis).thenComparingInt(Offer::order));
+        for (int order = 0; order < candidates.size(); order++) {
+            offer(step, candidates.get(order), order, 1, counts, nowMillis).ifPresent(earliestFirst::add);
+        }
+        Map<WorkerRoom, Integer> targets = new LinkedHashMap<>();
         for (int task = 0; task < step.waiting().size(); task++) {
-            examined.add(ExaminedCounts.Part.ROUND, candidates.size());
-            Optional<TrackedWorker> earliestWorker = candidates.stream()
-                    .filter(trackedWorker -> belowLimit(step, counts, trackedWorker))
-                    .filter(trackedWorker -> step.size()
-                            .times(targetCounts.getOrDefault(trackedWorker, 0) + 1L)
-                            .fitsIn(trackedWorker.entry().capacity()))
-                    .min(Comparator.comparingLong(trackedWorker -> earliestFitMillis(
-                            trackedWorker,
-                            step.size().times(targetCounts.getOrDefault(trackedWorker, 0) + 1L),
-                            nowMillis)));
-            if (earliestWorker.isEmpty()) {
-                return List.of();
+            Offer earliest = earliestFirst.poll();
+            if (earliest == null) {
+                return Map.of();
             }
-            targetCounts.merge(earliestWorker.get(), 1, Integer::sum);
-            counts.merge(earliestWorker.get(), 1, Integer::sum);
-            targets.add(earliestWorker.get());
+            targets.put(earliest.room, earliest.tasks);
+            counts.merge(earliest.room, 1, Integer::sum);
+            offer(step, earliest.room, earliest.order, earliest.tasks + 1, counts, nowMillis)
+                    .ifPresent(earliestFirst::add);
         }
         return targets;
     }
 
-    /**
-     * Returns the estimated time until a size fits on a worker beside the allocations of this round, in milliseconds.
-     */
-    long earliestFitMillis(TrackedWorker trackedWorker, Capacity size, long nowMillis) {
-        examined.add(ExaminedCounts.Part.ROUND, trackedWorker.runs().size());
-        Capacity taken = trackedWorker.freeCapacity().minus(freeCapacity(trackedWorker));
-        return trackedWorker.millisUntilFits(size.plus(taken), nowMillis);
+    private Optional<Offer> offer(
+            ReadyStep step, WorkerRoom room, int order, int tasks, Map<WorkerRoom, Integer> counts, long nowMillis) {
+        Capacity size = step.size().times(tasks);
+        if (!belowLimit(step, counts, room)
+                || !size.fitsIn(room.worker().entry().capacity())) {
+            return Optional.empty();
+        }
+        examined.add(ExaminedCounts.Part.ROUND, 1);
+        return Optional.of(new Offer(room, order, tasks, room.millisUntilFits(size, nowMillis)));
     }
 
-    private Map<TrackedWorker, Integer> runCounts(ReadyStep step) {
-        Map<TrackedWorker, Integer> counts = new HashMap<>();
+    private Map<WorkerRoom, Integer> runCounts(ReadyStep step, List<WorkerRoom> candidates) {
+        Map<WorkerRoom, Integer> counts = new HashMap<>();
         if (step.step().getMaxPerWorker() > 0) {
-            freeCapacities
-                    .keySet()
-                    .forEach(trackedWorker -> counts.put(trackedWorker, (int) trackedWorker.runs().stream()
-                            .filter(run -> run.id().task().stepId().equals(step.id()))
-                            .count()));
+            candidates.forEach(room -> counts.put(room, (int) room.worker().runs().stream()
+                    .filter(run -> run.id().task().stepId().equals(step.id()))
+                    .count()));
         }
         return counts;
     }
 
-    private static boolean belowLimit(ReadyStep step, Map<TrackedWorker, Integer> counts, TrackedWorker trackedWorker) {
+    private static boolean belowLimit(ReadyStep step, Map<WorkerRoom, Integer> counts, WorkerRoom room) {
         int limit = step.step().getMaxPerWorker();
-        return limit == 0 || counts.getOrDefault(trackedWorker, 0) < limit;
+        return limit == 0 || counts.getOrDefault(room, 0) < limit;
     }
 
     /** Returns whether a worker is where the step's data is, or the step has no such preference. */
@@ -200,8 +247,4 @@
         String rack = step.step().getDataRack();
         return rack.isEmpty() || trackedWorker.rack().equals(rack);
     }
-
-    private double freeShare(TrackedWorker trackedWorker) {
-        return freeCapacity(trackedWorker).dominantShare(trackedWorker.entry().capacity());
-    }
 }
--- a/core/src/main/java/org/wasabimount/core/dispatch/TrackedWorker.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/TrackedWorker.java
@@ -1,9 +1,7 @@
 package org.wasabimount.core.dispatch;
 
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
 
 import org.wasabimount.core.cell.Capacity;
@@ -77,24 +75,6 @@
         return entry.capacity().minus(usedCapacity);
     }
 
-    /** Returns the estimated time until the given size fits if nothing else is placed here, in milliseconds. */
-    long millisUntilFits(Capacity size, long nowMillis) {
-        Capacity availableCapacity = freeCapacity();
-        if (size.fitsIn(availableCapacity)) {
-            return 0;
-        }
-        List<TrackedRun> earliestFirst = runs.values().stream()
-                .sorted(Comparator.comparingLong(run -> run.remainingMillis(nowMillis)))
-                .toList();
-        for (TrackedRun run : earliestFirst) {
-            availableCapacity = availableCapacity.plus(run.size());
-            if (size.fitsIn(availableCapacity)) {
-                return run.remainingMillis(nowMillis);
-            }
-        }
-        return Long.MAX_VALUE;
-    }
-
     /** Records an announcement; returns false and ignores it if it is not newer than the last one. */
     boolean announcementReceived(boolean nowDraining, long newSequence, long nowMillis) {
         if (newSequence <= sequence) {
--- a/core/src/main/java/org/wasabimount/core/dispatch/WorkerManager.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/WorkerManager.java
@@ -87,9 +87,11 @@
     private final ExaminedCounts examined;
     private final Map<IncarnationId, TrackedWorker> trackedWorkers = new LinkedHashMap<>();
     private final Set<TaskId> placementPending = new HashSet<>();
-    private final Map<TaskId, Map<IncarnationId, Long>> failedOn = new HashMap<>();
+    private final Map<StepId, List<RunFailure>> failures = new HashMap<>();
     private final SlowWorkerDetector slowWorkerDetector = new SlowWorkerDetector();
 
+    private record RunFailure(TaskId task, IncarnationId incarnation, long atMillis) {}
+
     WorkerManager(
             DispatchSettings settings,
             JobTable table,
@@ -160,10 +162,15 @@
         return placementPending.contains(task);
     }
 
-    /** Returns whether the task has recently failed on the worker. */
-    boolean failedOn(TaskId task, IncarnationId incarnation, long nowMillis) {
-        Long failedMillis = failedOn.getOrDefault(task, Map.of()).get(incarnation);
-        return failedMillis != null && nowMillis - failedMillis < FAILED_WORKER_AVOIDANCE_MILLIS;
+    /** Returns the workers on which one of the step's waiting tasks has recently failed. */
+    Set<IncarnationId> failedRecently(ReadyStep step, long nowMillis) {
+        List<RunFailure> stepFailures = failures.getOrDefault(step.id(), List.of());
+        return stepFailures.stream()
+                .filter(failure -> nowMillis - failure.atMillis < FAILED_WORKER_AVOIDANCE_MILLIS)
+                .filter(failure ->
+                        step.waiting().stream().anyMatch(task -> task.id().equals(failure.task)))
+                .map(RunFailure::incarnation)
+                .collect(Collectors.toSet());
     }
 
     void placed(RunId run, IncarnationId incarnation, long nowMillis) {
@@ -182,7 +189,7 @@
     }
 
     void jobEnded(Job job, long nowMillis) {
-        failedOn.keySet().removeIf(task -> task.job().equals(job.id()));
+        failures.keySet().removeIf(step -> step.job().equals(job.id()));
         runs().filter(trackedRun -> trackedRun.id().task().job().equals(job.id()))
                 .filter(trackedRun ->
                         !table.task(trackedRun.id().task()).map(JobTask::done).orElse(false))
@@ -470,8 +477,8 @@
         } else if (end.kind() == EndKind.FAILED) {
             boolean failedElsewhere =
                     table.task(end.run().task()).map(JobTask::failures).orElse(0) > 0;
-            failedOn.computeIfAbsent(end.run().task(), absent -> new HashMap<>())
-                    .put(trackedWorker.entry().id(), nowMillis);
+            failures.computeIfAbsent(end.run().task().stepId(), absent -> new ArrayList<>())
+                    .add(new RunFailure(end.run().task(), trackedWorker.entry().id(), nowMillis));
             if (!failedElsewhere) {
                 trackedWorker.health().failed(nowMillis);
             }
--- a/core/src/test/java/org/wasabimount/core/dispatch/DispatcherCostTest.java
+++ b/core/src/test/java/org/wasabimount/core/dispatch/DispatcherCostTest.java
@@ -67,7 +67,7 @@
         assertTrue(perRound <= 3 * 21, "examined " + perRound + " in each round for 21 steps");
     }
 
-    @Test(groups = "known-red")
+    @Test
     public void waitingStepsDoNotExamineFullWorkers() {
         SimulatedCell cell = busyCell(MANY_WORKERS);
         submitWaitingJobs(cell, 100);
--- a/core/src/test/java/org/wasabimount/core/dispatch/SimulatedCell.java
+++ b/core/src/test/java/org/wasabimount/core/dispatch/SimulatedCell.java
@@ -430,7 +430,8 @@
         String queueName =
                 table.job(requestAdvice.step().job()).orElseThrow().queue().getName();
         AdviceCost advice = table.queue(queueName).orElse(queue).getAdvice();
-        double cost = advice.getCallMillis() + advice.getWorkerMillis() * requestAdvice.workers().size();
+        double cost = advice.getCallMillis()
+                + advice.getWorkerMillis() * requestAdvice.workers().size();
         long validMillis = advice.getValidMillis();
         after((long) cost, () -> {
             Map<String, String> tickets = new HashMap<>();
