--- a/core/src/main/java/org/wasabimount/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/Dispatcher.java
@@ -61,6 +61,7 @@
     private final WorkerManager workers;
     private final AdviceManager advice = new AdviceManager();
     private final WaitSampler waits;
+    private final ExaminedCounts examined = new ExaminedCounts();
     private final Map<String, JobPlan> plans = new LinkedHashMap<>();
     private List<DispatchAction> actions = new ArrayList<>();
     private Consumer<Job> ended = job -> {};
@@ -90,7 +91,7 @@
         this.table = table;
         this.order = order;
         this.nowMillis = nowMillis;
-        this.workers = new WorkerManager(settings, table, fence, this::add, nowMillis);
+        this.workers = new WorkerManager(settings, table, fence, this::add, examined, nowMillis);
         this.waits = new WaitSampler(workers, advice);
         table.jobs().stream().filter(Job::open).forEach(job -> {
             long ageMillis = Math.max(0, wallMillis - job.acceptedMillis());
@@ -270,6 +271,7 @@
      * @return the refusal, empty if the job is accepted
      */
     public Optional<Refusal> admit(JobSpec spec, Queue queue) {
+        examined.add(ExaminedCounts.Part.ADMIT, workers.trackedWorkers().size());
         long usableCpuMillis = workers.trackedWorkers().stream()
                 .filter(trackedWorker -> trackedWorker.countsForAdmission()
                         && trackedWorker.entry().incarnation().getPool().equals(queue.getPool()))
@@ -293,8 +295,9 @@
         return latest >= nowMillis && latest <= latestStartMillis;
     }
 
-    private static double waitingWork(Job job) {
+    private double waitingWork(Job job) {
         return job.tasks()
+                .peek(task -> examined.add(ExaminedCounts.Part.ADMIT, 1))
                 .filter(JobTask::awaitsPlacement)
                 .mapToDouble(task -> {
                     var step = job.step(task.id().step());
@@ -317,7 +320,7 @@
             roundDueMillis = nowMillis + MAX_ROUND_INTERVAL_MILLIS;
             List<ReadyStep> ready = ready(wallMillis);
             waits.beginRound(ready.size(), nowMillis);
-            new PlacementRound(workers, advice, waits, this::add, nowMillis).run(ready);
+            new PlacementRound(workers, advice, waits, this::add, examined, nowMillis).run(ready);
             waits.endRound();
         }
         if (nowMillis >= forgetDueMillis) {
@@ -343,6 +346,8 @@
         List<ReadyStep> steps = new ArrayList<>();
         for (int number = 0; number < job.spec().getStepsCount(); number++) {
             StepId id = new StepId(job.id(), occurrence, number);
+            examined.add(
+                    ExaminedCounts.Part.READY, job.tasks(occurrence, number).size());
             List<JobTask> waiting = job.tasks(occurrence, number).stream()
                     .filter(JobTask::awaitsPlacement)
                     .filter(task -> !workers.placementPending(task.id()))
@@ -417,6 +422,11 @@
         stateChanged = true;
     }
 
+    /** Returns how many items were examined so far. */
+    ExaminedCounts examined() {
+        return examined;
+    }
+
     private void add(DispatchAction action) {
         actions.add(action);
     }
--- a/core/src/main/java/org/wasabimount/core/dispatch/WaitSampler.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/WaitSampler.java
@@ -6,10 +6,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
-import java.util.function.Function;
 import java.util.function.Predicate;
 
-import org.wasabimount.core.cell.Capacity;
 import org.wasabimount.core.job.StepId;
 
 /**
@@ -77,14 +75,14 @@
      * Records a step with tasks that the round did not place; called before capacity is reserved for the step.
      *
      * @param step the step
-     * @param fits whether a worker fits the step, regardless of advice and free capacity
-     * @param freeCapacity the free capacity of a worker after the placements of this round
+     * @param suitable whether a worker suits the step, regardless of advice and free capacity
+     * @param rooms the room on each usable worker of the pool after the placements of this round
      */
-    void record(ReadyStep step, Predicate<TrackedWorker> fits, Function<TrackedWorker, Capacity> freeCapacity) {
+    void record(ReadyStep step, Predicate<WorkerRoom> suitable, List<WorkerRoom> rooms) {
         if (!sampling) {
             return;
         }
-        WaitReason reason = reason(step, fits, freeCapacity);
+        WaitReason reason = reason(step, suitable, rooms);
         reasons.merge(reason, 1L, Long::sum);
         Wait previous = previousWaits.get(step.id());
         waits.put(
@@ -129,47 +127,35 @@
                 advice.lastOutcome(wait.step.id()));
     }
 
-    private WaitReason reason(
-            ReadyStep step, Predicate<TrackedWorker> fits, Function<TrackedWorker, Capacity> freeCapacity) {
-        List<TrackedWorker> inPool = usable.stream()
-                .filter(trackedWorker -> trackedWorker
-                        .entry()
-                        .incarnation()
-                        .getPool()
-                        .equals(step.queue().getPool()))
-                .toList();
-        if (inPool.isEmpty()) {
+    private WaitReason reason(ReadyStep step, Predicate<WorkerRoom> suitable, List<WorkerRoom> rooms) {
+        if (rooms.isEmpty()) {
             return WaitReason.NO_USABLE_WORKER;
         }
-        List<TrackedWorker> fitting = inPool.stream().filter(fits).toList();
-        List<TrackedWorker> eligible = fitting.stream()
-                .filter(trackedWorker -> !step.requiresAdvice()
-                        || advice.eligible(step.id(), trackedWorker.entry().id()))
+        AdviceManager.StepAdvice stepAdvice = advice.of(step.id());
+        List<WorkerRoom> fitting = rooms.stream().filter(suitable).toList();
+        List<WorkerRoom> eligible = fitting.stream()
+                .filter(room -> !step.requiresAdvice()
+                        || stepAdvice.eligible(room.worker().entry().id()))
                 .toList();
         if (eligible.isEmpty()) {
             boolean undecided = fitting.stream()
-                    .anyMatch(trackedWorker ->
-                            !advice.ineligible(step.id(), trackedWorker.entry().id()));
+                    .anyMatch(room ->
+                            !advice.ineligible(step.id(), room.worker().entry().id()));
             return undecided ? WaitReason.NO_ADVICE : WaitReason.NO_ELIGIBLE_WORKER;
         }
-        List<TrackedWorker> ticketed = eligible.stream()
-                .filter(trackedWorker -> !step.requiresAdvice()
-                        || advice.ticket(step.id(), trackedWorker.entry().id(), nowMillis)
-                                .isPresent())
+        List<WorkerRoom> ticketed = eligible.stream()
+                .filter(room -> !step.requiresAdvice()
+                        || stepAdvice.hasTicket(room.worker().entry().id(), nowMillis))
                 .toList();
-        return hasRoom(step, eligible, freeCapacity) && !hasRoom(step, ticketed, freeCapacity)
-                ? WaitReason.NO_TICKET
-                : WaitReason.NO_ROOM;
+        return hasRoom(step, eligible) && !hasRoom(step, ticketed) ? WaitReason.NO_TICKET : WaitReason.NO_ROOM;
     }
 
     /** Returns whether a task, or all waiting tasks of a gang, have room on the workers. */
-    private static boolean hasRoom(
-            ReadyStep step, List<TrackedWorker> candidates, Function<TrackedWorker, Capacity> freeCapacity) {
+    private static boolean hasRoom(ReadyStep step, List<WorkerRoom> candidates) {
         long required = step.gang() ? step.waiting().size() : 1;
         long available = candidates.stream()
-                .map(freeCapacity)
-                .filter(step.size()::fitsIn)
-                .mapToLong(capacity -> Math.min(required, step.size().timesIn(capacity)))
+                .filter(room -> step.size().fitsIn(room.free()))
+                .mapToLong(room -> Math.min(required, step.size().timesIn(room.free())))
                 .sum();
         return available >= required;
     }
