Samples of waiting steps stop at the first worker that settles the reason

Cause: a sample filtered all workers through each predicate, and the check whether a task has just failed on a worker looks up every waiting task.

Change: the reason is found with predicates that stop at the first worker, the cheap ones first. The reasons are the same.

--- a/core/src/main/java/org/wasabimount/core/dispatch/WaitSampler.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/WaitSampler.java
@@ -131,46 +131,45 @@
 
     private WaitReason reason(
             ReadyStep step, Predicate<TrackedWorker> fits, Function<TrackedWorker, Capacity> freeCapacity) {
-        List<TrackedWorker> inPool = usable.stream()
-                .filter(trackedWorker -> trackedWorker
+        boolean poolUsable = usable.stream()
+                .anyMatch(trackedWorker -> trackedWorker
                         .entry()
                         .incarnation()
                         .getPool()
-                        .equals(step.queue().getPool()))
-                .toList();
-        if (inPool.isEmpty()) {
+                        .equals(step.queue().getPool()));
+        if (!poolUsable) {
             return WaitReason.NO_USABLE_WORKER;
         }
-        List<TrackedWorker> fitting = inPool.stream().filter(fits).toList();
-        List<TrackedWorker> eligible = fitting.stream()
-                .filter(trackedWorker -> !step.requiresAdvice()
-                        || advice.eligible(step.id(), trackedWorker.entry().id()))
-                .toList();
-        if (eligible.isEmpty()) {
-            boolean undecided = fitting.stream()
-                    .anyMatch(trackedWorker ->
-                            !advice.ineligible(step.id(), trackedWorker.entry().id()));
-            return undecided ? WaitReason.NO_ADVICE : WaitReason.NO_ELIGIBLE_WORKER;
+        Predicate<TrackedWorker> eligible = trackedWorker -> !step.requiresAdvice()
+                || advice.eligible(step.id(), trackedWorker.entry().id());
+        Predicate<TrackedWorker> mayRun = eligible.and(fits);
+        if (usable.stream().noneMatch(mayRun)) {
+            Predicate<TrackedWorker> undecided = trackedWorker ->
+                    !advice.ineligible(step.id(), trackedWorker.entry().id());
+            return usable.stream().anyMatch(undecided.and(fits)) ? WaitReason.NO_ADVICE : WaitReason.NO_ELIGIBLE_WORKER;
         }
-        List<TrackedWorker> ticketed = eligible.stream()
-                .filter(trackedWorker -> !step.requiresAdvice()
-                        || advice.ticket(step.id(), trackedWorker.entry().id(), nowMillis)
-                                .isPresent())
-                .toList();
-        return hasRoom(step, eligible, freeCapacity) && !hasRoom(step, ticketed, freeCapacity)
+        Predicate<TrackedWorker> ticketed = trackedWorker -> !step.requiresAdvice()
+                || advice.ticket(step.id(), trackedWorker.entry().id(), nowMillis)
+                        .isPresent();
+        return !hasRoom(step, ticketed.and(fits), freeCapacity) && hasRoom(step, mayRun, freeCapacity)
                 ? WaitReason.NO_TICKET
                 : WaitReason.NO_ROOM;
     }
 
-    /** Returns whether a task, or all waiting tasks of a gang, have room on the workers. */
-    private static boolean hasRoom(
-            ReadyStep step, List<TrackedWorker> candidates, Function<TrackedWorker, Capacity> freeCapacity) {
+    /** Returns whether a task, or all waiting tasks of a gang, have room on the workers that are allowed. */
+    private boolean hasRoom(
+            ReadyStep step, Predicate<TrackedWorker> allowed, Function<TrackedWorker, Capacity> freeCapacity) {
         long required = step.gang() ? step.waiting().size() : 1;
-        long available = candidates.stream()
-                .map(freeCapacity)
-                .filter(step.size()::fitsIn)
-                .mapToLong(capacity -> Math.min(required, step.size().timesIn(capacity)))
-                .sum();
-        return available >= required;
+        long available = 0;
+        for (TrackedWorker trackedWorker : usable) {
+            Capacity free = freeCapacity.apply(trackedWorker);
+            if (step.size().fitsIn(free) && allowed.test(trackedWorker)) {
+                available += Math.min(required, step.size().timesIn(free));
+            }
+            if (available >= required) {
+                return true;
+            }
+        }
+        return false;
     }
 }
