--- a/core/src/test/java/org/wasabimount/core/dispatch/DispatcherTest.java
+++ b/core/src/test/java/org/wasabimount/core/dispatch/DispatcherTest.java
@@ -90,6 +90,18 @@
         assertNoViolations();
     }
 
+    /** Guards against gangs that wait for the few workers known to be eligible while others are idle. */
+    @Test(groups = "known-red")
+    public void completesGangsAfterPoolBecameIdle() {
+        PanelLoad load = new PanelLoad(1, PanelLoad.WORKERS, 1);
+        load.run(8_000);
+        load.cell.run(17_000);
+        List<String> waiting = load.accepted.stream()
+                .filter(job -> load.cell.phase(job) == JobPhase.QUEUED)
+                .toList();
+        assertEquals(waiting, List.of());
+    }
+
     /**
      * Guards against jobs spread over all failure domains (seen in weesteps-sched scale-1): a zone was disconnected,
      * and half of the small jobs had a task there.
