Look for more eligible workers when a gang would wait for the known ones

Cause: a gang whose known eligible workers could hold it once all their runs had ended reserved room there and asked for nothing more. With at most 100 workers a call that is a small part of the pool, and gangs that named the same workers waited for each other, one after the other. Found with the reasons of waiting steps (WAIT reason=no_room with 246 usable workers) and in virtual time: 7 or 8 known eligible workers, 199 to 229 that no call had named. Change: if the reserved room is not there by the time of a call, workers are named that are free and not yet known; the first call names at least the 30 workers that a job's critical path accounts for; renewals per round are bounded by the number of VMs that can call, not by 10, so that the limit grows with the deployment. Ruled out: room held by ended runs (the workers' runs were listed: all were active).

--- a/core/src/main/java/org/wasabimount/core/dispatch/AdviceManager.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/AdviceManager.java
@@ -105,6 +105,11 @@
         return steps.getOrDefault(step, NO_ADVICE);
     }
 
+    /** Returns the number of VMs that can currently make calls, each one at a time. */
+    int callerCount() {
+        return callers.size();
+    }
+
     /** Returns whether a VM is available for a call. */
     boolean callerIdle(double costMillis, long nowMillis) {
         return idleCallers(nowMillis).size() > reservedCallers(costMillis);
--- a/core/src/main/java/org/wasabimount/core/dispatch/AdviceQuery.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/AdviceQuery.java
@@ -9,16 +9,13 @@
  *
  * <p>Designed for pools with more workers than one call may name, of which only some may run a step, and for calls whose
  * duration grows with the workers named. A call names the workers on which tasks are most likely to be placed next, and
- * no more of them than the waiting tasks are expected to need.
+ * no more of them than the waiting tasks are expected to need, or than the critical path of a job accounts for.
  */
 final class AdviceQuery {
 
     /** Share of the workers that are expected to be eligible, as long as nothing is known about them. */
     private static final double EXPECTED_ELIGIBLE_SHARE = 0.25;
 
-    /** Minimum number of workers to name, so that one that is taken by another step can be replaced. */
-    private static final int MIN_WORKERS = 8;
-
     /**
      * A worker that may be named.
      *
@@ -54,7 +51,7 @@
         double expectedPlacements = 0;
         List<Candidate> sorted = candidates.stream().sorted(MOST_LIKELY_FIRST).toList();
         for (Candidate candidate : sorted) {
-            boolean enough = selected.size() >= MIN_WORKERS && expectedPlacements >= waitingTasks;
+            boolean enough = selected.size() >= JobPlan.ADVISED_WORKERS && expectedPlacements >= waitingTasks;
             if (enough || selected.size() == AdviceManager.MAX_WORKERS_PER_CALL) {
                 break;
             }
--- a/core/src/main/java/org/wasabimount/core/dispatch/JobPlan.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/JobPlan.java
@@ -11,7 +11,7 @@
 final class JobPlan {
 
     /** Number of workers per advice call that is assumed in the critical path from which objectives are computed. */
-    private static final int ADVISED_WORKERS = 30;
+    static final int ADVISED_WORKERS = 30;
 
     private final Job job;
     private final long[] criticalPathMillis;
--- a/core/src/main/java/org/wasabimount/core/dispatch/PlacementRound.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/PlacementRound.java
@@ -28,12 +28,6 @@
     /** Maximum number of steps considered in one round; steps after them rarely find capacity that these left free. */
     static final int MAX_STEPS = 120;
 
-    /**
-     * Maximum number of steps per round for which tickets are renewed before they are placed; more would only overload
-     * the advice service.
-     */
-    private static final int MAX_TICKET_RENEWALS = 10;
-
     /** Share of the workers' cores that may be reserved for gangs; the rest always remains available to other tasks. */
     private static final double MAX_RESERVED_SHARE = 0.5;
 
@@ -174,8 +168,14 @@
         }
         int workersToName = Math.min(targets.size(), AdviceManager.MAX_WORKERS_PER_CALL);
         double callMillis = step.requiresAdvice() ? JobPlan.adviceCallMillis(step.queue(), workersToName) : 0;
-        if (step.requiresAdvice() && readyInMillis <= callMillis) {
+        if (!step.requiresAdvice()) {
+            return;
+        }
+        if (readyInMillis <= callMillis) {
             requestAdvice(step, mostUrgentTickets(stepAdvice, targets.keySet()), callMillis);
+        } else {
+            // Workers that no call has named yet may have room sooner than those known to be eligible.
+            renewTickets(step, placer, suitable.and(Predicate.not(mayRun)));
         }
     }
 
@@ -207,7 +207,7 @@
     private void renewTickets(ReadyStep step, Placer placer, Predicate<WorkerRoom> suitable) {
         AdviceManager.StepAdvice stepAdvice = advice.of(step.id());
         boolean firstCall = !stepAdvice.answered();
-        if (!firstCall && (ticketRenewals >= MAX_TICKET_RENEWALS || !placer.mayFit(step.size()))) {
+        if (!firstCall && (ticketRenewals >= advice.callerCount() || !placer.mayFit(step.size()))) {
             return;
         }
         if (stepAdvice.callInProgress()) {
--- a/core/src/test/java/org/wasabimount/core/dispatch/DispatcherTest.java
+++ b/core/src/test/java/org/wasabimount/core/dispatch/DispatcherTest.java
@@ -91,7 +91,7 @@
     }
 
     /** Guards against gangs that wait for the few workers known to be eligible while others are idle. */
-    @Test(groups = "known-red")
+    @Test
     public void completesGangsAfterPoolBecameIdle() {
         PanelLoad load = new PanelLoad(1, PanelLoad.WORKERS, 1);
         load.run(8_000);
