Wake a group's thread when its next work is due

Seen by callers: each control node, also one that only follows, woke two threads 50 times a second: a timer put a tick into the ring, and the group's thread ran it with two flushes, each of which builds the lists of messages and entries, although nothing had happened.

Now the group's thread itself waits in its ring for a task or until the replica's next work is due: the election timeout of a voter that does not lead, the next heartbeat of a leader, and at most 20 ms on a leader of the jobs' group, whose dispatcher has work that is due without an event (50 ms for a cell, as its timer had). The tick is done at the end of each batch, so a follower that was suspended reads what its leader sent meanwhile before it decides whether to campaign. Election timeouts, heartbeats and leases are unchanged; an election begins when it is due, no longer up to 20 ms later. The second flush, which sends what the tasks after the first one proposed, is left out if they have made no work.

Ruled out: a timer that is set anew after each tick. It would have to be set again whenever a message changes what is due, from another thread, and needs two wake-ups for each tick.

The replicas' fuzz now checks at each step that a tick before Replica.tickDueMillis does nothing and that Replica.hasOutput foretells what drain returns: passed with three and five replicas.

--- a/core/src/main/java/org/wasabimount/core/log/Replica.java
+++ b/core/src/main/java/org/wasabimount/core/log/Replica.java
@@ -364,6 +364,33 @@
         }
     }
 
+    /**
+     * Returns when {@link #tick} must be called next, unless another call changes it before.
+     *
+     * @return the monotonic time in milliseconds, {@link Long#MAX_VALUE} if nothing will be due
+     */
+    public long tickDueMillis() {
+        if (role == Role.LEADER) {
+            return Math.min(heartbeatDueMillis, Math.max(leaseUntilMillis, electionDueMillis));
+        }
+        return memberships.isVoter(settings.self()) ? electionDueMillis : Long.MAX_VALUE;
+    }
+
+    /**
+     * Returns whether {@link #drain} would return any work.
+     *
+     * @return false if nothing has to be sent, written or applied
+     */
+    public boolean hasOutput() {
+        return !messagesBeforeSync.isEmpty()
+                || !messagesAfterSync.isEmpty()
+                || hardStateChanged
+                || installedSnapshot != null
+                || persistedIndex < log.lastIndex()
+                || appliedIndex < Math.min(commitIndex, persistedIndex)
+                || role == Role.LEADER && peers.values().stream().anyMatch(this::mayReceiveEntries);
+    }
+
     /**
      * Handles a message from another replica.
      *
@@ -599,13 +626,17 @@
 
     private void sendEntries(String peer) {
         PeerProgress progress = peers.get(peer);
-        while (progress.nextIndex > log.baseIndex()
-                && progress.nextIndex <= log.lastIndex()
-                && progress.inFlight < MAX_IN_FLIGHT) {
+        while (mayReceiveEntries(progress)) {
             sendAppend(peer, progress);
         }
     }
 
+    private boolean mayReceiveEntries(PeerProgress progress) {
+        return progress.nextIndex > log.baseIndex()
+                && progress.nextIndex <= log.lastIndex()
+                && progress.inFlight < MAX_IN_FLIGHT;
+    }
+
     private void sendAppend(String peer, PeerProgress progress) {
         long previous = progress.nextIndex - 1;
         List<LogEntry> batch = log.slice(progress.nextIndex, settings.maxBatchEntries(), settings.maxBatchBytes());
--- a/core/src/test/java/org/wasabimount/core/log/FakeCluster.java
+++ b/core/src/test/java/org/wasabimount/core/log/FakeCluster.java
@@ -52,7 +52,7 @@
     void advance(long millis) {
         nowMillis += millis;
         nodes.stream().filter(FakeNode::isRunning).forEach(node -> {
-            node.replica().tick(node.localMillis(nowMillis));
+            node.tick(nowMillis);
             node.flush(FakeNode.CrashPoint.NONE);
         });
         checkAtMostOneDecidingLeader();
--- a/core/src/test/java/org/wasabimount/core/log/FakeNode.java
+++ b/core/src/test/java/org/wasabimount/core/log/FakeNode.java
@@ -1,5 +1,7 @@
 package org.wasabimount.core.log;
 
+import static org.testng.Assert.assertEquals;
+
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -30,6 +32,9 @@
     private static final long LEASE_MARGIN_MILLIS = 40;
     private static final int MAX_BATCH_ENTRIES = 1;
 
+    private static final ReplicaOutput NO_OUTPUT =
+            new ReplicaOutput(List.of(), Optional.empty(), Optional.empty(), List.of(), List.of(), List.of());
+
     private final VmId vm;
     private final double clockRate;
     private final LogSnapshot initialSnapshot;
@@ -115,6 +120,19 @@
         diskEntries = new ArrayList<>();
     }
 
+    /** Ticks the replica, and checks that it does nothing before it said that a tick is due. */
+    void tick(long globalMillis) {
+        long nowMillis = localMillis(globalMillis);
+        boolean due = nowMillis >= replica.tickDueMillis();
+        boolean hadOutput = replica.hasOutput();
+        Replica.Role role = replica.role();
+        replica.tick(nowMillis);
+        if (!due) {
+            assertEquals(replica.hasOutput(), hadOutput, "a tick that was not due made work");
+            assertEquals(replica.role(), role, "a tick that was not due changed the role");
+        }
+    }
+
     void propose(String command, long globalMillis) {
         long index = replica.propose(ByteString.copyFromUtf8(command), localMillis(globalMillis));
         if (index > 0) {
@@ -130,7 +148,9 @@
     void flush(CrashPoint crashPoint) {
         boolean moreOutput = true;
         while (moreOutput) {
+            boolean hadOutput = replica.hasOutput();
             ReplicaOutput output = replica.drain();
+            assertEquals(hadOutput, !output.equals(NO_OUTPUT), "hasOutput differs from what is drained");
             output.messagesBeforeSync().forEach(network);
             if (crashPoint == CrashPoint.BEFORE_SYNC) {
                 crash();
--- a/daemon/src/main/java/org/wasabimount/daemon/Daemon.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/Daemon.java
@@ -98,7 +98,6 @@
                         metrics),
                 ioThreads);
         registerGauges();
-        schedule(groups::tick, TICK_PERIOD_MILLIS);
         schedule(routing::tick, TICK_PERIOD_MILLIS);
         schedule(gossipService::round, GOSSIP_PERIOD_MILLIS);
         schedule(client::closeIdleConnections, IDLE_CHECK_PERIOD_MILLIS);
--- a/daemon/src/main/java/org/wasabimount/daemon/DaemonGroups.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/DaemonGroups.java
@@ -112,10 +112,6 @@
         groups.values().forEach(GroupThread::start);
     }
 
-    void tick() {
-        groups.values().forEach(GroupThread::tick);
-    }
-
     /** Adds a discovered replica to those groups that this VM leads and that the replica is to join. */
     void replicaDiscovered(ReplicaIdentity replica) {
         groups.forEach((name, group) -> {
--- a/daemon/src/main/java/org/wasabimount/daemon/cell/CellLeader.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/cell/CellLeader.java
@@ -32,6 +32,9 @@
 /** Executes the cell's operations while this replica leads: writes, queries, watches, worker leases and placement. */
 public final class CellLeader {
 
+    /** Longest time between two placement rounds, in milliseconds: a fraction of the time in which a task starts. */
+    private static final long MAX_WORK_INTERVAL_MILLIS = 50;
+
     private static final int TASKS_PER_ROUND = 256;
     private static final long MAX_WAIT_MILLIS = 30_000;
 
@@ -99,7 +102,7 @@
         this.clock = clock;
         this.wallClock = wallClock;
         this.scheduler = new Scheduler(PlacementPolicy.SPREAD_AND_PACK, seed);
-        group.afterEachFlush(this::work);
+        group.afterEachFlush(this::work, MAX_WORK_INTERVAL_MILLIS);
     }
 
     /**
--- a/daemon/src/main/java/org/wasabimount/daemon/job/JobLeader.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/job/JobLeader.java
@@ -47,6 +47,9 @@
 
     private static final System.Logger LOG = System.getLogger("wasabimount.job");
 
+    /** Longest time between two calls of the dispatcher, in milliseconds: half of the interval of its rounds. */
+    private static final long MAX_WORK_INTERVAL_MILLIS = 20;
+
     private final GroupThread group;
     private final JobStateMachine stateMachine;
     private final DispatchSettings settings;
@@ -85,7 +88,7 @@
         this.clock = dependencies.clock();
         this.wallClock = dependencies.wallClock();
         this.suspensionWatch = new SuspensionWatch(clock, wallClock);
-        group.afterEachFlush(this::work);
+        group.afterEachFlush(this::work, MAX_WORK_INTERVAL_MILLIS);
     }
 
     /**
--- a/daemon/src/main/java/org/wasabimount/daemon/log/GroupThread.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/log/GroupThread.java
@@ -32,6 +32,10 @@
 
     private static final System.Logger LOG = System.getLogger("wasabimount.log");
     private static final int RING_SLOTS = 4_096;
+
+    /** Longest time between two batches, in milliseconds: how old the state that other threads read may be. */
+    private static final long MAX_IDLE_MILLIS = 1_000;
+
     private static final int SNAPSHOT_INTERVAL_ENTRIES = 8_192;
     private static final int RETAINED_ENTRIES = 1_024;
 
@@ -46,6 +50,7 @@
     private final TreeMap<Long, Proposal> proposals = new TreeMap<>();
     private final List<Runnable> afterFlush = new ArrayList<>();
     private volatile Runnable leaderListener = () -> {};
+    private long maxLeaderIdleMillis = MAX_IDLE_MILLIS;
     private HardState hardState;
     private LogSnapshot lastSnapshot;
     private long appliedIndex;
@@ -56,6 +61,23 @@
     private volatile Membership membership = Membership.getDefaultInstance();
     private volatile long commitIndex;
 
+    /** Performs the work of the replica and of the leader that is due when no task arrives. */
+    private final class Idle implements TaskRing.Idler {
+
+        @Override
+        public long maxWaitMillis() {
+            long nowMillis = clock.millis();
+            long replicaDueMillis = Math.max(1, replica.tickDueMillis() - nowMillis);
+            return Math.min(
+                    replicaDueMillis, replica.role() == Replica.Role.LEADER ? maxLeaderIdleMillis : MAX_IDLE_MILLIS);
+        }
+
+        @Override
+        public void waited() {
+            handle(() -> {}, true);
+        }
+    }
+
     private record Proposal(long term, CompletableFuture<Reply> reply) {}
 
     /**
@@ -91,7 +113,7 @@
         this.appliedIndex = lastSnapshot.getIndex();
         stateMachine.restore(lastSnapshot.getState());
         this.replica = new Replica(settings, persisted, clock.millis());
-        this.ring = new TaskRing("log-" + group, RING_SLOTS, this::handle);
+        this.ring = new TaskRing("log-" + group, RING_SLOTS, this::handle, new Idle());
     }
 
     /** Starts the thread. */
@@ -123,11 +145,6 @@
         submit(() -> replica.receive(message, clock.millis()));
     }
 
-    /** Has the replica perform the work that is due, such as heartbeats and elections. */
-    public void tick() {
-        submit(() -> replica.tick(clock.millis()));
-    }
-
     /**
      * Appends a command. Called on the group's thread only.
      *
@@ -146,12 +163,15 @@
     }
 
     /**
-     * Registers a task to run on the group's thread after each batch, once all committed entries are applied.
+     * Registers a task to run on the group's thread after each batch, once all committed entries are applied. Called
+     * before {@link #start}.
      *
      * @param task the task
+     * @param maxIntervalMillis the longest time between two runs while this replica leads, in milliseconds
      */
-    public void afterEachFlush(Runnable task) {
+    public void afterEachFlush(Runnable task, long maxIntervalMillis) {
         afterFlush.add(task);
+        maxLeaderIdleMillis = Math.min(maxLeaderIdleMillis, maxIntervalMillis);
     }
 
     /**
@@ -242,9 +262,14 @@
         try {
             task.run();
             if (endOfBatch) {
+                replica.tick(clock.millis());
                 flush();
                 afterFlush.forEach(Runnable::run);
-                flush();
+                if (replica.hasOutput()) {
+                    flush();
+                } else {
+                    updateRole();
+                }
             }
         } catch (IOException e) {
             fatal.accept(e);
--- a/daemon/src/main/java/org/wasabimount/daemon/node/JobNode.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/node/JobNode.java
@@ -54,8 +54,6 @@
 
     private static final System.Logger LOG = System.getLogger("wasabimount.node");
 
-    private static final long TICK_INTERVAL_MILLIS = 20;
-
     /** Minimum election timeout, in milliseconds: the time of forty syncs on the slowest disk. */
     private static final long ELECTION_TIMEOUT_MILLIS = 400;
 
@@ -201,7 +199,6 @@
     public void start() throws IOException {
         group.map(JobGroup::thread).ifPresent(GroupThread::start);
         network.listen(settings.peerAddress(settings.vm()), this::receive);
-        group.map(JobGroup::thread).ifPresent(thread -> schedule(thread::tick, TICK_INTERVAL_MILLIS));
         schedule(this::round, Peers.ROUND_INTERVAL_MILLIS);
         LOG.log(
                 System.Logger.Level.INFO,
--- a/daemon/src/main/java/org/wasabimount/daemon/ring/TaskRing.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/ring/TaskRing.java
@@ -3,6 +3,8 @@
 import java.util.concurrent.ThreadFactory;
 
 import com.lmax.disruptor.BlockingWaitStrategy;
+import com.lmax.disruptor.EventHandler;
+import com.lmax.disruptor.WaitStrategy;
 import com.lmax.disruptor.dsl.Disruptor;
 import com.lmax.disruptor.dsl.ProducerType;
 
@@ -24,6 +26,20 @@
         void handle(Runnable task, boolean endOfBatch);
     }
 
+    /** Does the work that is due at a time, whether or not tasks arrive. */
+    public interface Idler {
+
+        /**
+         * Returns how long the thread may wait for a task, determined after each batch.
+         *
+         * @return the time in milliseconds
+         */
+        long maxWaitMillis();
+
+        /** Called when no task has arrived in that time; must not throw. */
+        void waited();
+    }
+
     /** An entry of the ring buffer. */
     private static final class Slot {
         private Runnable task;
@@ -37,13 +53,49 @@
      * @param handler runs the tasks; must not throw
      */
     public TaskRing(String name, int slots, Handler handler) {
+        this(name, slots, new Consumer(handler, () -> {}), new BlockingWaitStrategy());
+    }
+
+    /**
+     * Creates a ring whose thread also works when no task arrives; {@link #start} starts its thread.
+     *
+     * @param name the thread's name
+     * @param slots the number of tasks that may wait, a power of two
+     * @param handler runs the tasks; must not throw
+     * @param idler works when no task arrives
+     */
+    public TaskRing(String name, int slots, Handler handler, Idler idler) {
+        this(name, slots, new Consumer(handler, idler::waited), new TimedWaitStrategy(idler::maxWaitMillis));
+    }
+
+    private TaskRing(String name, int slots, Consumer consumer, WaitStrategy waitStrategy) {
         ThreadFactory threads = task -> new Thread(task, name);
-        this.disruptor = new Disruptor<>(Slot::new, slots, threads, ProducerType.MULTI, new BlockingWaitStrategy());
-        disruptor.handleEventsWith((slot, sequence, endOfBatch) -> {
+        this.disruptor = new Disruptor<>(Slot::new, slots, threads, ProducerType.MULTI, waitStrategy);
+        disruptor.handleEventsWith(consumer);
+    }
+
+    /** Passes on the events of the ring buffer. */
+    private static final class Consumer implements EventHandler<Slot> {
+
+        private final Handler handler;
+        private final Runnable waited;
+
+        private Consumer(Handler handler, Runnable waited) {
+            this.handler = handler;
+            this.waited = waited;
+        }
+
+        @Override
+        public void onEvent(Slot slot, long sequence, boolean endOfBatch) {
             Runnable task = slot.task;
             slot.task = null;
             handler.handle(task, endOfBatch);
-        });
+        }
+
+        @Override
+        public void onTimeout(long sequence) {
+            waited.run();
+        }
     }
 
     /** Starts the thread. */
