--- a/core/src/main/java/org/wasabimount/core/dispatch/AdviceManager.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/AdviceManager.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 
 import org.wasabimount.core.job.IncarnationId;
 import org.wasabimount.core.job.StepId;
@@ -36,10 +37,16 @@
     /** Minimum remaining validity of a usable ticket, in milliseconds; covers the commit and the start. */
     private static final long TICKET_MARGIN_MILLIS = 120;
 
+    /** Maximum number of workers in one call; the service rejects calls that name more. */
+    static final int MAX_WORKERS_PER_CALL = 100;
+
+    private static final StepAdvice NO_ADVICE = new StepAdvice();
+
     private final Map<String, Caller> callers = new LinkedHashMap<>();
     private final Map<Long, Call> openCalls = new HashMap<>();
     private final Map<StepId, StepAdvice> steps = new HashMap<>();
     private long nextId = 1;
+    private Consumer<CompletedAdviceCall> callListener = call -> {};
 
     private static final class Caller {
         private long call;
@@ -57,11 +64,61 @@
     private record Ticket(String text, long untilMillis) {}
 
     /** The cached advice for one step. */
-    private static final class StepAdvice {
+    static final class StepAdvice {
         private final Map<IncarnationId, Ticket> eligible = new HashMap<>();
         private final Set<IncarnationId> ineligible = new HashSet<>();
         private boolean callInProgress;
         private int resultCount;
+        private AdviceOutcome lastOutcome;
+
+        boolean answered() {
+            return resultCount > 0;
+        }
+
+        boolean callInProgress() {
+            return callInProgress;
+        }
+
+        /** Returns whether the service has ever reported that a worker may run the step. */
+        boolean eligible(IncarnationId incarnation) {
+            return eligible.containsKey(incarnation);
+        }
+
+        /** Returns whether there is a ticket for a worker that is valid for long enough. */
+        boolean hasTicket(IncarnationId incarnation, long nowMillis) {
+            Ticket ticket = eligible.get(incarnation);
+            return ticket != null && nowMillis + TICKET_MARGIN_MILLIS < ticket.untilMillis;
+        }
+
+        /** Returns whether a worker has no valid ticket and is not reported as ineligible. */
+        boolean mayNeedTicket(IncarnationId incarnation, long nowMillis) {
+            return !ineligible.contains(incarnation) && !hasTicket(incarnation, nowMillis);
+        }
+    }
+
+    void setCallListener(Consumer<CompletedAdviceCall> listener) {
+        callListener = listener;
+    }
+
+    /** Returns the cached advice for a step, empty until a call for it is made. */
+    StepAdvice of(StepId step) {
+        return steps.getOrDefault(step, NO_ADVICE);
+    }
+
+    /** Returns whether a VM is available for a call. */
+    boolean callerIdle(double costMillis, long nowMillis) {
+        return idleCallers(nowMillis).size() > reservedCallers(costMillis);
+    }
+
+    private List<String> idleCallers(long nowMillis) {
+        return callers.entrySet().stream()
+                .filter(caller -> caller.getValue().call == 0 && nowMillis >= caller.getValue().backoffUntilMillis)
+                .map(Map.Entry::getKey)
+                .toList();
+    }
+
+    private int reservedCallers(double costMillis) {
+        return costMillis <= SHORT_CALL_MILLIS ? 0 : Math.min(RESERVED_FOR_SHORT_CALLS, callers.size() - 1);
     }
 
     /** Sets the VMs that can currently make calls. */
@@ -100,16 +157,24 @@
         return advice != null && advice.resultCount > 0;
     }
 
-    /** Creates an advice call for a step if a VM is available for it. */
+    /** Returns the outcome of the last completed call for the step. */
+    Optional<AdviceOutcome> lastOutcome(StepId step) {
+        return Optional.ofNullable(steps.get(step)).map(advice -> advice.lastOutcome);
+    }
+
+    /**
+     * Creates an advice call for a step if a VM is available for it.
+     *
+     * @throws IllegalArgumentException if more than {@link #MAX_WORKERS_PER_CALL} workers are named
+     */
     Optional<DispatchAction.RequestAdvice> requestAdvice(
             StepId step, List<IncarnationId> workers, double costMillis, long nowMillis) {
-        List<String> idleCallers = callers.entrySet().stream()
-                .filter(caller -> caller.getValue().call == 0 && nowMillis >= caller.getValue().backoffUntilMillis)
-                .map(Map.Entry::getKey)
-                .toList();
-        int reservedCallers =
-                costMillis <= SHORT_CALL_MILLIS ? 0 : Math.min(RESERVED_FOR_SHORT_CALLS, callers.size() - 1);
-        if (idleCallers.size() <= reservedCallers) {
+        if (workers.size() > MAX_WORKERS_PER_CALL) {
+            throw new IllegalArgumentException(
+                    "an advice call may name " + MAX_WORKERS_PER_CALL + " workers, not " + workers.size());
+        }
+        List<String> idleCallers = idleCallers(nowMillis);
+        if (idleCallers.size() <= reservedCallers(costMillis)) {
             return Optional.empty();
         }
         long id = nextId++;
@@ -146,8 +211,16 @@
         StepAdvice advice = steps.get(call.step);
         if (advice != null) {
             advice.callInProgress = false;
+            advice.lastOutcome = result.outcome();
             recordResult(advice, call, result);
         }
+        callListener.accept(new CompletedAdviceCall(
+                call.step,
+                call.caller,
+                call.queriedWorkers.size(),
+                result.outcome(),
+                result.status(),
+                nowMillis - call.sentMillis));
         return true;
     }
 
@@ -172,7 +245,7 @@
         List<Call> overdueCalls = openCalls.values().stream()
                 .filter(call -> nowMillis >= call.overdueMillis)
                 .toList();
-        overdueCalls.forEach(call -> answered(call.id, AdviceResult.NONE, nowMillis));
+        overdueCalls.forEach(call -> answered(call.id, AdviceResult.failed(AdviceOutcome.NO_ANSWER), nowMillis));
     }
 
     /** Invalidates a ticket that a worker rejected. */
--- a/core/src/main/java/org/wasabimount/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/Dispatcher.java
@@ -60,6 +60,8 @@
     private final SchedulingOrder order;
     private final WorkerManager workers;
     private final AdviceManager advice = new AdviceManager();
+    private final WaitSampler waits;
+    private final ExaminedCounts examined = new ExaminedCounts();
     private final Map<String, JobPlan> plans = new LinkedHashMap<>();
     private List<DispatchAction> actions = new ArrayList<>();
     private Consumer<Job> ended = job -> {};
@@ -89,7 +91,8 @@
         this.table = table;
         this.order = order;
         this.nowMillis = nowMillis;
-        this.workers = new WorkerManager(settings, table, fence, this::add, nowMillis);
+        this.workers = new WorkerManager(settings, table, fence, this::add, examined, nowMillis);
+        this.waits = new WaitSampler(workers, advice);
         table.jobs().stream().filter(Job::open).forEach(job -> {
             long ageMillis = Math.max(0, wallMillis - job.acceptedMillis());
             plans.put(job.id(), new JobPlan(job, nowMillis - ageMillis));
@@ -106,6 +109,24 @@
         ended = listener;
     }
 
+    /**
+     * Sets the listener for completed advice calls.
+     *
+     * @param listener receives each call when it is answered, has failed or is overdue
+     */
+    public void setAdviceCallListener(Consumer<CompletedAdviceCall> listener) {
+        advice.setCallListener(listener);
+    }
+
+    /**
+     * Sets the listener for the dispatcher's status.
+     *
+     * @param listener receives a sample at most once a second
+     */
+    public void setStatusListener(Consumer<DispatchStatus> listener) {
+        waits.setListener(listener);
+    }
+
     /**
      * Sets the time of the events and changes that follow.
      *
@@ -250,6 +271,7 @@
      * @return the refusal, empty if the job is accepted
      */
     public Optional<Refusal> admit(JobSpec spec, Queue queue) {
+        examined.add(ExaminedCounts.Part.ADMIT, workers.trackedWorkers().size());
         long usableCpuMillis = workers.trackedWorkers().stream()
                 .filter(trackedWorker -> trackedWorker.countsForAdmission()
                         && trackedWorker.entry().incarnation().getPool().equals(queue.getPool()))
@@ -273,8 +295,9 @@
         return latest >= nowMillis && latest <= latestStartMillis;
     }
 
-    private static double waitingWork(Job job) {
+    private double waitingWork(Job job) {
         return job.tasks()
+                .peek(task -> examined.add(ExaminedCounts.Part.ADMIT, 1))
                 .filter(JobTask::awaitsPlacement)
                 .mapToDouble(task -> {
                     var step = job.step(task.id().step());
@@ -295,7 +318,10 @@
         if (stateChanged || nowMillis >= roundDueMillis) {
             stateChanged = false;
             roundDueMillis = nowMillis + MAX_ROUND_INTERVAL_MILLIS;
-            new PlacementRound(workers, advice, this::add, nowMillis).run(ready(wallMillis));
+            List<ReadyStep> ready = ready(wallMillis);
+            waits.beginRound(ready.size(), nowMillis);
+            new PlacementRound(workers, advice, waits, this::add, examined, nowMillis).run(ready);
+            waits.endRound();
         }
         if (nowMillis >= forgetDueMillis) {
             forgetDueMillis = nowMillis + FORGET_INTERVAL_MILLIS;
@@ -320,6 +346,8 @@
         List<ReadyStep> steps = new ArrayList<>();
         for (int number = 0; number < job.spec().getStepsCount(); number++) {
             StepId id = new StepId(job.id(), occurrence, number);
+            examined.add(
+                    ExaminedCounts.Part.READY, job.tasks(occurrence, number).size());
             List<JobTask> waiting = job.tasks(occurrence, number).stream()
                     .filter(JobTask::awaitsPlacement)
                     .filter(task -> !workers.placementPending(task.id()))
@@ -394,6 +422,11 @@
         stateChanged = true;
     }
 
+    /** Returns how many items were examined so far. */
+    ExaminedCounts examined() {
+        return examined;
+    }
+
     private void add(DispatchAction action) {
         actions.add(action);
     }
