--- a/core/src/main/java/org/wasabimount/core/dispatch/AdviceManager.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/AdviceManager.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 
 import org.wasabimount.core.job.IncarnationId;
 import org.wasabimount.core.job.StepId;
@@ -45,6 +46,7 @@
     private final Map<Long, Call> openCalls = new HashMap<>();
     private final Map<StepId, StepAdvice> steps = new HashMap<>();
     private long nextId = 1;
+    private Consumer<CompletedAdviceCall> callListener = call -> {};
 
     private static final class Caller {
         private long call;
@@ -67,6 +69,7 @@
         private final Set<IncarnationId> ineligible = new HashSet<>();
         private boolean callInProgress;
         private int resultCount;
+        private AdviceOutcome lastOutcome;
 
         boolean answered() {
             return resultCount > 0;
@@ -114,6 +117,10 @@
         return costMillis <= SHORT_CALL_MILLIS ? 0 : Math.min(RESERVED_FOR_SHORT_CALLS, callers.size() - 1);
     }
 
+    void setCallListener(Consumer<CompletedAdviceCall> listener) {
+        callListener = listener;
+    }
+
     /** Sets the VMs that can currently make calls. */
     void callers(Collection<String> reachableVms) {
         callers.keySet().retainAll(reachableVms);
@@ -150,6 +157,11 @@
         return advice != null && advice.resultCount > 0;
     }
 
+    /** Returns the outcome of the last completed call for the step. */
+    Optional<AdviceOutcome> lastOutcome(StepId step) {
+        return Optional.ofNullable(steps.get(step)).map(advice -> advice.lastOutcome);
+    }
+
     /**
      * Creates an advice call for a step if a VM is available for it.
      *
@@ -199,8 +211,16 @@
         StepAdvice advice = steps.get(call.step);
         if (advice != null) {
             advice.callInProgress = false;
+            advice.lastOutcome = result.outcome();
             recordResult(advice, call, result);
         }
+        callListener.accept(new CompletedAdviceCall(
+                call.step,
+                call.caller,
+                call.queriedWorkers.size(),
+                result.outcome(),
+                result.status(),
+                nowMillis - call.sentMillis));
         return true;
     }
 
@@ -225,7 +245,7 @@
         List<Call> overdueCalls = openCalls.values().stream()
                 .filter(call -> nowMillis >= call.overdueMillis)
                 .toList();
-        overdueCalls.forEach(call -> answered(call.id, AdviceResult.NONE, nowMillis));
+        overdueCalls.forEach(call -> answered(call.id, AdviceResult.failed(AdviceOutcome.NO_ANSWER), nowMillis));
     }
 
     /** Invalidates a ticket that a worker rejected. */
--- a/core/src/main/java/org/wasabimount/core/dispatch/PlacementRound.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/PlacementRound.java
@@ -27,7 +27,7 @@
     private static final System.Logger LOG = System.getLogger("wasabimount.dispatch");
 
     /** Maximum number of steps considered in one round; steps after them rarely find capacity that these left free. */
-    private static final int MAX_STEPS = 120;
+    static final int MAX_STEPS = 120;
 
     /**
      * Maximum number of steps per round for which tickets are renewed before they are placed; more would only overload
@@ -40,6 +40,7 @@
 
     private final WorkerManager workers;
     private final AdviceManager advice;
+    private final WaitSampler waits;
     private final Consumer<DispatchAction> actions;
     private final Consumer<TaskId> proposed;
     private final ExaminedCounts examined;
@@ -52,12 +53,14 @@
     PlacementRound(
             WorkerManager workers,
             AdviceManager advice,
+            WaitSampler waits,
             Consumer<DispatchAction> actions,
             Consumer<TaskId> proposed,
             ExaminedCounts examined,
             long nowMillis) {
         this.workers = workers;
         this.advice = advice;
+        this.waits = waits;
         this.actions = actions;
         this.proposed = proposed;
         this.examined = examined;
@@ -83,24 +86,22 @@
     private void consider(ReadyStep step) {
         Placer placer = placers.get(step.queue().getPool());
         if (placer == null) {
+            waits.record(step, List.of(), room -> false);
             return;
         }
         examined.add(ExaminedCounts.Part.ROUND, 1);
         String label = step.step().getRequiredLabel();
         Set<IncarnationId> failedRecently = workers.failedRecently(step, nowMillis);
-        Predicate<WorkerRoom> suitable = room -> room.worker().hasLabel(label)
-                && !failedRecently.contains(room.worker().entry().id());
+        Predicate<WorkerRoom> suitable = room -> room.worker().hasLabel(label) && !failedRecently.contains(room.id());
         AdviceManager.StepAdvice stepAdvice = advice.of(step.id());
         Map<JobTask, WorkerRoom> chosen = placer.choose(
                 step,
-                step.requiresAdvice()
-                        ? suitable.and(room ->
-                                stepAdvice.hasTicket(room.worker().entry().id(), nowMillis))
-                        : suitable);
+                step.requiresAdvice() ? suitable.and(room -> stepAdvice.hasTicket(room.id(), nowMillis)) : suitable);
         if (!chosen.isEmpty()) {
             place(step, chosen);
         }
         if (chosen.size() < step.waiting().size()) {
+            waits.record(step, placer.rooms(), suitable);
             prepareRemaining(step, placer, suitable);
         }
     }
@@ -110,7 +111,7 @@
         PlaceRuns.Builder command = PlaceRuns.newBuilder();
         chosen.forEach((task, room) -> {
             RunId run = new RunId(task.id(), step.gang() ? gangRun : task.run() + 1);
-            IncarnationId incarnation = room.worker().entry().id();
+            IncarnationId incarnation = room.id();
             proposed.accept(task.id());
             workers.propose(
                     run,
@@ -130,7 +131,7 @@
                 chosen.size(),
                 step.waiting().size(),
                 chosen.values().stream()
-                        .map(room -> room.worker().entry().id().worker())
+                        .map(room -> room.id().worker())
                         .distinct()
                         .toList(),
                 Long.toString(step.latestStartMillis() - nowMillis));
@@ -153,9 +154,8 @@
             return;
         }
         AdviceManager.StepAdvice stepAdvice = advice.of(step.id());
-        Predicate<WorkerRoom> mayRun = step.requiresAdvice()
-                ? suitable.and(room -> stepAdvice.eligible(room.worker().entry().id()))
-                : suitable;
+        Predicate<WorkerRoom> mayRun =
+                step.requiresAdvice() ? suitable.and(room -> stepAdvice.eligible(room.id())) : suitable;
         Map<WorkerRoom, Integer> targets = placer.reserve(step, mayRun, nowMillis);
         if (targets.isEmpty()) {
             if (step.requiresAdvice()) {
@@ -221,10 +221,10 @@
         List<AdviceQuery.Candidate> candidates = placer.rooms().stream()
                 .filter(room -> firstCall || step.size().fitsIn(room.free()))
                 .filter(suitable)
-                .filter(room -> stepAdvice.mayNeedTicket(room.worker().entry().id(), nowMillis))
+                .filter(room -> stepAdvice.mayNeedTicket(room.id(), nowMillis))
                 .map(room -> new AdviceQuery.Candidate(
                         room.worker(),
-                        stepAdvice.eligible(room.worker().entry().id()),
+                        stepAdvice.eligible(room.id()),
                         Placer.nearData(step, room.worker()),
                         step.size().timesIn(room.free())))
                 .toList();
--- a/core/src/main/java/org/wasabimount/core/dispatch/WorkerRoom.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/WorkerRoom.java
@@ -4,6 +4,7 @@
 import java.util.List;
 
 import org.wasabimount.core.cell.Capacity;
+import org.wasabimount.core.job.IncarnationId;
 
 /** The room on one worker during one placement round. */
 final class WorkerRoom {
@@ -22,6 +23,10 @@
         return worker;
     }
 
+    IncarnationId id() {
+        return worker.entry().id();
+    }
+
     /**
      * Returns the free capacity after the placements and reservations of this round; reservations may make it negative.
      */
--- a/core/src/test/java/org/wasabimount/core/dispatch/SimulatedCell.java
+++ b/core/src/test/java/org/wasabimount/core/dispatch/SimulatedCell.java
@@ -7,6 +7,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.PriorityQueue;
 import java.util.Random;
@@ -64,6 +65,7 @@
     double delayedOrderShare;
     double lostResponseShare;
     int adviceCalls;
+    Optional<AdviceOutcome> adviceFailure = Optional.empty();
 
     /** Number of commits and results that the dispatcher has received. */
     long eventCount;
@@ -424,7 +426,9 @@
         if (requestAdvice.workers().size() > MAX_ADVICE_WORKERS) {
             after(
                     NETWORK_DELAY_MILLIS,
-                    () -> deliver(sender, () -> sender.advised(requestAdvice.id(), AdviceResult.NONE)));
+                    () -> deliver(
+                            sender,
+                            () -> sender.advised(requestAdvice.id(), AdviceResult.failed(AdviceOutcome.REFUSED, 400))));
             return;
         }
         String queueName =
@@ -438,7 +442,10 @@
             requestAdvice.workers().stream()
                     .filter(worker -> mayRun(queueName, requestAdvice.step().toString(), worker))
                     .forEach(worker -> tickets.put(worker, "t" + (nowMillis + validMillis)));
-            deliver(sender, () -> sender.advised(requestAdvice.id(), new AdviceResult(true, tickets, validMillis)));
+            AdviceResult result = adviceFailure
+                    .map(AdviceResult::failed)
+                    .orElseGet(() -> AdviceResult.answered(tickets, validMillis));
+            deliver(sender, () -> sender.advised(requestAdvice.id(), result));
         });
     }
 
