Consider only eligible workers when capacity is reserved for a gang

Cause: each round looked up for every waiting gang and every worker of the pool whether the worker may run the step. Change: the candidates come from the workers that the advice for the step named as eligible; rooms carry the order in which workers are considered, so that the same workers are chosen. PanelLoad also prints how long the jobs of each queue took.

--- a/core/src/main/java/org/wasabimount/core/dispatch/AdviceManager.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/AdviceManager.java
@@ -79,6 +79,11 @@
             return callInProgress;
         }
 
+        /** Returns the workers of which the service has ever reported that they may run the step. */
+        Set<IncarnationId> eligible() {
+            return eligible.keySet();
+        }
+
         /** Returns whether the service has ever reported that a worker may run the step. */
         boolean eligible(IncarnationId incarnation) {
             return eligible.containsKey(incarnation);
--- a/core/src/main/java/org/wasabimount/core/dispatch/PlacementRound.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/PlacementRound.java
@@ -9,6 +9,7 @@
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 import org.wasabimount.core.job.IncarnationId;
 import org.wasabimount.core.job.JobTask;
@@ -154,9 +155,11 @@
             return;
         }
         AdviceManager.StepAdvice stepAdvice = advice.of(step.id());
-        Predicate<WorkerRoom> mayRun =
-                step.requiresAdvice() ? suitable.and(room -> stepAdvice.eligible(room.id())) : suitable;
-        Map<WorkerRoom, Integer> targets = placer.reserve(step, mayRun, nowMillis);
+        Stream<WorkerRoom> eligible =
+                step.requiresAdvice() ? placer.roomsOn(stepAdvice.eligible()) : placer.rooms().stream();
+        List<WorkerRoom> candidates = eligible.filter(suitable).toList();
+        examined.add(ExaminedCounts.Part.ROUND, candidates.size());
+        Map<WorkerRoom, Integer> targets = placer.reserve(step, candidates, nowMillis);
         if (targets.isEmpty()) {
             if (step.requiresAdvice()) {
                 renewTickets(step, placer, suitable);
--- a/core/src/main/java/org/wasabimount/core/dispatch/Placer.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/Placer.java
@@ -1,17 +1,21 @@
 package org.wasabimount.core.dispatch;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
 
 import org.wasabimount.core.cell.Capacity;
 import org.wasabimount.core.job.IncarnationId;
@@ -29,13 +33,16 @@
 
     private final ExaminedCounts examined;
     private final List<WorkerRoom> rooms;
+    private final Map<IncarnationId, WorkerRoom> roomsById = new HashMap<>();
 
     /** At least the free capacity of every worker in each dimension. */
     private Capacity largestFree = Capacity.NONE;
 
     Placer(List<TrackedWorker> usableWorkers, ExaminedCounts examined) {
         this.examined = examined;
-        this.rooms = usableWorkers.stream().map(WorkerRoom::new).toList();
+        this.rooms = IntStream.range(0, usableWorkers.size())
+                .mapToObj(number -> new WorkerRoom(usableWorkers.get(number), number))
+                .toList();
         updateLargestFree();
     }
 
@@ -44,6 +51,14 @@
         return rooms;
     }
 
+    /** Returns the room on those of the given workers that are usable and belong to the pool. */
+    Stream<WorkerRoom> roomsOn(Collection<IncarnationId> incarnations) {
+        if (roomsById.isEmpty()) {
+            rooms.forEach(room -> roomsById.put(room.id(), room));
+        }
+        return incarnations.stream().map(roomsById::get).filter(Objects::nonNull);
+    }
+
     /** Returns false if a size certainly fits on no worker. */
     boolean mayFit(Capacity size) {
         return size.fitsIn(largestFree);
@@ -182,25 +197,20 @@
     }
 
     /** The next task that could be given to a worker, and when it is estimated to fit. */
-    private record Offer(WorkerRoom room, int order, int tasks, long fitsInMillis) {}
+    private record Offer(WorkerRoom room, int tasks, long fitsInMillis) {}
 
     /**
      * Chooses the workers on which capacity is reserved for a gang: those where it is available earliest.
      *
+     * @param candidates the workers that may run the step
      * @return the number of tasks for each worker, empty if the gang can't be placed even when all runs have ended
      */
-    Map<WorkerRoom, Integer> reserve(ReadyStep step, Predicate<WorkerRoom> allowed, long nowMillis) {
-        Capacity size = step.size();
-        List<WorkerRoom> candidates = rooms.stream()
-                .filter(room -> size.fitsIn(room.worker().entry().capacity()))
-                .filter(allowed)
-                .toList();
+    Map<WorkerRoom, Integer> reserve(ReadyStep step, List<WorkerRoom> candidates, long nowMillis) {
         Map<WorkerRoom, Integer> counts = runCounts(step, candidates);
-        examined.add(ExaminedCounts.Part.ROUND, rooms.size());
         PriorityQueue<Offer> earliestFirst = new PriorityQueue<>(
-                Comparator.comparingLong(Offer::fitsInMillis).thenComparingInt(Offer::order));
-        for (int order = 0; order < candidates.size(); order++) {
-            offer(step, candidates.get(order), order, 1, counts, nowMillis).ifPresent(earliestFirst::add);
+                Comparator.comparingLong(Offer::fitsInMillis).thenComparingInt(offer -> offer.room.number()));
+        for (WorkerRoom room : candidates) {
+            offer(step, room, 1, counts, nowMillis).ifPresent(earliestFirst::add);
         }
         Map<WorkerRoom, Integer> targets = new LinkedHashMap<>();
         for (int task = 0; task < step.waiting().size(); task++) {
@@ -210,21 +220,20 @@
             }
             targets.put(earliest.room, earliest.tasks);
             counts.merge(earliest.room, 1, Integer::sum);
-            offer(step, earliest.room, earliest.order, earliest.tasks + 1, counts, nowMillis)
-                    .ifPresent(earliestFirst::add);
+            offer(step, earliest.room, earliest.tasks + 1, counts, nowMillis).ifPresent(earliestFirst::add);
         }
         return targets;
     }
 
     private Optional<Offer> offer(
-            ReadyStep step, WorkerRoom room, int order, int tasks, Map<WorkerRoom, Integer> counts, long nowMillis) {
+            ReadyStep step, WorkerRoom room, int tasks, Map<WorkerRoom, Integer> counts, long nowMillis) {
         Capacity size = step.size().times(tasks);
         if (!belowLimit(step, counts, room)
                 || !size.fitsIn(room.worker().entry().capacity())) {
             return Optional.empty();
         }
         examined.add(ExaminedCounts.Part.ROUND, 1);
-        return Optional.of(new Offer(room, order, tasks, room.millisUntilFits(size, nowMillis)));
+        return Optional.of(new Offer(room, tasks, room.millisUntilFits(size, nowMillis)));
     }
 
     private Map<WorkerRoom, Integer> runCounts(ReadyStep step, List<WorkerRoom> candidates) {
--- a/core/src/main/java/org/wasabimount/core/dispatch/WorkerRoom.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/WorkerRoom.java
@@ -10,12 +10,14 @@
 final class WorkerRoom {
 
     private final TrackedWorker worker;
+    private final int number;
     private Capacity free;
     private Capacity allocated = Capacity.NONE;
     private List<TrackedRun> earliestFirst;
 
-    WorkerRoom(TrackedWorker worker) {
+    WorkerRoom(TrackedWorker worker, int number) {
         this.worker = worker;
+        this.number = number;
         this.free = worker.freeCapacity();
     }
 
@@ -23,6 +25,11 @@
         return worker;
     }
 
+    /** Returns the worker's place in the order in which the workers are considered. */
+    int number() {
+        return number;
+    }
+
     IncarnationId id() {
         return worker.entry().id();
     }
--- a/core/src/test/java/org/wasabimount/core/dispatch/DispatcherCostTest.java
+++ b/core/src/test/java/org/wasabimount/core/dispatch/DispatcherCostTest.java
@@ -80,6 +80,23 @@
                 "examined " + perRound + " in each round for 100 steps and " + MANY_WORKERS + " full workers");
     }
 
+    @Test
+    public void gangReservationDoesNotExamineWorkersForEachTask() {
+        SimulatedCell cell = busyCell(MANY_WORKERS);
+        int gangs = 10;
+        int tasks = 20;
+        for (int number = 0; number < gangs; number++) {
+            cell.submit(cell.job("gang" + number, tasks, new Capacity(1_000, 1_000, 0), true));
+        }
+        cell.run(100);
+        long before = cell.dispatcher.examined().of(ExaminedCounts.Part.ROUND);
+        cell.run(1_000);
+        long perRound = (cell.dispatcher.examined().of(ExaminedCounts.Part.ROUND) - before) / 25;
+        assertTrue(
+                perRound <= 3 * gangs * (MANY_WORKERS + tasks),
+                "examined " + perRound + " in each round for " + gangs + " gangs of " + tasks + " tasks");
+    }
+
     private static SimulatedCell idleCell(int workers) {
         SimulatedCell cell = new SimulatedCell(1);
         cell.addresses(workers).forEach(address -> cell.worker("w" + address, address, PanelLoad.WORKER));
--- a/core/src/test/java/org/wasabimount/core/dispatch/PanelLoad.java
+++ b/core/src/test/java/org/wasabimount/core/dispatch/PanelLoad.java
@@ -156,6 +156,19 @@
                 .count();
     }
 
+    private List<Long> tookMillis(JobClass kind) {
+        return accepted.stream()
+                .map(job -> cell.table.job(job).orElseThrow())
+                .filter(job -> job.queue().equals(kind.queue) && job.phase() == JobPhase.COMPLETED)
+                .map(job -> job.endedMillis() - job.acceptedMillis())
+                .sorted()
+                .toList();
+    }
+
+    private static long quantile(List<Long> sorted, double quantile) {
+        return sorted.isEmpty() ? 0 : sorted.get((int) (quantile * (sorted.size() - 1)));
+    }
+
     /**
      * Prints the cost of the load.
      *
@@ -202,6 +215,18 @@
                     nanos.values().stream().mapToLong(Long::longValue).sum() / NANOS_PER_MILLI,
                     line);
         }
+        for (JobClass kind : load.classes) {
+            System.out.printf(
+                    Locale.ROOT,
+                    "%s: %d of %d accepted jobs completed, median %d ms, 95th percentile %d ms%n",
+                    kind.queue.getName(),
+                    load.tookMillis(kind).size(),
+                    load.accepted.stream()
+                            .filter(job -> job.startsWith(kind.queue.getName()))
+                            .count(),
+                    quantile(load.tookMillis(kind), 0.5),
+                    quantile(load.tookMillis(kind), 0.95));
+        }
         System.out.println("violations: " + load.cell.violations);
     }
 
