Bound the placement rounds per second

Cause: each batch of events with a change caused a round at once, however short ago the last was. Change: at least 5 ms lie between two rounds, unless the maximum interval of 40 ms has passed. A change in the meantime waits for the next batch of events or the tick of the group's thread, which comes every 20 ms on a quiet node. Test: DispatcherCostTest.eventsThatArriveTogetherCauseOneRound; on a scratch copy of it fails with a round for each event. 145 tests (the dispatch package, WaitSamplerTest and JobTableTest) passed on this code.

--- a/core/src/main/java/org/wasabimount/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/Dispatcher.java
@@ -42,6 +42,12 @@
      */
     private static final long MAX_ROUND_INTERVAL_MILLIS = 40;
 
+    /**
+     * Minimum time between two placement rounds, in milliseconds, so that events that arrive together cause one round; a
+     * small part of the shortest objective.
+     */
+    private static final long MIN_ROUND_INTERVAL_MILLIS = 5;
+
     /** Interval between scans for ended jobs to forget, in milliseconds. */
     private static final long FORGET_INTERVAL_MILLIS = 1_000;
 
@@ -67,6 +73,7 @@
     private long nowMillis;
     private long forgetDueMillis;
     private long roundDueMillis;
+    private long lastRoundMillis;
     private boolean stateChanged = true;
 
     /**
@@ -303,8 +310,10 @@
     public List<DispatchAction> work(long wallMillis) {
         advice.tick(nowMillis);
         workers.tick(nowMillis);
-        if (stateChanged || nowMillis >= roundDueMillis) {
+        boolean changeDue = stateChanged && nowMillis >= lastRoundMillis + MIN_ROUND_INTERVAL_MILLIS;
+        if (changeDue || nowMillis >= roundDueMillis) {
             stateChanged = false;
+            lastRoundMillis = nowMillis;
             roundDueMillis = nowMillis + MAX_ROUND_INTERVAL_MILLIS;
             List<ReadyStep> ready = ready(wallMillis);
             waits.beginRound(ready.size(), nowMillis);
--- a/core/src/test/java/org/wasabimount/core/dispatch/DispatcherCostTest.java
+++ b/core/src/test/java/org/wasabimount/core/dispatch/DispatcherCostTest.java
@@ -5,6 +5,8 @@
 
 import org.testng.annotations.Test;
 import org.wasabimount.core.cell.Capacity;
+import org.wasabimount.protocol.job.JobCommand;
+import org.wasabimount.protocol.job.PlaceRuns;
 
 /**
  * Bounds how many items the dispatcher examines, in virtual time and with fixed seeds, so that its processor time does
@@ -97,6 +99,21 @@
                 "examined " + perRound + " in each round for " + gangs + " gangs of " + tasks + " tasks");
     }
 
+    @Test
+    public void eventsThatArriveTogetherCauseOneRound() {
+        SimulatedCell cell = busyCell(FEW_WORKERS);
+        cell.stepMillis = 1;
+        long before = cell.dispatcher.examined().of(ExaminedCounts.Part.READY);
+        for (int millis = 0; millis < 100; millis++) {
+            cell.dispatcher.refused(JobCommand.newBuilder()
+                    .setPlace(PlaceRuns.getDefaultInstance())
+                    .build());
+            cell.run(1);
+        }
+        long rounds = cell.dispatcher.examined().of(ExaminedCounts.Part.READY) - before;
+        assertTrue(rounds <= 25, rounds + " rounds in 100 ms with an event each");
+    }
+
     private static SimulatedCell idleCell(int workers) {
         SimulatedCell cell = new SimulatedCell(1);
         cell.addresses(workers).forEach(address -> cell.worker("w" + address, address, PanelLoad.WORKER));
