HTTP client closes connection attempts that time out

A call whose connection was not open when it timed out ended with NOT_SENT, but its attempt stayed open until the system gave it up, about two minutes later: one descriptor each. A worker that is cut off gets a hold each 500 ms (300 ms time limit, 200 ms until the next), and a stop for each run at the same rate, until it is removed after 15 s; with 82 workers in a domain that is some 2,500 descriptors for the holds alone, of the 3,896 that a core VM has. That sum is computed, not measured.

Cause: UndertowClient.connect returns a future whose cancellation does not reach the attempt. ConnectionOpener is given to it in the place of the I/O thread, passes the attempt on to that thread and keeps its future; an exchange that ends before it has sent cancels it, which closes the socket.

Ruled out: claiming the pending attempt for the next call to the same address. It needs no access to the attempt, but the system repeats the opening packet after 1, 3, 7 s, so a worker that is reachable again would be called seconds later than by a fresh attempt.

Evidence: HttpClientTest.closesConnectionAttemptsThatTimeOut opens 20 attempts to a server that drops them. Before: "connection attempts that are still open expected [0] but found [20]"; after: 0. EndToEndTest, RecoveryTest and PlatformHttpServerTest pass (12 of 12).

--- a/client/src/main/java/org/wasabimount/client/HttpClient.java
+++ b/client/src/main/java/org/wasabimount/client/HttpClient.java
@@ -5,9 +5,11 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
 
 import org.xnio.IoFuture;
 import org.xnio.OptionMap;
@@ -26,7 +28,7 @@
     private static final long IDLE_TIMEOUT_MILLIS = 4_000;
     private static final OptionMap OPTIONS = OptionMap.create(Options.TCP_NODELAY, true);
 
-    private final XnioWorker worker;
+    private final List<ConnectionOpener> openers;
     private final int maxResponseBytes;
     private final DefaultByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER_BYTES, -1, 4);
     private final Map<String, Deque<IdleConnection>> idleConnections = new HashMap<>();
@@ -40,7 +42,9 @@
      * @param maxResponseBytes largest response body that is accepted
      */
     public HttpClient(XnioWorker worker, int maxResponseBytes) {
-        this.worker = worker;
+        this.openers = IntStream.range(0, worker.getIoThreadCount())
+                .mapToObj(number -> new ConnectionOpener(worker.getIoThread(number)))
+                .toList();
         this.maxResponseBytes = maxResponseBytes;
     }
 
@@ -56,7 +60,8 @@
      */
     public CompletableFuture<HttpResult> send(
             String address, HttpRequest request, long timeoutMillis, boolean reuseConnection) {
-        XnioIoThread thread = worker.getIoThread(Math.floorMod(address.hashCode(), worker.getIoThreadCount()));
+        ConnectionOpener opener = openers.get(Math.floorMod(address.hashCode(), openers.size()));
+        XnioIoThread thread = opener.thread();
         HttpExchange exchange = new HttpExchange(this, address, request, maxResponseBytes);
         thread.execute(() -> {
             exchange.setTimeout(thread.executeAfter(exchange::timedOut, timeoutMillis, TimeUnit.MILLISECONDS));
@@ -64,7 +69,7 @@
             if (available != null) {
                 exchange.connected(available);
             } else {
-                connect(address, thread, exchange);
+                connect(address, opener, exchange);
             }
         });
         return exchange.result();
@@ -82,10 +87,12 @@
         return send(address, request, timeoutMillis, false).join();
     }
 
-    private void connect(String address, XnioIoThread thread, HttpExchange exchange) {
+    private void connect(String address, ConnectionOpener opener, HttpExchange exchange) {
+        XnioIoThread thread = opener.thread();
         try {
             URI uri = URI.create("http://" + address);
-            IoFuture<ClientConnection> connection = UndertowClient.getInstance().connect(uri, thread, buffers, OPTIONS);
+            IoFuture<ClientConnection> connection = UndertowClient.getInstance().connect(uri, opener, buffers, OPTIONS);
+            exchange.connecting(opener.latestAttempt());
             connection.addNotifier(
                     new IoFuture.HandlingNotifier<ClientConnection, Void>() {
                         @Override
--- a/client/src/main/java/org/wasabimount/client/HttpExchange.java
+++ b/client/src/main/java/org/wasabimount/client/HttpExchange.java
@@ -8,7 +8,9 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 
+import org.xnio.IoFuture;
 import org.xnio.IoUtils;
+import org.xnio.StreamConnection;
 import org.xnio.XnioExecutor;
 import org.xnio.channels.StreamSinkChannel;
 import org.xnio.channels.StreamSourceChannel;
@@ -41,6 +43,7 @@
     private final CompletableFuture<HttpResult> result = new CompletableFuture<>();
     private final int maxResponseBytes;
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private IoFuture<StreamConnection> attempt;
     private ClientConnection connection;
     private XnioExecutor.Key timeout;
     private boolean sent;
@@ -65,6 +68,10 @@
         end(sent ? HttpOutcome.TIMED_OUT : HttpOutcome.NOT_SENT, null);
     }
 
+    void connecting(IoFuture<StreamConnection> started) {
+        attempt = started;
+    }
+
     void connected(ClientConnection opened) {
         if (ended) {
             close(opened);
@@ -177,6 +184,10 @@
         }
         ended = true;
         timeout.remove();
+        if (attempt != null && !sent) {
+            // The system gives up an attempt without a response only after minutes.
+            attempt.cancel();
+        }
         if (connection != null) {
             close(connection);
         }
