Peers refuse to send a frame that the receiver does not accept

A longer frame was sent all the same; the receiver read its length and closed the connection, with one line at DEBUG.

PeerNetwork.send now refuses such a frame, says so at WARNING and keeps the link.

Evidence: PeerNetworkTest.keepsLinkWhenSnapshotIsTooLongForFrame. Before: "the frame was sent expected [false] but found [true]", and in a trial without that assertion the next frame did not arrive: "expected [after] but found [nothing was received]" after 20 s. After: passes, with PeerTlsTest, OperationGatewayTest and DocsTest (11 of 11).

--- a/daemon/src/main/java/org/wasabimount/daemon/peer/PeerNetwork.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/peer/PeerNetwork.java
@@ -140,7 +140,7 @@
     }
 
     /**
-     * Sends a frame, or drops it if the link is down.
+     * Sends a frame, or drops it if the link is down or the frame is longer than peers accept.
      *
      * @param to the other VM
      * @param frame the frame; this method sets its sender
@@ -152,9 +152,20 @@
             return false;
         }
         Envelope envelope = frame.setFromVm(self.name()).build();
+        int frameBytes = envelope.getSerializedSize() + LENGTH_FIELD_BYTES;
+        if (frameBytes > MAX_FRAME_BYTES) {
+            // The receiver would close the connection, with all frames that wait behind this one.
+            LOG.log(
+                    System.Logger.Level.WARNING,
+                    "PEER frame too long to={0} body={1} bytes={2}",
+                    to,
+                    envelope.getBodyCase(),
+                    Integer.toString(frameBytes));
+            return false;
+        }
         boolean sent = link.send(envelope);
         if (sent) {
-            sentBytes.addAndGet(envelope.getSerializedSize() + LENGTH_FIELD_BYTES);
+            sentBytes.addAndGet(frameBytes);
         }
         return sent;
     }
