Known red: tasks run again when a list of ends is cut at 500

What callers would see: a task that was done runs a second time. A worker lists 500 ends at a time; the simulated worker listed all.

Cause: WorkerManager.reconcileRuns takes a run that is neither running nor ended in a list as absent. A run whose end is the 501st is stopped, which changes nothing; if it isn't in the next list either, because that holds ends 501 to 1,000, its absence counts as confirmed, and it is declared lost and placed again. So it takes more than 1,000 ends that wait on one worker.

Ruled out: the test itself.

--- a/core/src/test/java/org/wasabimount/core/dispatch/SimulatedWorker.java
+++ b/core/src/test/java/org/wasabimount/core/dispatch/SimulatedWorker.java
@@ -27,6 +27,9 @@
     final Capacity capacity;
     final double clockRate;
     final Map<RunId, ActiveRun> activeRuns = new LinkedHashMap<>();
+    /** Number of ends that a list contains at most. */
+    private static final int MAX_LISTED_ENDS = 500;
+
     final List<LeaseRenewalResult.RunEnd> ended = new ArrayList<>();
     private final Map<TaskId, Integer> highestEndedRun = new HashMap<>();
     private final SimulatedCell cell;
@@ -178,7 +181,12 @@
         List<LeaseRenewalResult.RunProgress> running = activeRuns.entrySet().stream()
                 .map(run -> new LeaseRenewalResult.RunProgress(run.getKey(), "", percent(run.getValue())))
                 .toList();
-        return new LeaseRenewalResult(OrderOutcome.DONE, clockMillis(), bornMillis, running, List.copyOf(ended));
+        return new LeaseRenewalResult(
+                OrderOutcome.DONE,
+                clockMillis(),
+                bornMillis,
+                running,
+                ended.stream().limit(MAX_LISTED_ENDS).toList());
     }
 
     /** Ends the runs that are due, and all runs when the lease has expired. */
