--- a/daemon/src/main/java/org/wasabimount/daemon/peer/PeerLinks.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/peer/PeerLinks.java
@@ -31,7 +31,7 @@
     void reconnect(VmId vm);
 
     /**
-     * Sends a frame, or drops it if the link is down.
+     * Sends a frame, or drops it if the link is down or the frame is longer than peers accept.
      *
      * @param to the other VM
      * @param frame the frame; this method sets its sender
