Advice calls return before their tickets expire

What callers would see: accepted jobs never start where a call for the workers that a step needs takes as long as its tickets are valid (a limit of the advice service that nothing kept; found in the review of calls and their limits). Evidence: DispatcherTest.startsTasksThoughCallForAllWorkersOutlastsTickets, 500 ms and 80 ms a worker with tickets of 2,500 ms, failed before (expected [COMPLETED] but found [QUEUED]) and passes. Fix: a call names at most as many workers as can be advised on in two thirds of the tickets' validity; further calls name others.

--- a/core/src/main/java/org/wasabimount/core/dispatch/AdviceManager.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/AdviceManager.java
@@ -13,6 +13,8 @@
 
 import org.wasabimount.core.job.IncarnationId;
 import org.wasabimount.core.job.StepId;
+import org.wasabimount.protocol.job.AdviceCost;
+import org.wasabimount.protocol.job.Queue;
 
 /**
  * Distributes advice calls among the VMs and caches the results for each step.
@@ -42,6 +44,9 @@
 
     private static final StepAdvice NO_ADVICE = new StepAdvice();
 
+    /** Share of the tickets' validity that a call may take; the rest is left for waiting, the commit and the start. */
+    private static final double MAX_CALL_SHARE = 0.66;
+
     private final Map<String, Caller> callers = new LinkedHashMap<>();
     private final Map<Long, Call> openCalls = new HashMap<>();
     private final Map<StepId, StepAdvice> steps = new HashMap<>();
@@ -110,6 +115,17 @@
         return steps.getOrDefault(step, NO_ADVICE);
     }
 
+    /**
+     * Returns how many workers a call for a step of a queue may name so that a part of the tickets' validity is left when
+     * it returns: at least one, at most {@link #MAX_WORKERS_PER_CALL}.
+     */
+    static int maxWorkers(Queue queue) {
+        AdviceCost cost = queue.getAdvice();
+        double spareMillis = cost.getValidMillis() * MAX_CALL_SHARE - cost.getCallMillis();
+        double workers = cost.getWorkerMillis() > 0 ? spareMillis / cost.getWorkerMillis() : MAX_WORKERS_PER_CALL;
+        return (int) Math.max(1, Math.min(MAX_WORKERS_PER_CALL, workers));
+    }
+
     /** Returns the number of VMs that can currently make calls, each one at a time. */
     int callerCount() {
         return callers.size();
--- a/core/src/main/java/org/wasabimount/core/dispatch/AdviceQuery.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/AdviceQuery.java
@@ -44,15 +44,16 @@
      *
      * @param candidates the workers that may be named, in any order
      * @param waitingTasks the number of tasks that wait for a worker
-     * @return the selected workers, at most {@link AdviceManager#MAX_WORKERS_PER_CALL}
+     * @param maxWorkers the maximum number of workers to select
+     * @return the selected workers
      */
-    static List<TrackedWorker> select(List<Candidate> candidates, int waitingTasks) {
+    static List<TrackedWorker> select(List<Candidate> candidates, int waitingTasks, int maxWorkers) {
         List<TrackedWorker> selected = new ArrayList<>();
         double expectedPlacements = 0;
         List<Candidate> sorted = candidates.stream().sorted(MOST_LIKELY_FIRST).toList();
         for (Candidate candidate : sorted) {
             boolean enough = selected.size() >= JobPlan.ADVISED_WORKERS && expectedPlacements >= waitingTasks;
-            if (enough || selected.size() == AdviceManager.MAX_WORKERS_PER_CALL) {
+            if (enough || selected.size() == maxWorkers) {
                 break;
             }
             selected.add(candidate.worker);
--- a/core/src/main/java/org/wasabimount/core/dispatch/PlacementRound.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/PlacementRound.java
@@ -172,10 +172,10 @@
         if (!step.requiresAdvice()) {
             return;
         }
-        int workersToName = Math.min(targets.size(), AdviceManager.MAX_WORKERS_PER_CALL);
+        int workersToName = Math.min(targets.size(), AdviceManager.maxWorkers(step.queue()));
         double callMillis = JobPlan.adviceCallMillis(step.queue(), workersToName);
         if (readyInMillis <= callMillis) {
-            requestAdvice(step, mostUrgentTickets(stepAdvice, targets.keySet()), callMillis);
+            requestAdvice(step, mostUrgentTickets(stepAdvice, targets.keySet(), workersToName), callMillis);
         } else {
             // Workers that no call has named yet may have room sooner than those known to be eligible.
             renewTickets(step, placer, suitable.and(room -> !stepAdvice.eligible(room.id())));
@@ -183,12 +183,13 @@
     }
 
     /** Returns the workers whose tickets to request next; a gang may need more workers than one call can name. */
-    private List<TrackedWorker> mostUrgentTickets(AdviceManager.StepAdvice stepAdvice, Collection<WorkerRoom> targets) {
+    private List<TrackedWorker> mostUrgentTickets(
+            AdviceManager.StepAdvice stepAdvice, Collection<WorkerRoom> targets, int workersToName) {
         return targets.stream()
                 .map(WorkerRoom::worker)
                 .sorted(Comparator.comparing(trackedWorker ->
                         stepAdvice.hasTicket(trackedWorker.entry().id(), nowMillis)))
-                .limit(AdviceManager.MAX_WORKERS_PER_CALL)
+                .limit(workersToName)
                 .toList();
     }
 
@@ -232,7 +233,7 @@
                         step.size().timesIn(room.free())))
                 .toList();
         List<TrackedWorker> workersToQuery =
-                AdviceQuery.select(candidates, step.waiting().size());
+                AdviceQuery.select(candidates, step.waiting().size(), AdviceManager.maxWorkers(step.queue()));
         if (workersToQuery.isEmpty()) {
             return;
         }
--- a/core/src/test/java/org/wasabimount/core/dispatch/AdviceQueryTest.java
+++ b/core/src/test/java/org/wasabimount/core/dispatch/AdviceQueryTest.java
@@ -16,6 +16,8 @@
 /** Tests which workers an advice call names. */
 public class AdviceQueryTest {
 
+    private static final int MAX_WORKERS = 100;
+
     private final JobTable table = new JobTable();
 
     private TrackedWorker worker(int number) {
@@ -40,7 +42,7 @@
         List<AdviceQuery.Candidate> candidates = IntStream.range(0, 246)
                 .mapToObj(number -> candidate(number, false, 1))
                 .toList();
-        assertEquals(AdviceQuery.select(candidates, 1_000).size(), AdviceManager.MAX_WORKERS_PER_CALL);
+        assertEquals(AdviceQuery.select(candidates, 1_000, MAX_WORKERS).size(), MAX_WORKERS);
     }
 
     @Test
@@ -48,7 +50,7 @@
         List<AdviceQuery.Candidate> candidates = IntStream.range(0, 246)
                 .mapToObj(number -> candidate(number, false, 4))
                 .toList();
-        int named = AdviceQuery.select(candidates, 20).size();
+        int named = AdviceQuery.select(candidates, 20, MAX_WORKERS).size();
         assertTrue(named >= 20 / 4 && named <= 40, named + " workers were named for 20 tasks");
     }
 
@@ -59,7 +61,8 @@
         candidates.add(candidate(20, false, 3));
         candidates.add(candidate(21, true, 1));
         candidates.add(candidate(22, true, 2));
-        assertEquals(names(AdviceQuery.select(candidates, 100)).subList(0, 3), List.of("w22", "w21", "w20"));
+        assertEquals(
+                names(AdviceQuery.select(candidates, 100, MAX_WORKERS)).subList(0, 3), List.of("w22", "w21", "w20"));
     }
 
     @Test
@@ -67,6 +70,6 @@
         List<AdviceQuery.Candidate> candidates = IntStream.range(0, 3)
                 .mapToObj(number -> candidate(number, false, 0))
                 .toList();
-        assertEquals(names(AdviceQuery.select(candidates, 1)), List.of("w0", "w1", "w2"));
+        assertEquals(names(AdviceQuery.select(candidates, 1, MAX_WORKERS)), List.of("w0", "w1", "w2"));
     }
 }
--- a/core/src/test/java/org/wasabimount/core/dispatch/DispatcherTest.java
+++ b/core/src/test/java/org/wasabimount/core/dispatch/DispatcherTest.java
@@ -14,6 +14,7 @@
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 import org.wasabimount.core.cell.Capacity;
+import org.wasabimount.protocol.job.AdviceCost;
 import org.wasabimount.protocol.job.JobPhase;
 
 /** Tests the dispatcher in virtual time against simulated workers. */
@@ -90,6 +91,24 @@
         assertNoViolations();
     }
 
+    /** Guards against calls that take longer than the tickets they return are valid. */
+    @Test
+    public void startsTasksThoughCallForAllWorkersOutlastsTickets() {
+        cell = new SimulatedCell(7).withAdvice();
+        cell.putQueues(List.of(cell.queue().toBuilder()
+                .setAdvice(AdviceCost.newBuilder()
+                        .setCallMillis(500)
+                        .setWorkerMillis(80)
+                        .setValidMillis(2_500))
+                .build()));
+        cell.addresses(246).forEach(address -> cell.worker("w" + address, address, WORKER));
+        cell.run(SETTLE_MILLIS);
+        cell.submit(cell.job("job1", 30, LARGE, false));
+        cell.run(20_000);
+        assertEquals(cell.phase("job1"), JobPhase.COMPLETED);
+        assertNoViolations();
+    }
+
     /** Guards against gangs that wait for the few workers known to be eligible while others are idle. */
     @Test
     public void completesGangsAfterPoolBecameIdle() {
