--- a/core/src/main/java/org/wasabimount/core/dispatch/AdviceManager.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/AdviceManager.java
@@ -101,6 +101,10 @@
         }
     }
 
+    void setCallListener(Consumer<CompletedAdviceCall> listener) {
+        callListener = listener;
+    }
+
     /** Returns the cached advice for a step, empty until a call for it is made. */
     StepAdvice of(StepId step) {
         return steps.getOrDefault(step, NO_ADVICE);
@@ -122,10 +126,6 @@
         return costMillis <= SHORT_CALL_MILLIS ? 0 : Math.min(RESERVED_FOR_SHORT_CALLS, callers.size() - 1);
     }
 
-    void setCallListener(Consumer<CompletedAdviceCall> listener) {
-        callListener = listener;
-    }
-
     /** Sets the VMs that can currently make calls. */
     void callers(Collection<String> reachableVms) {
         callers.keySet().retainAll(reachableVms);
--- a/core/src/main/java/org/wasabimount/core/dispatch/PlacementRound.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/PlacementRound.java
@@ -87,7 +87,7 @@
     private void consider(ReadyStep step) {
         Placer placer = placers.get(step.queue().getPool());
         if (placer == null) {
-            waits.record(step, List.of(), room -> false);
+            waits.record(step, room -> false, List.of());
             return;
         }
         examined.add(ExaminedCounts.Part.ROUND, 1);
@@ -102,7 +102,7 @@
             place(step, chosen);
         }
         if (chosen.size() < step.waiting().size()) {
-            waits.record(step, placer.rooms(), suitable);
+            waits.record(step, suitable, placer.rooms());
             prepareRemaining(step, placer, suitable);
         }
     }
--- a/core/src/main/java/org/wasabimount/core/dispatch/WaitSampler.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/WaitSampler.java
@@ -75,14 +75,14 @@
      * Records a step with tasks that the round did not place; called before capacity is reserved for the step.
      *
      * @param step the step
-     * @param inPool the room on each usable worker of the queue's pool
      * @param suitable whether a worker suits the step, regardless of advice and free capacity
+     * @param rooms the room on each usable worker of the pool after the placements of this round
      */
-    void record(ReadyStep step, List<WorkerRoom> inPool, Predicate<WorkerRoom> suitable) {
+    void record(ReadyStep step, Predicate<WorkerRoom> suitable, List<WorkerRoom> rooms) {
         if (!sampling) {
             return;
         }
-        WaitReason reason = reason(step, inPool, suitable);
+        WaitReason reason = reason(step, suitable, rooms);
         reasons.merge(reason, 1L, Long::sum);
         Wait previous = previousWaits.get(step.id());
         waits.put(
@@ -127,21 +127,21 @@
                 advice.lastOutcome(wait.step.id()));
     }
 
-    private WaitReason reason(ReadyStep step, List<WorkerRoom> inPool, Predicate<WorkerRoom> suitable) {
-        if (inPool.isEmpty()) {
+    private WaitReason reason(ReadyStep step, Predicate<WorkerRoom> suitable, List<WorkerRoom> rooms) {
+        if (rooms.isEmpty()) {
             return WaitReason.NO_USABLE_WORKER;
         }
-        List<WorkerRoom> fitting = inPool.stream().filter(suitable).toList();
+        AdviceManager.StepAdvice stepAdvice = advice.of(step.id());
+        List<WorkerRoom> fitting = rooms.stream().filter(suitable).toList();
         List<WorkerRoom> eligible = fitting.stream()
-                .filter(room -> !step.requiresAdvice() || advice.eligible(step.id(), room.id()))
+                .filter(room -> !step.requiresAdvice() || stepAdvice.eligible(room.id()))
                 .toList();
         if (eligible.isEmpty()) {
             boolean undecided = fitting.stream().anyMatch(room -> !advice.ineligible(step.id(), room.id()));
             return undecided ? WaitReason.NO_ADVICE : WaitReason.NO_ELIGIBLE_WORKER;
         }
         List<WorkerRoom> ticketed = eligible.stream()
-                .filter(room -> !step.requiresAdvice()
-                        || advice.ticket(step.id(), room.id(), nowMillis).isPresent())
+                .filter(room -> !step.requiresAdvice() || stepAdvice.hasTicket(room.id(), nowMillis))
                 .toList();
         return hasRoom(step, eligible) && !hasRoom(step, ticketed) ? WaitReason.NO_TICKET : WaitReason.NO_ROOM;
     }
@@ -150,9 +150,8 @@
     private static boolean hasRoom(ReadyStep step, List<WorkerRoom> candidates) {
         long required = step.gang() ? step.waiting().size() : 1;
         long available = candidates.stream()
-                .map(WorkerRoom::free)
-                .filter(step.size()::fitsIn)
-                .mapToLong(capacity -> Math.min(required, step.size().timesIn(capacity)))
+                .filter(room -> step.size().fitsIn(room.free()))
+                .mapToLong(room -> Math.min(required, step.size().timesIn(room.free())))
                 .sum();
         return available >= required;
     }
