--- a/core/src/test/java/org/wasabimount/core/dispatch/PanelLoad.java
+++ b/core/src/test/java/org/wasabimount/core/dispatch/PanelLoad.java
@@ -156,6 +156,13 @@
                 .count();
     }
 
+    private double shareOfCoresInUse() {
+        return cell.byAddress.values().stream()
+                .mapToDouble(worker -> (double) worker.used().cpuMillis() / worker.capacity.cpuMillis())
+                .average()
+                .orElse(0);
+    }
+
     private List<Long> tookMillis(JobClass kind) {
         return accepted.stream()
                 .map(job -> cell.table.job(job).orElseThrow())
@@ -207,11 +214,12 @@
                     line.append(String.format(Locale.ROOT, " %s=%.0fms", part, spent / NANOS_PER_MILLI)));
             System.out.printf(
                     Locale.ROOT,
-                    "events=%d accepted=%d refused=%d completed=%d cpu=%.0fms%s%n",
+                    "events=%d accepted=%d refused=%d completed=%d coresInUse=%.2f cpu=%.0fms%s%n",
                     load.cell.eventCount - eventsBefore,
                     load.accepted.size() - acceptedBefore,
                     load.refused - refusedBefore,
                     load.completed(),
+                    load.shareOfCoresInUse(),
                     nanos.values().stream().mapToLong(Long::longValue).sum() / NANOS_PER_MILLI,
                     line);
         }
