--- a/core/src/main/java/org/wasabimount/core/dispatch/PlacementRound.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/PlacementRound.java
@@ -30,12 +30,6 @@
     /** Maximum number of steps considered in one round; steps after them rarely find capacity that these left free. */
     static final int MAX_STEPS = 120;
 
-    /**
-     * Maximum number of steps per round for which tickets are renewed before they are placed; more would only overload
-     * the advice service.
-     */
-    private static final int MAX_TICKET_RENEWALS = 10;
-
     /** Share of the workers' cores that may be reserved for gangs; the rest always remains available to other tasks. */
     private static final double MAX_RESERVED_SHARE = 0.5;
 
@@ -87,7 +81,7 @@
     private void consider(ReadyStep step) {
         Placer placer = placers.get(step.queue().getPool());
         if (placer == null) {
-            waits.record(step, room -> false, List.of());
+            waits.record(step, List.of(), room -> false);
             return;
         }
         examined.add(ExaminedCounts.Part.ROUND, 1);
@@ -102,7 +96,7 @@
             place(step, chosen);
         }
         if (chosen.size() < step.waiting().size()) {
-            waits.record(step, suitable, placer.rooms());
+            waits.record(step, placer.rooms(), suitable);
             prepareRemaining(step, placer, suitable);
         }
     }
@@ -175,10 +169,16 @@
             reservableCpuMillis -= requiredCpuMillis(step);
             targets.forEach((room, tasks) -> room.allocate(step.size().times(tasks)));
         }
+        if (!step.requiresAdvice()) {
+            return;
+        }
         int workersToName = Math.min(targets.size(), AdviceManager.MAX_WORKERS_PER_CALL);
-        double callMillis = step.requiresAdvice() ? JobPlan.adviceCallMillis(step.queue(), workersToName) : 0;
-        if (step.requiresAdvice() && readyInMillis <= callMillis) {
+        double callMillis = JobPlan.adviceCallMillis(step.queue(), workersToName);
+        if (readyInMillis <= callMillis) {
             requestAdvice(step, mostUrgentTickets(stepAdvice, targets.keySet()), callMillis);
+        } else {
+            // Workers that no call has named yet may have room sooner than those known to be eligible.
+            renewTickets(step, placer, suitable.and(room -> !stepAdvice.eligible(room.id())));
         }
     }
 
@@ -210,7 +210,7 @@
     private void renewTickets(ReadyStep step, Placer placer, Predicate<WorkerRoom> suitable) {
         AdviceManager.StepAdvice stepAdvice = advice.of(step.id());
         boolean firstCall = !stepAdvice.answered();
-        if (!firstCall && (ticketRenewals >= MAX_TICKET_RENEWALS || !placer.mayFit(step.size()))) {
+        if (!firstCall && (ticketRenewals >= advice.callerCount() || !placer.mayFit(step.size()))) {
             return;
         }
         if (stepAdvice.callInProgress()) {
--- a/core/src/test/java/org/wasabimount/core/dispatch/DispatcherTest.java
+++ b/core/src/test/java/org/wasabimount/core/dispatch/DispatcherTest.java
@@ -90,6 +90,18 @@
         assertNoViolations();
     }
 
+    /** Guards against gangs that wait for the few workers known to be eligible while others are idle. */
+    @Test
+    public void completesGangsAfterPoolBecameIdle() {
+        PanelLoad load = new PanelLoad(1, PanelLoad.WORKERS, 1);
+        load.run(8_000);
+        load.cell.run(17_000);
+        List<String> waiting = load.accepted.stream()
+                .filter(job -> load.cell.phase(job) == JobPhase.QUEUED)
+                .toList();
+        assertEquals(waiting, List.of());
+    }
+
     /**
      * Guards against jobs spread over all failure domains (seen in weesteps-sched scale-1): a zone was disconnected,
      * and half of the small jobs had a task there.
@@ -168,6 +180,16 @@
         assertNoViolations();
     }
 
+    /** Guards against a load of lease renewals that takes the leader's processor: 500 a second for 246 idle workers. */
+    @Test
+    public void idleWorkerRenewsItsLeaseOnceASecond() {
+        cell.leaseRenewals = 0;
+        cell.run(10_000);
+        assertTrue(
+                cell.leaseRenewals >= 4 * 9 && cell.leaseRenewals <= 4 * 10,
+                cell.leaseRenewals + " renewals of four workers in 10 s");
+    }
+
     @Test
     public void waitsForLeaseExpiryOfDisconnectedWorker() {
         cell.workMillis(4_000);
