Record metrics without exemplars

Seen by callers: on each node that handles requests, a thread of the metrics library woke 19 to 23 times a second. Counters and histograms sample exemplars by default, and each sample sets a timer until the next one; without tracing there is nothing to sample.

Ruled out: the library's property in a file on the class path, which would hold for the process as a whole but is easy to lose in a build.

--- a/daemon/src/main/java/org/wasabimount/daemon/metrics/DaemonMetrics.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/metrics/DaemonMetrics.java
@@ -11,29 +11,29 @@
 
     private static final double[] WAIT_BOUNDS_SECONDS = {0.001, 0.005, 0.02, 0.1, 0.5, 1, 2, 5, 10};
 
-    private final Counter refusals = Counter.builder()
+    private final Counter refusals = counter()
             .name("wasabimount_refusals")
             .help("Requests and writes that were refused, by result code")
             .labelNames("code")
             .register(registry());
-    private final Counter retries = Counter.builder()
+    private final Counter retries = counter()
             .name("wasabimount_request_retries")
             .help("Requests that were sent to a backend server again")
             .register(registry());
-    private final Counter attemptFailures = Counter.builder()
+    private final Counter attemptFailures = counter()
             .name("wasabimount_attempt_failures")
             .help("Attempts without a good answer, by reason; each is why a retry was considered")
             .labelNames("reason")
             .register(registry());
-    private final Counter lateAnswers = Counter.builder()
+    private final Counter lateAnswers = counter()
             .name("wasabimount_late_answers")
             .help("Answers that came after their attempt had ended; they are dropped")
             .register(registry());
-    private final Counter answers = Counter.builder()
+    private final Counter answers = counter()
             .name("wasabimount_answers")
             .help("Requests that were answered by a backend server")
             .register(registry());
-    private final Histogram waits = Histogram.builder()
+    private final Histogram waits = histogram()
             .name("wasabimount_request_wait_seconds")
             .help("Time from a request's arrival to its first dispatch")
             .classicOnly()
--- a/daemon/src/main/java/org/wasabimount/daemon/metrics/NodeMetrics.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/metrics/NodeMetrics.java
@@ -22,22 +22,22 @@
     private static final double[] WORKER_COUNT_BOUNDS = {1, 5, 10, 20, 50, 100, 200, 500};
     private static final double[] JOB_BOUNDS_SECONDS = {0.05, 0.2, 0.5, 1, 2, 5, 10, 20, 60};
 
-    private final Counter refusals = Counter.builder()
+    private final Counter refusals = counter()
             .name("wasabimount_refusals")
             .help("Operations that were refused, by result code")
             .labelNames("code")
             .register(registry());
-    private final Counter retries = Counter.builder()
+    private final Counter retries = counter()
             .name("wasabimount_operation_retries")
             .help("Operations that were passed on again, by what became of the try before")
             .labelNames("reason")
             .register(registry());
-    private final Counter orders = Counter.builder()
+    private final Counter orders = counter()
             .name("wasabimount_orders")
             .help("Orders to workers, by what came of them")
             .labelNames("order", "answer")
             .register(registry());
-    private final Counter jobEnded = Counter.builder()
+    private final Counter jobEnded = counter()
             .name("wasabimount_jobs_ended")
             .help("Jobs that ended while this node led, by how")
             .labelNames("phase")
@@ -49,31 +49,31 @@
             .register(registry());
     private final Histogram advice = latencyHistogram("advice", "Time from a call for advice to its answer")
             .register(registry());
-    private final Counter adviceCalls = Counter.builder()
+    private final Counter adviceCalls = counter()
             .name("wasabimount_advice_calls")
             .help("Calls for advice while this node led, by outcome")
             .labelNames("outcome")
             .register(registry());
-    private final Histogram adviceWorkers = Histogram.builder()
+    private final Histogram adviceWorkers = histogram()
             .name("wasabimount_advice_workers")
             .help("Workers named in a call for advice")
             .classicOnly()
             .classicUpperBounds(WORKER_COUNT_BOUNDS)
             .register(registry());
-    private final Gauge knownWorkers = Gauge.builder()
+    private final Gauge knownWorkers = settableGauge()
             .name("wasabimount_workers_known")
             .help("Workers that the leader knows, 0 on other nodes")
             .register(registry());
-    private final Gauge usableWorkers = Gauge.builder()
+    private final Gauge usableWorkers = settableGauge()
             .name("wasabimount_workers_usable")
             .help("Workers on which the leader may place tasks, 0 on other nodes")
             .register(registry());
-    private final Gauge waitingSteps = Gauge.builder()
+    private final Gauge waitingSteps = settableGauge()
             .name("wasabimount_waiting_steps")
             .help("Ready steps with tasks that are not placed, by reason, 0 on nodes that do not lead")
             .labelNames("reason")
             .register(registry());
-    private final Histogram jobs = Histogram.builder()
+    private final Histogram jobs = histogram()
             .name("wasabimount_job_seconds")
             .help("Time from a job's acceptance to its completion")
             .classicOnly()
@@ -87,7 +87,7 @@
     }
 
     private static Histogram.Builder latencyHistogram(String subject, String help) {
-        return Histogram.builder()
+        return histogram()
                 .name("wasabimount_" + subject + "_seconds")
                 .help(help)
                 .classicOnly()
--- a/daemon/src/main/java/org/wasabimount/daemon/metrics/ProcessMetrics.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/metrics/ProcessMetrics.java
@@ -5,7 +5,10 @@
 import java.io.UncheckedIOException;
 import java.util.function.DoubleSupplier;
 
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Gauge;
 import io.prometheus.metrics.core.metrics.GaugeWithCallback;
+import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 
@@ -20,6 +23,20 @@
         return registry;
     }
 
+    // Exemplars are of no use without tracing, and each observation that samples one sets a timer.
+
+    static Counter.Builder counter() {
+        return Counter.builder().withoutExemplars();
+    }
+
+    static Histogram.Builder histogram() {
+        return Histogram.builder().withoutExemplars();
+    }
+
+    static Gauge.Builder settableGauge() {
+        return Gauge.builder().withoutExemplars();
+    }
+
     static double seconds(long millis) {
         return millis / MILLIS_PER_SECOND;
     }
