Cancel the timer of a forwarded operation when its reply arrives

Seen by callers: on entry nodes and control nodes that do not lead, the timer thread woke once for most of the operations that it had forwarded, 1.5 s after each, to find that the reply had come long before. Until then each of these operations stayed in memory.

Now the timer is cancelled with the reply, and the timer thread of a node drops cancelled tasks at once. Timeouts of operations without a reply are unchanged.

OperationGatewayTest finds 50 timers after 50 operations if cancelled ones are kept.

--- a/daemon/src/main/java/org/wasabimount/daemon/Daemon.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/Daemon.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 
@@ -45,8 +44,7 @@
     private final DaemonSettings settings;
     private final Clock clock = Clock.monotonic();
     private final DaemonMetrics metrics = new DaemonMetrics();
-    private final ScheduledExecutorService timers =
-            Executors.newSingleThreadScheduledExecutor(task -> new Thread(task, "timer"));
+    private final ScheduledExecutorService timers = OperationGateway.newTimers();
     private final CountDownLatch stopped = new CountDownLatch(1);
     private final PeerNetwork network;
     private final DaemonGroups groups;
--- a/daemon/src/main/java/org/wasabimount/daemon/node/JobNode.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/node/JobNode.java
@@ -7,7 +7,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
@@ -78,8 +77,7 @@
     private final AdviceCalls advice;
     private final Clock clock = Clock.monotonic();
     private final NodeMetrics metrics = new NodeMetrics();
-    private final ScheduledExecutorService timers =
-            Executors.newSingleThreadScheduledExecutor(task -> new Thread(task, "timer"));
+    private final ScheduledExecutorService timers = OperationGateway.newTimers();
     private final PeerNetwork network;
     private final Peers peers;
     private final OperationGateway gateway;
--- a/daemon/src/main/java/org/wasabimount/daemon/peer/OperationGateway.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/peer/OperationGateway.java
@@ -6,6 +6,8 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
@@ -59,7 +61,8 @@
      * @param voters returns the VMs that may lead a group
      * @param recentlySeen returns whether a message from a VM was received within the last seconds; operations are
      *     forwarded to such VMs only, so that a network partition leads to a refusal instead of an unknown outcome
-     * @param timers schedules retries and timeouts
+     * @param timers schedules retries and timeouts; should remove cancelled tasks, as a timeout is cancelled for each
+     *     reply
      * @param clock the monotonic clock
      */
     public OperationGateway(
@@ -79,6 +82,18 @@
         this.clock = clock;
     }
 
+    /**
+     * Creates a timer thread that forgets cancelled tasks at once: they neither wake it nor keep their operations in
+     * memory.
+     *
+     * @return the timers
+     */
+    public static ScheduledExecutorService newTimers() {
+        ScheduledThreadPoolExecutor timers = new ScheduledThreadPoolExecutor(1, task -> new Thread(task, "timer"));
+        timers.setRemoveOnCancelPolicy(true);
+        return timers;
+    }
+
     /**
      * Sets the listener that is called before each retry.
      *
@@ -159,13 +174,14 @@
             reply.complete(refusal(ResultCode.NOT_LEADER, ""));
             return reply;
         }
-        timers.schedule(
+        ScheduledFuture<?> timeout = timers.schedule(
                 () -> {
                     pendingForwards.remove(id);
                     reply.complete(refusal(ResultCode.COMMIT_UNKNOWN, "the leader did not reply"));
                 },
                 timeoutMillis,
                 TimeUnit.MILLISECONDS);
+        reply.whenComplete((done, failure) -> timeout.cancel(false));
         return reply;
     }
 
--- a/daemon/src/test/java/org/wasabimount/daemon/peer/OperationGatewayTest.java
+++ b/daemon/src/test/java/org/wasabimount/daemon/peer/OperationGatewayTest.java
@@ -12,8 +12,8 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 
@@ -49,7 +49,7 @@
 
     @BeforeMethod
     public void connect() throws IOException {
-        timers = Executors.newSingleThreadScheduledExecutor();
+        timers = OperationGateway.newTimers();
         requestReceived = new CountDownLatch(1);
         retries.clear();
         network = network(SELF);
@@ -139,4 +139,16 @@
         assertTrue(retries.isEmpty());
         assertTrue(!reply.isDone());
     }
+
+    /** Guards against a timer that wakes the node 1.5 s after each operation that was replied to long before. */
+    @Test
+    public void repliedOperationsLeaveNoTimers() throws Exception {
+        leader = NEXT;
+        for (int number = 0; number < 50; number++) {
+            CompletableFuture<Reply> reply = gateway.execute(OPERATION, OPERATION_TIMEOUT_MILLIS);
+            assertEquals(reply.get(TIMEOUT_SECONDS, TimeUnit.SECONDS).getDetail(), "done");
+        }
+        int count = ((ScheduledThreadPoolExecutor) timers).getQueue().size();
+        assertTrue(count <= 1, count + " timers after 50 operations");
+    }
 }
