Responses that meet a full ring are handled after the batch instead of dropped

What callers would see: a worker whose response to a renewal was dropped gets no further one from this leader; its lease lapses, its ends are never taken note of and its tasks seem to run for ever (LOST). Found in the review of calls and their limits; it takes 4,096 tasks that wait for the group's thread, as after a long stall of a large cell. Fix: such a response is kept and handled by the leader's work after the next batch, which follows because the ring is full. The number of kept responses is bounded by the open orders.

--- a/daemon/src/main/java/org/wasabimount/daemon/job/JobLeader.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/job/JobLeader.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 
@@ -60,6 +61,7 @@
     private final Clock clock;
     private final Clock wallClock;
     private final Map<String, CompletableFuture<Reply>> pendingAccepts = new HashMap<>();
+    private final ConcurrentLinkedQueue<Runnable> deferredEvents = new ConcurrentLinkedQueue<>();
     private final SuspensionWatch suspensionWatch;
     private final DispatchMonitor monitor;
     private Dispatcher dispatcher;
@@ -243,6 +245,7 @@
     }
 
     private void work() {
+        runDeferredEvents();
         boolean leads = group.replica().role() == Replica.Role.LEADER;
         if (dispatcher != null && (!leads || group.replica().term() != term)) {
             resign();
@@ -333,16 +336,30 @@
         });
     }
 
-    /** Runs an event on the group's thread, unless a new term has begun in the meantime. */
+    /**
+     * Runs an event on the group's thread, unless a new term has begun in the meantime. An event that meets a full ring
+     * runs after the next batch: a response that is lost would leave its order open for the rest of the term.
+     */
     private void submitInTerm(Dispatcher current, Runnable event) {
-        boolean submitted = group.submit(() -> {
+        Runnable eventInTerm = () -> {
             if (dispatcher == current) {
                 dispatcher.at(clock.millis());
                 event.run();
             }
-        });
-        if (!submitted) {
-            LOG.log(System.Logger.Level.WARNING, "JOB ring full, a response was dropped");
+        };
+        if (!group.submit(eventInTerm)) {
+            deferredEvents.add(eventInTerm);
+        }
+    }
+
+    private void runDeferredEvents() {
+        int count = 0;
+        for (Runnable event = deferredEvents.poll(); event != null; event = deferredEvents.poll()) {
+            event.run();
+            count++;
+        }
+        if (count > 0) {
+            LOG.log(System.Logger.Level.WARNING, "JOB ring was full, {0} responses were handled late", count);
         }
     }
 
