--- a/core/src/test/java/org/wasabimount/core/dispatch/SimulatedCell.java
+++ b/core/src/test/java/org/wasabimount/core/dispatch/SimulatedCell.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -56,6 +57,9 @@
     final Set<String> disconnectedAddresses = new HashSet<>();
     final Set<String> failingJobs = new HashSet<>();
 
+    /** Jobs for whose steps the advice service rejects every call. */
+    final Set<String> refusedJobs = new LinkedHashSet<>();
+
     /** Jobs whose tasks take six times their normal time on every worker. */
     final Set<String> slowJobs = new HashSet<>();
 
@@ -425,7 +429,8 @@
 
     private void callAdvice(DispatchAction.RequestAdvice requestAdvice, Dispatcher sender) {
         adviceCalls++;
-        if (requestAdvice.workers().size() > MAX_ADVICE_WORKERS) {
+        if (refusedJobs.contains(requestAdvice.step().job())
+                || requestAdvice.workers().size() > MAX_ADVICE_WORKERS) {
             after(
                     NETWORK_DELAY_MILLIS,
                     () -> deliver(
