--- a/core/src/test/java/org/wasabimount/core/dispatch/WaitingStepsTest.java
+++ b/core/src/test/java/org/wasabimount/core/dispatch/WaitingStepsTest.java
@@ -103,4 +103,30 @@
         assertEquals(cell.phase("job1"), JobPhase.COMPLETED);
         assertEquals(cell.violations, List.of());
     }
+
+    /** Guards against gangs on more workers than one call may name, whose first tickets expire before the last arrive. */
+    @Test(groups = "known-red")
+    public void gangStartsOnMoreWorkersThanOneCallMayName() {
+        SimulatedCell cell = cellWithSlowAdvice(246, 70, 32);
+        cell.submit(cell.job("gang1", 120, WHOLE, true));
+        cell.run(40_000);
+        assertEquals(cell.phase("gang1"), JobPhase.COMPLETED);
+        assertEquals(cell.violations, List.of());
+    }
+
+    /** Guards against jobs without room because a gang reserves workers whose tasks never end. */
+    @Test(groups = "known-red")
+    public void lateJobStartsBesideGangsThatWaitForLastingTasks() {
+        SimulatedCell cell = new SimulatedCell(7);
+        cell.addresses(20).forEach(address -> cell.worker("w" + address, address, WORKER).slowdownFactor = 1_000);
+        cell.run(1_000);
+        cell.submit(longRunning(cell.job("lasting", 20, new Capacity(18_000, 20_000, 0), false)));
+        cell.run(1_000);
+        IntStream.range(0, 125).forEach(number -> cell.submit(cell.job("gang" + number, 20, WHOLE, true)));
+        cell.run(5);
+        cell.submit(cell.job("job1", 20, LARGE, false));
+        cell.run(30_000);
+        assertEquals(cell.phase("job1"), JobPhase.ACTIVE);
+        assertEquals(cell.violations, List.of());
+    }
 }
