--- a/protocol/src/main/java/org/wasabimount/protocol/peer/AdviceReply.java
+++ b/protocol/src/main/java/org/wasabimount/protocol/peer/AdviceReply.java
@@ -257,7 +257,7 @@
   private int status_;
   /**
    * <pre>
-   * HTTP status of the service&#39;s response, zero if there was none.
+   * HTTP status of the service's response, zero if there was none.
    * </pre>
    *
    * <code>int32 status = 7;</code>
@@ -269,7 +269,7 @@
   }
   /**
    * <pre>
-   * HTTP status of the service&#39;s response, zero if there was none.
+   * HTTP status of the service's response, zero if there was none.
    * </pre>
    *
    * <code>int32 status = 7;</code>
@@ -281,7 +281,7 @@
   }
   /**
    * <pre>
-   * HTTP status of the service&#39;s response, zero if there was none.
+   * HTTP status of the service's response, zero if there was none.
    * </pre>
    *
    * <code>int32 status = 7;</code>
@@ -644,7 +644,7 @@
 
     /**
      * <pre>
-     * HTTP status of the service&#39;s response, zero if there was none.
+     * HTTP status of the service's response, zero if there was none.
      * </pre>
      *
      * <code>int32 status = 7;</code>
@@ -656,7 +656,7 @@
     }
     /**
      * <pre>
-     * HTTP status of the service&#39;s response, zero if there was none.
+     * HTTP status of the service's response, zero if there was none.
      * </pre>
      *
      * <code>int32 status = 7;</code>
@@ -670,7 +670,7 @@
     }
     /**
      * <pre>
-     * HTTP status of the service&#39;s response, zero if there was none.
+     * HTTP status of the service's response, zero if there was none.
      * </pre>
      *
      * <code>int32 status = 7;</code>
--- a/protocol/src/main/java/org/wasabimount/protocol/peer/AdviceReplyOrBuilder.java
+++ b/protocol/src/main/java/org/wasabimount/protocol/peer/AdviceReplyOrBuilder.java
@@ -60,7 +60,7 @@
 
   /**
    * <pre>
-   * HTTP status of the service&#39;s response, zero if there was none.
+   * HTTP status of the service's response, zero if there was none.
    * </pre>
    *
    * <code>int32 status = 7;</code>
