A full disk no longer ends the process

Ruled out: corruption; the log was whole at each start.

Tests: recordFollowsWriteThatFailed, keepsLogWhoseReplacementFailed, leaderWithFullDiskAcknowledgesNothingAndLeadsAgainLater, replicaWithFullDiskSendsNothing, snapshotThatCannotBeWrittenDoesNotStopGroup; on the old code a failed write reaches the fatal handler, which GroupThreadTest rejects after each test.

--- a/daemon/src/main/java/org/wasabimount/daemon/log/DataFolder.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/log/DataFolder.java
@@ -43,7 +43,7 @@
         Files.createDirectories(path);
         Path file = path.resolve(IDENTITY_FILE);
         if (Files.exists(file)) {
-            throw new IOException("the data folder is already formatted: it holds an identity");
+            throw new InvalidDataFolderException("the data folder is already formatted: it holds an identity");
         }
         String generation = newCell
                 ? ReplicaIdentity.FIRST_GENERATION
@@ -72,11 +72,11 @@
     public ReplicaIdentity identity(VmId vm) throws IOException {
         Path file = path.resolve(IDENTITY_FILE);
         if (!Files.exists(file)) {
-            throw new IOException("the data folder is not formatted: run wasabimountd --format first");
+            throw new InvalidDataFolderException("the data folder is not formatted: run wasabimountd --format first");
         }
         ReplicaIdentity identity = ReplicaIdentity.parse(Files.readString(file).trim());
         if (!identity.vm().equals(vm)) {
-            throw new IOException("the data folder belongs to VM " + identity.vm() + ", not " + vm);
+            throw new InvalidDataFolderException("the data folder belongs to VM " + identity.vm() + ", not " + vm);
         }
         return identity;
     }
--- a/daemon/src/main/java/org/wasabimount/daemon/log/FileLogStore.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/log/FileLogStore.java
@@ -1,6 +1,7 @@
 package org.wasabimount.daemon.log;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.nio.channels.FileChannel;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -73,14 +74,34 @@
     @Override
     public void replace(LogSnapshot snapshot, HardState hardState, List<LogEntry> retainedEntries) throws IOException {
         long old = generation;
-        file.close();
+        RecordFile replaced = file;
         generation = old + 1;
-        writeFiles(snapshot, hardState, retainedEntries);
-        file = RecordFile.open(path(LOG_SUFFIX));
+        try {
+            writeFiles(snapshot, hardState, retainedEntries);
+            file = RecordFile.open(path(LOG_SUFFIX));
+        } catch (IOException e) {
+            discardNewLog(e);
+            generation = old;
+            throw e;
+        }
+        replaced.close();
         Files.deleteIfExists(folder.resolve(old + LOG_SUFFIX));
         Files.deleteIfExists(folder.resolve(old + SNAPSHOT_SUFFIX));
     }
 
+    /**
+     * Removes the log of a generation that can't be used. The old one stays in use, and a restart must not find a newer
+     * log without the records that follow.
+     */
+    private void discardNewLog(IOException cause) {
+        try {
+            Files.deleteIfExists(path(LOG_SUFFIX));
+        } catch (IOException e) {
+            cause.addSuppressed(e);
+            throw new UncheckedIOException("an unusable log can't be removed", cause);
+        }
+    }
+
     private void writeFiles(LogSnapshot snapshot, HardState hardState, List<LogEntry> retainedEntries)
             throws IOException {
         writeSynced(path(SNAPSHOT_SUFFIX), snapshot.toByteArray());
--- a/daemon/src/main/java/org/wasabimount/daemon/log/GroupThread.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/log/GroupThread.java
@@ -39,6 +39,12 @@
     private static final int SNAPSHOT_INTERVAL_ENTRIES = 8_192;
     private static final int RETAINED_ENTRIES = 1_024;
 
+    /** Interval between attempts to write a log that could not be written, in milliseconds; less than an election. */
+    private static final long WRITE_RETRY_MILLIS = 200;
+
+    /** Time after which a snapshot that could not be written is taken again, in milliseconds. */
+    private static final long SNAPSHOT_RETRY_MILLIS = 5_000;
+
     private final String group;
     private final Clock clock;
     private final LogStore store;
@@ -58,6 +64,14 @@
     private volatile boolean leading;
     private volatile boolean caughtUp;
     private volatile long syncCount;
+    private volatile long writeFailureCount;
+
+    /** The output whose data could not be written; nothing is sent or applied until it is. */
+    private ReplicaOutput unwritten;
+
+    private long failingSinceMillis;
+    private long writeRetryMillis;
+    private long snapshotDueMillis = Long.MIN_VALUE;
     private volatile Membership membership = Membership.getDefaultInstance();
     private volatile long commitIndex;
 
@@ -67,6 +81,9 @@
         @Override
         public long maxWaitMillis() {
             long nowMillis = clock.millis();
+            if (unwritten != null) {
+                return Math.max(1, writeRetryMillis - nowMillis);
+            }
             long replicaDueMillis = Math.max(1, replica.tickDueMillis() - nowMillis);
             return Math.min(
                     replicaDueMillis, replica.role() == Replica.Role.LEADER ? maxLeaderIdleMillis : MAX_IDLE_MILLIS);
@@ -88,7 +105,7 @@
      * @param store the group's log
      * @param stateMachine the group's state machine
      * @param network sends messages to other replicas; must not block
-     * @param fatal called when the log can no longer be written; the VM must stop
+     * @param fatal called when the group can't continue; the VM must stop
      * @param clock the monotonic clock
      * @throws IOException if the log cannot be recovered
      */
@@ -258,14 +275,25 @@
         return syncCount;
     }
 
+    /**
+     * Returns how many writes to the log have failed. May be called from any thread.
+     *
+     * @return the count since the node started
+     */
+    public long writeFailureCount() {
+        return writeFailureCount;
+    }
+
     private void handle(Runnable task, boolean endOfBatch) {
         try {
             task.run();
-            if (endOfBatch) {
+            if (endOfBatch && (unwritten == null || writeAgain())) {
                 replica.tick(clock.millis());
-                flush();
-                afterFlush.forEach(Runnable::run);
-                if (replica.hasOutput()) {
+                boolean flushed = flush();
+                if (flushed) {
+                    afterFlush.forEach(Runnable::run);
+                }
+                if (flushed && replica.hasOutput()) {
                     flush();
                 } else {
                     updateRole();
@@ -279,13 +307,15 @@
         }
     }
 
-    private void flush() throws IOException {
+    /** Carries out the replica's output; returns false if the log could not be written. */
+    private boolean flush() throws IOException {
         boolean more = true;
         while (more) {
             ReplicaOutput output = replica.drain();
             output.messagesBeforeSync().forEach(network);
-            if (output.needsSync()) {
-                persist(output);
+            if (output.needsSync() && !write(output)) {
+                updateRole();
+                return false;
             }
             output.messagesAfterSync().forEach(network);
             replica.persisted(replica.lastIndex());
@@ -294,15 +324,57 @@
         }
         updateRole();
         compactIfDue();
+        return true;
+    }
+
+    /**
+     * Writes an output's data. After a failure the replica neither ticks nor sends, as if it were cut off, so that the
+     * others elect another leader; it still receives messages and learns who leads.
+     */
+    private boolean write(ReplicaOutput output) {
+        try {
+            persist(output);
+            return true;
+        } catch (IOException e) {
+            writeFailureCount++;
+            if (unwritten == null) {
+                failingSinceMillis = clock.millis();
+                LOG.log(System.Logger.Level.WARNING, "LOG group " + group + " can't be written, trying again", e);
+            }
+            unwritten = output;
+            writeRetryMillis = clock.millis() + WRITE_RETRY_MILLIS;
+            return false;
+        }
+    }
+
+    /**
+     * Writes the data that could not be written, if an attempt is due; returns whether it is written. The messages of
+     * that output are dropped: what they say may be out of date.
+     */
+    private boolean writeAgain() throws IOException {
+        if (clock.millis() < writeRetryMillis || !write(unwritten)) {
+            updateRole();
+            return false;
+        }
+        ReplicaOutput written = unwritten;
+        unwritten = null;
+        LOG.log(
+                System.Logger.Level.INFO,
+                "LOG group {0} is written again after {1} ms",
+                group,
+                Long.toString(clock.millis() - failingSinceMillis));
+        apply(written.committedEntries());
+        return true;
     }
 
     private void persist(ReplicaOutput output) throws IOException {
         output.hardState().ifPresent(changed -> hardState = changed);
         if (output.installedSnapshot().isPresent()) {
-            lastSnapshot = output.installedSnapshot().get();
-            store.replace(lastSnapshot, hardState, output.appendedEntries());
-            stateMachine.restore(lastSnapshot.getState());
-            appliedIndex = lastSnapshot.getIndex();
+            LogSnapshot installed = output.installedSnapshot().get();
+            store.replace(installed, hardState, output.appendedEntries());
+            lastSnapshot = installed;
+            stateMachine.restore(installed.getState());
+            appliedIndex = installed.getIndex();
         } else {
             store.append(output.hardState(), output.appendedEntries());
         }
@@ -355,8 +427,10 @@
         }
     }
 
-    private void compactIfDue() throws IOException {
-        if (appliedIndex - lastSnapshot.getIndex() < SNAPSHOT_INTERVAL_ENTRIES) {
+    private void compactIfDue() {
+        boolean due = appliedIndex - lastSnapshot.getIndex() >= SNAPSHOT_INTERVAL_ENTRIES
+                && clock.millis() >= snapshotDueMillis;
+        if (!due) {
             return;
         }
         LogSnapshot newSnapshot = LogSnapshot.newBuilder()
@@ -365,7 +439,14 @@
                 .setMembership(replica.membershipAt(appliedIndex))
                 .setState(stateMachine.snapshot())
                 .build();
-        store.replace(newSnapshot, hardState, replica.entriesAfter(appliedIndex));
+        try {
+            store.replace(newSnapshot, hardState, replica.entriesAfter(appliedIndex));
+        } catch (IOException e) {
+            writeFailureCount++;
+            snapshotDueMillis = clock.millis() + SNAPSHOT_RETRY_MILLIS;
+            LOG.log(System.Logger.Level.WARNING, "LOG group " + group + " keeps its log: no snapshot was written", e);
+            return;
+        }
         replica.compact(newSnapshot, RETAINED_ENTRIES);
         lastSnapshot = newSnapshot;
     }
--- a/daemon/src/main/java/org/wasabimount/daemon/log/LogStore.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/log/LogStore.java
@@ -26,7 +26,8 @@
      *
      * @param hardState the new term and vote, if they changed
      * @param entries the new entries
-     * @throws IOException if it is not certain that all data was synced; the store must not be used afterwards
+     * @throws IOException if it is not certain that all data was synced; the caller must write the data again before
+     *     anything else
      */
     void append(Optional<HardState> hardState, List<LogEntry> entries) throws IOException;
 
@@ -36,7 +37,7 @@
      * @param snapshot the snapshot
      * @param hardState the term and vote in force
      * @param retainedEntries the entries to keep
-     * @throws IOException if it is not certain that all data was synced; the store must not be used afterwards
+     * @throws IOException if it is not certain that all data was synced; the log before the call stays in force
      */
     void replace(LogSnapshot snapshot, HardState hardState, List<LogEntry> retainedEntries) throws IOException;
 }
--- a/daemon/src/main/java/org/wasabimount/daemon/log/RecordFile.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/log/RecordFile.java
@@ -24,7 +24,13 @@
     private final FileChannel channel;
     private List<byte[]> recovered = new ArrayList<>();
 
-    private RecordFile(FileChannel channel) {
+    /** The end of the last synced record. */
+    private long end;
+
+    /** Whether a write has failed, so that a part of a record may follow the last synced one. */
+    private boolean incomplete;
+
+    RecordFile(FileChannel channel) {
         this.channel = channel;
     }
 
@@ -34,12 +40,12 @@
         FileChannel channel =
                 FileChannel.open(path, StandardOpenOption.CREATE, StandardOpenOption.READ, StandardOpenOption.WRITE);
         RecordFile file = new RecordFile(channel);
-        int end = file.readAll(path, content);
-        if (end < content.length) {
-            channel.truncate(end);
+        file.end = file.readAll(path, content);
+        if (file.end < content.length) {
+            channel.truncate(file.end);
             channel.force(true);
         }
-        channel.position(end);
+        channel.position(file.end);
         return file;
     }
 
@@ -55,13 +61,21 @@
         return takeRecovered();
     }
 
-    /** Writes and syncs one record. */
+    /** Writes and syncs one record; after a failure the same or another record may be appended. */
     void append(byte[] payload) throws IOException {
+        if (incomplete) {
+            channel.truncate(end);
+            channel.position(end);
+        }
+        incomplete = true;
         ByteBuffer buffer = frame(payload);
+        long length = buffer.remaining();
         while (buffer.hasRemaining()) {
             channel.write(buffer);
         }
         channel.force(false);
+        end += length;
+        incomplete = false;
     }
 
     @Override
--- a/daemon/src/main/java/org/wasabimount/daemon/node/JobNode.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/node/JobNode.java
@@ -104,8 +104,12 @@
         this.leaderlessSinceMillis = clock.millis();
         this.network = new PeerNetwork(settings.vm(), null);
         Optional<DataFolder> folder = settings.dataFolder().map(DataFolder::new);
-        this.identity = folder.isPresent() ? Optional.of(identity(folder.get())) : Optional.empty();
-        this.group = folder.isPresent() ? Optional.of(createGroup(folder.get(), workers)) : Optional.empty();
+        this.identity = folder.isPresent()
+                ? Optional.of(StorageRetry.untilAvailable(() -> identity(folder.get())))
+                : Optional.empty();
+        this.group = folder.isPresent()
+                ? Optional.of(StorageRetry.untilAvailable(() -> createGroup(folder.get(), workers)))
+                : Optional.empty();
         this.peers = new Peers(settings, network, new PeersSelf(), clock);
         this.gateway = new OperationGateway(
                 network, this::executeLocally, name -> leader(), name -> peers.replicas(), peers::alive, timers, clock);
@@ -131,6 +135,10 @@
                 "wasabimount_peer_received_bytes", "Bytes of frames received from other nodes", network::receivedBytes);
         group.map(JobGroup::thread).ifPresent(thread -> {
             metrics.gauge("wasabimount_leads", "1 if this node leads", () -> thread.leading() ? 1 : 0);
+            metrics.gauge(
+                    "wasabimount_log_write_failures",
+                    "Writes to the log that failed since the node started",
+                    thread::writeFailureCount);
             metrics.gauge("wasabimount_syncs", "Batches synced to the log", thread::syncCount);
             metrics.gauge("wasabimount_commit_index", "Last index of the log on a majority", thread::commitIndex);
         });
@@ -427,7 +435,7 @@
     }
 
     private void haltOnLogFailure(IOException cause) {
-        LOG.log(System.Logger.Level.ERROR, "NODE stops: its log cannot be written", cause);
+        LOG.log(System.Logger.Level.ERROR, "NODE stops: its group cannot continue", cause);
         LogSetup.flush();
         Runtime.getRuntime().halt(Wasabimount.EXIT_LOG_FAILED);
     }
--- a/daemon/src/test/java/org/wasabimount/daemon/log/FileLogStoreTest.java
+++ b/daemon/src/test/java/org/wasabimount/daemon/log/FileLogStoreTest.java
@@ -154,6 +154,44 @@
         assertEquals(new FileLogStore(folder).recover(INITIAL_STATE).entries().size(), 3);
     }
 
+    /** Guards against half a record before the next one after a write to a full disk has failed. */
+    @Test
+    public void recordFollowsWriteThatFailed() throws IOException {
+        Path path = folder.resolve("records");
+        try (FullDiskChannel channel = new FullDiskChannel(path);
+                RecordFile file = new RecordFile(channel)) {
+            file.append(new byte[] {1});
+            for (int acceptedBytes = 0; acceptedBytes < 9; acceptedBytes++) {
+                channel.fillUpAfter(acceptedBytes);
+                assertThrows(IOException.class, () -> file.append(new byte[] {2, 2, 2}));
+            }
+            channel.empty();
+            file.append(new byte[] {3});
+        }
+        assertEquals(
+                RecordFile.open(path).closeAndTakeRecovered().stream()
+                        .map(record -> (int) record[0])
+                        .toList(),
+                List.of(1, 3));
+    }
+
+    /** Guards against a log that can't be appended to after its replacement has failed. */
+    @Test
+    public void keepsLogWhoseReplacementFailed() throws IOException {
+        FileLogStore store = write(3);
+        // A folder at the place of the temporary file makes every attempt to write it fail.
+        Path obstacle = Files.createDirectories(folder.resolve("2.log.tmp").resolve("obstacle"));
+        HardState hardState = HardState.newBuilder().setTerm(5).build();
+        LogSnapshot snapshot = LogSnapshot.newBuilder().setIndex(3).setTerm(3).build();
+        assertThrows(IOException.class, () -> store.replace(snapshot, hardState, List.of()));
+        store.append(Optional.empty(), List.of(entry(4, 5)));
+        assertEquals(new FileLogStore(folder).recover(INITIAL_STATE).entries().size(), 4);
+        Files.delete(obstacle);
+        Files.delete(obstacle.getParent());
+        store.replace(snapshot, hardState, List.of(entry(4, 5)));
+        assertEquals(new FileLogStore(folder).recover(INITIAL_STATE).entries(), List.of(entry(4, 5)));
+    }
+
     @Test
     public void rejectsUnformattedFolder() {
         assertThrows(IOException.class, () -> new DataFolder(folder).identity(new VmId("vm")));
--- a/daemon/src/test/java/org/wasabimount/daemon/log/GroupThreadTest.java
+++ b/daemon/src/test/java/org/wasabimount/daemon/log/GroupThreadTest.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
@@ -14,11 +15,15 @@
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.Test;
 import org.wasabimount.core.Clock;
+import org.wasabimount.core.log.PersistedLog;
 import org.wasabimount.core.log.ReplicaSettings;
 import org.wasabimount.protocol.cell.Reply;
+import org.wasabimount.protocol.log.HardState;
+import org.wasabimount.protocol.log.LogEntry;
 import org.wasabimount.protocol.log.LogMessage;
 import org.wasabimount.protocol.log.LogSnapshot;
 import org.wasabimount.protocol.log.Membership;
+import org.wasabimount.protocol.log.VoteRequest;
 
 import com.google.protobuf.ByteString;
 
@@ -33,8 +38,44 @@
     private final List<LogMessage> messages = Collections.synchronizedList(new ArrayList<>());
     private final AtomicInteger batches = new AtomicInteger();
     private final AtomicReference<IOException> failure = new AtomicReference<>();
+    private final FailingStore store = new FailingStore();
     private GroupThread thread;
 
+    /** A store on a disk that can refuse all writes. */
+    private static final class FailingStore implements LogStore {
+
+        private final AtomicInteger failures = new AtomicInteger();
+        private volatile boolean full;
+        private volatile boolean refusesSnapshots;
+
+        @Override
+        public PersistedLog recover(LogSnapshot initialState) {
+            return new MemoryLogStore().recover(initialState);
+        }
+
+        @Override
+        public void append(Optional<HardState> hardState, List<LogEntry> entries) throws IOException {
+            write();
+        }
+
+        @Override
+        public void replace(LogSnapshot snapshot, HardState hardState, List<LogEntry> retainedEntries)
+                throws IOException {
+            if (refusesSnapshots) {
+                failures.incrementAndGet();
+                throw new IOException("No space left on device");
+            }
+            write();
+        }
+
+        private void write() throws IOException {
+            if (full) {
+                failures.incrementAndGet();
+                throw new IOException("No space left on device");
+            }
+        }
+    }
+
     /** A state machine whose state is the number of its commands. */
     private static final class Counter implements StateMachine {
 
@@ -61,12 +102,15 @@
         messages.clear();
         batches.set(0);
         failure.set(null);
+        store.full = false;
+        store.refusesSnapshots = false;
+        store.failures.set(0);
         thread = new GroupThread(
                 ReplicaSettings.of("group", SELF, ELECTION_TIMEOUT_MILLIS, 1),
                 LogSnapshot.newBuilder()
                         .setMembership(Membership.newBuilder().addAllVoters(List.of(voters)))
                         .build(),
-                new MemoryLogStore(),
+                store,
                 new Counter(),
                 messages::add,
                 failure::set,
@@ -162,4 +206,73 @@
         assertEquals(reply.get(), "1");
         assertEquals(batchOfReply.get(), batchOfCommand.get());
     }
+
+    /**
+     * Guards against a process that ends because its disk is full (seen in hanbit-dossier trouble-1): it ends again after
+     * each restart.
+     */
+    @Test
+    public void leaderWithFullDiskAcknowledgesNothingAndLeadsAgainLater() throws Exception {
+        start(SELF);
+        awaitLeadership();
+        store.full = true;
+        List<Reply> replies = Collections.synchronizedList(new ArrayList<>());
+        thread.submit(() -> thread.propose(ByteString.copyFromUtf8("command")).thenAccept(replies::add));
+        pause(1_000);
+        assertTrue(replies.stream().noneMatch(reply -> reply.getResultCode() == 0), "acknowledged without a write");
+        assertTrue(store.failures.get() >= 2 && store.failures.get() <= 12, store.failures + " attempts to write");
+        store.full = false;
+        replies.clear();
+        for (int tries = 0;
+                replies.stream().noneMatch(reply -> reply.getResultCode() == 0) && tries < TIMEOUT_SECONDS * 10;
+                tries++) {
+            thread.submit(
+                    () -> thread.propose(ByteString.copyFromUtf8("command")).thenAccept(replies::add));
+            pause(100);
+        }
+        assertTrue(replies.stream().anyMatch(reply -> reply.getResultCode() == 0), "no command was committed");
+        assertEquals(thread.writeFailureCount(), store.failures.get());
+    }
+
+    /** Guards against votes and acknowledgements of a replica that could not write what they promise. */
+    @Test
+    public void replicaWithFullDiskSendsNothing() throws Exception {
+        start(SELF, "vm1/0", "vm2/0");
+        store.full = true;
+        pause(ELECTION_TIMEOUT_MILLIS);
+        messages.clear();
+        thread.receive(LogMessage.newBuilder()
+                .setGroup("group")
+                .setFrom("vm1/0")
+                .setTo(SELF)
+                .setTerm(100)
+                .setVoteRequest(VoteRequest.newBuilder().setLeadershipTransfer(true))
+                .build());
+        pause(3 * ELECTION_TIMEOUT_MILLIS);
+        assertTrue(messages.stream().noneMatch(message -> message.hasVoteReply()), messages.toString());
+        assertTrue(thread.writeFailureCount() > 0);
+        store.full = false;
+    }
+
+    /** Guards against a full disk during a snapshot that ends the process or stops the group. */
+    @Test
+    public void snapshotThatCannotBeWrittenDoesNotStopGroup() throws Exception {
+        start(SELF);
+        awaitLeadership();
+        int commands = 10_000;
+        AtomicInteger replies = new AtomicInteger();
+        store.refusesSnapshots = true;
+        thread.submit(() -> {
+            for (int command = 0; command < commands; command++) {
+                thread.propose(ByteString.copyFromUtf8("command")).thenAccept(done -> replies.incrementAndGet());
+            }
+        });
+        for (int tries = 0;
+                (replies.get() < commands || store.failures.get() == 0) && tries < TIMEOUT_SECONDS * 100;
+                tries++) {
+            pause(10);
+        }
+        assertEquals(replies.get(), commands);
+        assertTrue(store.failures.get() >= 1, "no snapshot was attempted");
+    }
 }
