Count the validity of tickets from the declared end of an advice call

Cause: a ticket's validity was counted from the sending of the call. Ruled out: counting from the arrival of the response, which may be delayed. Change: a ticket is valid from the sending plus the declared duration, since the service issues it when it responds.

--- a/core/src/main/java/org/wasabimount/core/dispatch/AdviceManager.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/AdviceManager.java
@@ -326,8 +326,11 @@
             if (ticket == null) {
                 advice.ineligible.add(incarnation);
             } else {
-                // Validity is counted from when the call was sent, because the response may have been delayed.
-                advice.eligible.put(incarnation, new Ticket(ticket, call.sentMillis + result.validMillis()));
+                // The service issues tickets when it responds, after the declared duration at the earliest. The
+                // response
+                // itself may have been delayed, so its arrival says nothing.
+                long issuedMillis = call.sentMillis + call.durationMillis;
+                advice.eligible.put(incarnation, new Ticket(ticket, issuedMillis + result.validMillis()));
             }
         });
     }
