Attempts to reach a silent worker no longer extend its lease

Cause: each attempt to renew a lease granted a later one, which the worker might have received; so the time after which its runs are certainly over moved on with each attempt, every 200 ms, and neither loseAll nor the removal after 15 s was reached. Ruled out: the placement; no step waited, the tasks counted as running. Change: while a call is unanswered, attempts repeat the lease already granted. A worker that is cut off keeps its runs as long as before: it did not receive those attempts either. One whose answers alone are lost keeps them for one lease. Test: tasksOfWorkerThatNeverAnswersAgainRunElsewhere, ACTIVE instead of COMPLETED before.

--- a/core/src/main/java/org/wasabimount/core/dispatch/LeaseClock.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/LeaseClock.java
@@ -53,6 +53,11 @@
         return until;
     }
 
+    /** Returns the end of the latest lease on the worker's clock, zero if there is none or it may have expired. */
+    long granted(long nowMillis) {
+        return hasReading && lowerBoundMillis(nowMillis) < leaseUntilMillis ? leaseUntilMillis : 0;
+    }
+
     /** Returns whether every lease granted so far has certainly expired. */
     boolean expired(long nowMillis) {
         if (!hasReading) {
--- a/core/src/main/java/org/wasabimount/core/dispatch/WorkerManager.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/WorkerManager.java
@@ -281,8 +281,12 @@
         long offset = trackedWorker.runsListed() && trackedWorker.unansweredCalls() == 0
                 ? trackedWorker.entry().offset()
                 : 0;
-        actions.accept(new DispatchAction.RenewLease(
-                trackedWorker.entry(), trackedWorker.clock().grant(nowMillis), fence, offset, waitMillis));
+        // Each attempt that extended the lease of a silent worker would delay the proof that its runs are over.
+        long leaseUntilMillis = trackedWorker.unansweredCalls() == 0
+                ? trackedWorker.clock().grant(nowMillis)
+                : trackedWorker.clock().granted(nowMillis);
+        actions.accept(
+                new DispatchAction.RenewLease(trackedWorker.entry(), leaseUntilMillis, fence, offset, waitMillis));
     }
 
     private void send(TrackedWorker trackedWorker, TrackedRun trackedRun, long nowMillis) {
--- a/core/src/test/java/org/wasabimount/core/dispatch/DispatcherTest.java
+++ b/core/src/test/java/org/wasabimount/core/dispatch/DispatcherTest.java
@@ -109,6 +109,24 @@
         assertNoViolations();
     }
 
+    /**
+     * Guards against tasks that wait for ever for a worker that is gone: attempts to renew its lease used to extend the
+     * time after which its runs are certainly over.
+     */
+    @Test
+    public void tasksOfWorkerThatNeverAnswersAgainRunElsewhere() {
+        cell = new SimulatedCell(7);
+        cell.addresses(4).forEach(address -> cell.worker("w" + address, address, WORKER));
+        cell.run(300);
+        cell.workMillis(3_000);
+        cell.submit(cell.job("job1", 4, new Capacity(20_000, 20_000, 0), false));
+        cell.run(1_000);
+        cell.byAddress.values().iterator().next().kill();
+        cell.run(2 * SimulatedCell.LEASE_MILLIS + 6_000);
+        assertEquals(cell.phase("job1"), JobPhase.COMPLETED);
+        assertNoViolations();
+    }
+
     /** Guards against gangs that wait for the few workers known to be eligible while others are idle. */
     @Test
     public void completesGangsAfterPoolBecameIdle() {
