Reject estimates that are negative or whose sums overflow

Cause: JobCheck accepted any estimate. A negative one lowers the work ahead of all other jobs, so admission accepts what can't be done; Long.MAX_VALUE makes every sum overflow. Sizes were checked already. Change: an estimate is between 0 and 30 days, else 422 with INVALID_VALUE. Tests: JobCheckTest (two of three fail before); ExtremeJobsTest plays jobs with extreme fields: none ended the leader's thread, before and after; the simulated cell itself divided by an estimate of zero and is mended.

--- a/core/src/main/java/org/wasabimount/core/job/JobCheck.java
+++ b/core/src/main/java/org/wasabimount/core/job/JobCheck.java
@@ -20,6 +20,9 @@
 
     private static final int MAX_OCCURRENCES = 1_000;
 
+    /** Longest declared duration of a task, in milliseconds: 30 days. Sums of larger ones could overflow. */
+    private static final long MAX_ESTIMATE_MILLIS = 30L * 24 * 60 * 60 * 1_000;
+
     private JobCheck() {}
 
     /**
@@ -64,6 +67,11 @@
         if (negative) {
             return refuse(ResultCode.INVALID_VALUE, name + "requests a negative size");
         }
+        if (step.getEstimateMillis() < 0 || step.getEstimateMillis() > MAX_ESTIMATE_MILLIS) {
+            return refuse(
+                    ResultCode.INVALID_VALUE,
+                    name + "has an estimate of " + step.getEstimateMillis() + " ms, which is out of range");
+        }
         boolean forward = step.getAfterList().stream().anyMatch(earlier -> earlier < 0 || earlier >= number);
         return forward
                 ? refuse(ResultCode.INVALID_VALUE, name + "depends on a step that does not precede it")
--- a/core/src/test/java/org/wasabimount/core/dispatch/SimulatedCell.java
+++ b/core/src/test/java/org/wasabimount/core/dispatch/SimulatedCell.java
@@ -489,7 +489,7 @@
     }
 
     long workMillis(TaskId task) {
-        long estimateMillis = job(task).step(task.step()).getEstimateMillis();
+        long estimateMillis = Math.max(1, job(task).step(task.step()).getEstimateMillis());
         long workMillis = estimateMillis / 2 + Math.floorMod(task.hashCode(), estimateMillis);
         return slowJobs.contains(task.job()) ? 6 * workMillis : workMillis;
     }
