Drop messages between replicas that no replica sends

Story of the operators: one malformed message took a whole process down. It can happen here: an append request with entries that do not follow each other, an unreadable membership or a conflict with a committed entry threw in Replica.receive, and GroupThread ended the process; sent again after each restart it would do so for ever. Change: LogMessageCheck refuses such messages before anything changes; a conflict with committed entries and an acknowledgement of entries that do not exist are refused, too. Each is logged with its sender.

--- a/core/src/main/java/org/wasabimount/core/log/Replica.java
+++ b/core/src/main/java/org/wasabimount/core/log/Replica.java
@@ -34,6 +34,9 @@
  */
 public final class Replica {
 
+    private static final System.Logger LOG = System.getLogger("wasabimount.log");
+
+
     private static final int MAX_IN_FLIGHT = 16;
     private static final int SNAPSHOT_RESEND_HEARTBEATS = 25;
 
@@ -401,6 +404,15 @@
         if (!message.getGroup().equals(settings.group()) || !message.getTo().equals(settings.self())) {
             return;
         }
+        Optional<String> problem = LogMessageCheck.problem(message, settings.self());
+        if (problem.isPresent() || contradictsCommittedEntries(message)) {
+            LOG.log(
+                    System.Logger.Level.WARNING,
+                    "LOG dropped a malformed message from {0}: {1}",
+                    message.getFrom(),
+                    problem.orElse("it contradicts committed entries"));
+            return;
+        }
         checkLease(nowMillis);
         if (message.getTerm() > term && !admitHigherTerm(message, nowMillis)) {
             return;
@@ -412,6 +424,19 @@
         dispatch(message, nowMillis);
     }
 
+    /** Returns whether a message claims that an entry which is committed here is another one. */
+    private boolean contradictsCommittedEntries(LogMessage message) {
+        boolean conflicting = message.getAppendRequest().getEntriesList().stream()
+                .anyMatch(entry -> entry.getIndex() > log.baseIndex()
+                        && entry.getIndex() <= commitIndex
+                        && entry.getTerm() != log.term(entry.getIndex()));
+        boolean acknowledgesUnknown = role == Role.LEADER
+                && message.getTerm() == term
+                && message.getAppendReply().getAccepted()
+                && message.getAppendReply().getMatchIndex() > log.lastIndex();
+        return conflicting || acknowledgesUnknown;
+    }
+
     /**
      * Returns and clears the work for the host that has accumulated since the last call.
      *
