An operation that fails unexpectedly no longer ends the process

Story of the operators: one unexpected error took a whole process down. It can happen here: an exception in the execution of an operation reached the group's thread, which ended the process; the caller's retry reached the next leader.

--- a/core/src/main/java/org/wasabimount/core/log/LogMessageCheck.java
+++ b/core/src/main/java/org/wasabimount/core/log/LogMessageCheck.java
@@ -36,15 +36,14 @@
         if (message.getTerm() < 0) {
             return Optional.of("its term is " + message.getTerm());
         }
-        boolean valid =
-                switch (message.getBodyCase()) {
-                    case VOTE_REQUEST -> valid(message.getVoteRequest(), message.getTerm());
-                    case APPEND_REQUEST -> valid(message.getAppendRequest(), message.getTerm());
-                    case APPEND_REPLY -> valid(message.getAppendReply());
-                    case SNAPSHOT_REQUEST -> valid(message.getSnapshotRequest().getSnapshot(), message.getTerm());
-                    case VOTE_REPLY, TIMEOUT_NOW -> true;
-                    case BODY_NOT_SET -> false;
-                };
+        boolean valid = switch (message.getBodyCase()) {
+            case VOTE_REQUEST -> valid(message.getVoteRequest(), message.getTerm());
+            case APPEND_REQUEST -> valid(message.getAppendRequest(), message.getTerm());
+            case APPEND_REPLY -> valid(message.getAppendReply());
+            case SNAPSHOT_REQUEST -> valid(message.getSnapshotRequest().getSnapshot(), message.getTerm());
+            case VOTE_REPLY, TIMEOUT_NOW -> true;
+            case BODY_NOT_SET -> false;
+        };
         return valid ? Optional.empty() : Optional.of("its fields contradict each other");
     }
 
--- a/core/src/main/java/org/wasabimount/core/log/Replica.java
+++ b/core/src/main/java/org/wasabimount/core/log/Replica.java
@@ -36,7 +36,6 @@
 
     private static final System.Logger LOG = System.getLogger("wasabimount.log");
 
-
     private static final int MAX_IN_FLIGHT = 16;
     private static final int SNAPSHOT_RESEND_HEARTBEATS = 25;
 
--- a/core/src/test/java/org/wasabimount/core/dispatch/ExtremeJobsTest.java
+++ b/core/src/test/java/org/wasabimount/core/dispatch/ExtremeJobsTest.java
@@ -29,7 +29,9 @@
 
     @DataProvider
     public Object[][] seeds() {
-        return IntStream.range(0, 40).mapToObj(seed -> new Object[] {(long) seed}).toArray(Object[][]::new);
+        return IntStream.range(0, 40)
+                .mapToObj(seed -> new Object[] {(long) seed})
+                .toArray(Object[][]::new);
     }
 
     @Test(dataProvider = "seeds")
--- a/core/src/test/java/org/wasabimount/core/job/JobCheckTest.java
+++ b/core/src/test/java/org/wasabimount/core/job/JobCheckTest.java
@@ -26,8 +26,7 @@
     /** Guards against a negative estimate that cancels the work ahead of all other jobs. */
     @Test
     public void rejectsNegativeEstimate() {
-        assertEquals(
-                check(Step.newBuilder().setCount(1).setEstimateMillis(-1)), Optional.of(ResultCode.INVALID_VALUE));
+        assertEquals(check(Step.newBuilder().setCount(1).setEstimateMillis(-1)), Optional.of(ResultCode.INVALID_VALUE));
     }
 
     @Test
--- a/core/src/test/java/org/wasabimount/core/log/MalformedMessageTest.java
+++ b/core/src/test/java/org/wasabimount/core/log/MalformedMessageTest.java
@@ -34,7 +34,9 @@
 
     @DataProvider
     public Object[][] seeds() {
-        return IntStream.range(0, 200).mapToObj(seed -> new Object[] {(long) seed}).toArray(Object[][]::new);
+        return IntStream.range(0, 200)
+                .mapToObj(seed -> new Object[] {(long) seed})
+                .toArray(Object[][]::new);
     }
 
     @Test(dataProvider = "seeds")
@@ -80,7 +82,9 @@
                                 .setPreVote(random.nextBoolean())
                                 .setGranted(random.nextBoolean()))
                         .build();
-            case 2 -> message.setAppendRequest(appendRequest(random, message.getTerm())).build();
+            case 2 ->
+                message.setAppendRequest(appendRequest(random, message.getTerm()))
+                        .build();
             case 3 ->
                 message.setAppendReply(AppendReply.newBuilder()
                                 .setAccepted(random.nextBoolean())
@@ -122,7 +126,11 @@
     private static Membership membership(Random random) {
         return random.nextBoolean()
                 ? Membership.getDefaultInstance()
-                : Membership.newBuilder().addVoters("vm0/0").addVoters("").addLearners("vm0/0").build();
+                : Membership.newBuilder()
+                        .addVoters("vm0/0")
+                        .addVoters("")
+                        .addLearners("vm0/0")
+                        .build();
     }
 
     private static long extreme(Random random) {
--- a/daemon/src/main/java/org/wasabimount/daemon/job/JobGroup.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/job/JobGroup.java
@@ -23,6 +23,8 @@
 /** This node's replica of the jobs' group, and the operations that it serves while it leads. */
 public final class JobGroup {
 
+    private static final System.Logger LOG = System.getLogger("wasabimount.job");
+
     /** The group's name. */
     public static final String NAME = "jobs";
 
@@ -99,7 +101,7 @@
      */
     public CompletableFuture<Reply> execute(JobOperation operation) {
         CompletableFuture<Reply> reply = new CompletableFuture<>();
-        boolean submitted = thread.submit(() -> jobLeader.execute(operation).thenAccept(reply::complete));
+        boolean submitted = thread.submit(() -> executeNow(operation).thenAccept(reply::complete));
         if (!submitted) {
             reply.complete(Reply.newBuilder()
                     .setResultCode(ResultCode.QUEUE_FULL.number())
@@ -110,6 +112,22 @@
         return reply;
     }
 
+    /** Executes an operation; an unexpected error fails the operation, not the group. */
+    private CompletableFuture<Reply> executeNow(JobOperation operation) {
+        try {
+            return jobLeader.execute(operation);
+        } catch (RuntimeException e) {
+            LOG.log(
+                    System.Logger.Level.ERROR,
+                    "JOB operation " + operation.getBodyCase() + " of request " + operation.getRequest() + " failed",
+                    e);
+            return CompletableFuture.completedFuture(Reply.newBuilder()
+                    .setResultCode(ResultCode.INTERNAL.number())
+                    .setDetail("the operation failed unexpectedly")
+                    .build());
+        }
+    }
+
     /**
      * Receives the result of an advice call.
      *
--- /dev/null
+++ b/daemon/src/test/java/org/wasabimount/daemon/job/UnexpectedErrorTest.java
@@ -0,0 +1,126 @@
+package org.wasabimount.daemon.job;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
+
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+import org.wasabimount.core.Clock;
+import org.wasabimount.core.ResultCode;
+import org.wasabimount.core.dispatch.DispatchAction;
+import org.wasabimount.core.dispatch.DispatchSettings;
+import org.wasabimount.core.dispatch.LeaseRenewalResult;
+import org.wasabimount.core.dispatch.OrderOutcome;
+import org.wasabimount.core.log.ReplicaSettings;
+import org.wasabimount.daemon.log.MemoryLogStore;
+import org.wasabimount.daemon.metrics.NodeMetrics;
+import org.wasabimount.protocol.cell.Quantity;
+import org.wasabimount.protocol.job.Announce;
+import org.wasabimount.protocol.job.JobOperation;
+import org.wasabimount.protocol.job.WorkerLife;
+import org.wasabimount.protocol.log.LogSnapshot;
+import org.wasabimount.protocol.log.Membership;
+
+/** Tests that an unexpected error fails the operation that met it and nothing else. */
+public class UnexpectedErrorTest {
+
+    private static final String SELF = "vm0/0";
+    private static final long TIMEOUT_SECONDS = 20;
+
+    private final AtomicReference<IOException> failure = new AtomicReference<>();
+    private volatile boolean clockFails;
+    private JobGroup group;
+
+    private long wallMillis() {
+        if (clockFails && calledBy("announce")) {
+            throw new IllegalStateException("the clock fails");
+        }
+        return Clock.wall().millis();
+    }
+
+    private static boolean calledBy(String method) {
+        return StackWalker.getInstance()
+                .walk(frames -> frames.anyMatch(frame -> frame.getMethodName().equals(method)));
+    }
+
+    @BeforeMethod
+    public void startLeader() throws IOException {
+        WorkerCalls workers = new WorkerCalls() {
+            @Override
+            public CompletableFuture<OrderResult> start(DispatchAction.Start order) {
+                return CompletableFuture.completedFuture(OrderResult.of(OrderOutcome.DONE));
+            }
+
+            @Override
+            public CompletableFuture<OrderResult> stop(DispatchAction.Stop order) {
+                return CompletableFuture.completedFuture(OrderResult.of(OrderOutcome.DONE));
+            }
+
+            @Override
+            public CompletableFuture<LeaseRenewalResult> renewLease(DispatchAction.RenewLease order) {
+                return new CompletableFuture<>();
+            }
+        };
+        group = new JobGroup(
+                ReplicaSettings.of(JobGroup.NAME, SELF, 100, 1),
+                LogSnapshot.newBuilder()
+                        .setMembership(Membership.newBuilder().addVoters(SELF))
+                        .build(),
+                new MemoryLogStore(),
+                new JobGroup.Dependencies(
+                        workers,
+                        call -> {},
+                        List::of,
+                        message -> {},
+                        failure::set,
+                        new NodeMetrics(),
+                        Clock.monotonic(),
+                        this::wallMillis),
+                new DispatchSettings(6_000, 3_000, 120_000, 2_000, 200));
+        group.thread().start();
+    }
+
+    @AfterMethod(alwaysRun = true)
+    public void stop() {
+        group.thread().stop();
+    }
+
+    private static JobOperation announce(String worker) {
+        return JobOperation.newBuilder()
+                .setAnnounce(Announce.newBuilder()
+                        .setLife(WorkerLife.newBuilder()
+                                .setWorker(worker)
+                                .setBornMillis(1)
+                                .setAddress("10.0.0.1:80")
+                                .setPool("pool")
+                                .setCapacity(Quantity.newBuilder().setCpuMillis(1_000)))
+                        .setSequence(1))
+                .build();
+    }
+
+    private void awaitLeadership() throws InterruptedException {
+        long untilNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(TIMEOUT_SECONDS);
+        while (group.execute(announce("w0")).join().getResultCode() != ResultCode.OK.number()) {
+            assertTrue(System.nanoTime() < untilNanos, "the node did not become the leader");
+            Thread.sleep(20);
+        }
+    }
+
+    /** Guards against an operation whose unexpected error ends the process of each leader that it reaches. */
+    @Test(timeOut = 60_000)
+    public void operationThatFailsUnexpectedlyDoesNotStopTheGroup() throws InterruptedException {
+        awaitLeadership();
+        clockFails = true;
+        assertEquals(group.execute(announce("w1")).join().getResultCode(), ResultCode.INTERNAL.number());
+        clockFails = false;
+        awaitLeadership();
+        assertEquals(failure.get(), null);
+    }
+}
