Urgent gangs reserve without limit, a new leader asks for advice once workers are known

Cause: a step that found no usable worker when it became ready asked for advice at its next review, up to a second later; and urgent gangs shared the limit of reservations with all others. A step did not learn of room on workers that it had not asked for until its review. Ruled out: admission's intervals (the limit is moved by 25 and 250 ms at most). Change: calls wait for the first usable worker; free room that no eligible step takes is offered to the first steps that have not asked for its worker; urgent gangs may always reserve, and start in reserved room when they get late. Test: newLeaderAsksForAdviceOnceWorkersAreKnown (QUEUED before).

--- a/core/src/main/java/org/wasabimount/core/dispatch/AdvicePlan.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/AdvicePlan.java
@@ -125,12 +125,19 @@
             Function<ReadyStep, PoolRooms> poolOf,
             long nowMillis,
             Consumer<DispatchAction> actions) {
+        List<WaitingStep> postponed = new ArrayList<>();
         while (!steps.isEmpty() && advice.callerIdle(leastMillis, nowMillis)) {
             WaitingStep step = steps.pollFirst();
             ReadyStep ready = step.ready();
+            PoolRooms pool = poolOf.apply(ready);
+            if (pool.usable().isEmpty()) {
+                // A new leader knows its workers only once they have listed their runs.
+                postponed.add(step);
+                continue;
+            }
             List<WorkerRoom> named = ready.gang()
-                    ? gangCall(step, suitable.apply(ready), poolOf.apply(ready), nowMillis)
-                    : taskCall(step, suitable.apply(ready), poolOf.apply(ready), nowMillis);
+                    ? gangCall(step, suitable.apply(ready), pool, nowMillis)
+                    : taskCall(step, suitable.apply(ready), pool, nowMillis);
             if (named.isEmpty()) {
                 continue;
             }
@@ -145,6 +152,7 @@
                         }
                     });
         }
+        steps.addAll(postponed);
     }
 
     private List<WorkerRoom> gangCall(
--- a/core/src/main/java/org/wasabimount/core/dispatch/ReadyStep.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/ReadyStep.java
@@ -37,6 +37,11 @@
         return queue.hasAdvice();
     }
 
+    /** Returns whether the queue has the most urgent priority. */
+    boolean urgent() {
+        return queue.getPriority() == 0;
+    }
+
     boolean gang() {
         return step().getGang();
     }
@@ -46,8 +51,8 @@
      * they start soon.
      */
     boolean mayUseReservedRoom(long nowMillis) {
-        boolean urgent = queue.getPriority() == 0 && !gang() && !step().getLongRunning();
-        return urgent && !late && latestStartMillis - nowMillis < MAX_SLACK_MILLIS;
+        boolean urgentTasks = urgent() && !step().getLongRunning();
+        return urgentTasks && !late && latestStartMillis - nowMillis < MAX_SLACK_MILLIS;
     }
 
     /** Returns the same step after its latest start time has passed. */
--- a/core/src/main/java/org/wasabimount/core/dispatch/StepPlacement.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/StepPlacement.java
@@ -44,6 +44,9 @@
     /** Maximum number of steps to which free room on one worker is offered; the first of them usually take all of it. */
     private static final int MAX_OFFERS = 16;
 
+    /** Maximum number of steps examined to find one that could ask for a worker with room. */
+    private static final int MAX_OTHER_OFFERS = 8;
+
     /** Maximum number of workers compared for a step that may use all of them. */
     private static final int MAX_CANDIDATES = 24;
 
@@ -211,7 +214,7 @@
     }
 
     private static long reviewIntervalMillis(ReadyStep ready) {
-        return ready.queue().getPriority() == 0 && !ready.late() ? URGENT_REVIEW_MILLIS : REVIEW_MILLIS;
+        return ready.urgent() && !ready.late() ? URGENT_REVIEW_MILLIS : REVIEW_MILLIS;
     }
 
     private void adviceCompleted(StepId id) {
@@ -391,6 +394,23 @@
                 claimed = claimed.plus(ready.size().times(tasks));
             }
         }
+        offerToOthers(room, claimed);
+    }
+
+    /** Has calls made for the first steps that do not know yet whether they may use the rest of a room. */
+    private void offerToOthers(WorkerRoom room, Capacity claimed) {
+        Capacity rest = room.free().minus(claimed);
+        waiting.stream()
+                .limit(MAX_OTHER_OFFERS)
+                .peek(step -> examined.add(ExaminedCounts.Part.ROUND, 1))
+                .filter(step -> step.ready().requiresAdvice()
+                        && !step.ready().gang()
+                        && step.ready().size().fitsIn(rest)
+                        && step.ready().queue().getPool().equals(room.pool())
+                        && !advice.of(step.id()).callInProgress()
+                        && !advice.of(step.id()).named(room.id()))
+                .limit(1)
+                .forEach(advicePlan::add);
     }
 
     private void consider(WaitingStep step) {
@@ -468,6 +488,9 @@
 
     private void considerGang(WaitingStep step) {
         ReadyStep ready = step.ready();
+        if (ready.mayUseReservedRoom(nowMillis) && startInReservedRoom(step)) {
+            return;
+        }
         if (missingTasks(step) > 0) {
             List<WorkerRoom> candidates = gangCandidates(step);
             if (ready.requiresAdvice() && mayAskForWorkers(step) && advicePlan.moreWorkersNeeded(step, candidates)) {
@@ -485,6 +508,18 @@
         }
     }
 
+    /** Starts an urgent gang at once if the free room is enough, with what is reserved for others. */
+    private boolean startInReservedRoom(WaitingStep step) {
+        Map<JobTask, WorkerRoom> tasks =
+                placer.choose(step.ready(), candidates(step), domainsInUse(step.ready()), nowMillis);
+        if (tasks.size() < step.ready().step().getCount()) {
+            return false;
+        }
+        releaseReservation(step);
+        place(step, tasks);
+        return true;
+    }
+
     /** Returns whether a gang is among the first in scheduling order; the others must not occupy the callers yet. */
     private boolean mayAskForWorkers(WaitingStep step) {
         return reservations.contains(step)
@@ -527,12 +562,13 @@
 
     /**
      * Returns whether room may be reserved for a gang. The first reservations may have any size; otherwise a large gang
-     * would never start.
+     * would never start. Urgent gangs need room for a short time only.
      */
     private boolean mayReserve(ReadyStep gang) {
         String pool = gang.queue().getPool();
         double required = reservations.reservedCpuMillis(pool) + GangReservations.requiredCpuMillis(gang);
-        return reservations.count(pool) < FIRST_RESERVATIONS
+        return gang.urgent() && !gang.late()
+                || reservations.count(pool) < FIRST_RESERVATIONS
                 || required <= MAX_RESERVED_SHARE * pool(pool).cpuMillis();
     }
 
--- a/core/src/test/java/org/wasabimount/core/dispatch/DeploymentLoad.java
+++ b/core/src/test/java/org/wasabimount/core/dispatch/DeploymentLoad.java
@@ -62,7 +62,7 @@
                                 Amount.fixed(18_000),
                                 Amount.fixed(500),
                                 Amount.fixed(5_000),
-                                true,
+                                1,
                                 25),
                         new JobClass(
                                 queue("diary-coding", 1, 3_000, 1, advice(104, 1.43, 2_500)),
@@ -72,7 +72,7 @@
                                 Amount.fixed(6_900),
                                 Amount.fixed(500),
                                 Amount.fixed(2_200),
-                                false,
+                                0,
                                 45),
                         new JobClass(
                                 queue("page-check", 0, 250, 1, advice(14.3, 0.208, 2_500)),
@@ -82,7 +82,7 @@
                                 Amount.fixed(9_900),
                                 Amount.fixed(500),
                                 Amount.fixed(1_000),
-                                false,
+                                0,
                                 70))),
 
         /** weesteps-sched-large: sizes vary from job to job, gangs have up to 80 tasks. */
@@ -99,7 +99,7 @@
                                 new Amount(9_000, 0.4, 1_000, 15_000),
                                 new Amount(34_000, 0.5, 1_000, 68_000),
                                 new Amount(4_000, 0.5, 200, 10_000),
-                                true,
+                                1,
                                 25),
                         new JobClass(
                                 queue("growth-report", 2, 3_000, 4, advice(182, 2.6, 1_500)),
@@ -109,7 +109,7 @@
                                 new Amount(5_500, 0.45, 500, 16_000),
                                 new Amount(16_000, 0.6, 500, 47_000),
                                 new Amount(3_400, 0.5, 200, 8_400),
-                                false,
+                                0,
                                 45),
                         new JobClass(
                                 queue("foot-scan", 0, 300, 1.5, advice(19.5, 0.286, 1_500)),
@@ -119,7 +119,7 @@
                                 new Amount(7_800, 0.45, 500, 23_000),
                                 new Amount(22_000, 0.6, 500, 67_000),
                                 new Amount(640, 0.5, 50, 1_600),
-                                false,
+                                0.3,
                                 70)));
 
         final int workers;
@@ -161,7 +161,7 @@
             Amount cpuMillis,
             Amount memoryMegabytes,
             Amount estimateMillis,
-            boolean gang,
+            double gangShare,
             int eligiblePercent) {
 
         JobSpec job(String id, Random random) {
@@ -170,7 +170,7 @@
                     .setCount((int) tasks.draw(random))
                     .setSize(new Capacity(cpuMillis.draw(random), memoryMegabytes.draw(random), 0).toQuantity())
                     .setEstimateMillis(estimateMillis.draw(random))
-                    .setGang(gang)
+                    .setGang(random.nextDouble() < gangShare)
                     .build();
             JobSpec.Builder spec =
                     JobSpec.newBuilder().setId(id).setQueue(queue.getName()).addSteps(step);
--- a/core/src/test/java/org/wasabimount/core/dispatch/DispatcherTest.java
+++ b/core/src/test/java/org/wasabimount/core/dispatch/DispatcherTest.java
@@ -127,6 +127,25 @@
         assertNoViolations();
     }
 
+    /**
+     * Guards against steps that ask for advice a second after a change of leader, because no worker had listed its runs when
+     * they were first considered.
+     */
+    @Test
+    public void newLeaderAsksForAdviceOnceWorkersAreKnown() {
+        cell = new SimulatedCell(7).withAdvice();
+        cell.putQueues(List.of(cell.queue().toBuilder().setPriority(1).build()));
+        cell.addresses(6).forEach(address -> cell.worker("w" + address, address, WORKER));
+        cell.run(1_000);
+        cell.submit(cell.job("job1", 6, SMALL, false));
+        cell.submit(cell.job("gang1", 3, SMALL, true));
+        cell.changeLeader();
+        cell.run(300);
+        assertEquals(cell.phase("job1"), JobPhase.ACTIVE);
+        assertEquals(cell.phase("gang1"), JobPhase.ACTIVE);
+        assertNoViolations();
+    }
+
     /** Guards against gangs that wait for the few workers known to be eligible while others are idle. */
     @Test
     public void completesGangsAfterPoolBecameIdle() {
