Gangs that wait for room ask for further workers and move to free ones

In virtual time a backlog of 300 gangs alone kept about half of the cores busy. Cause, suspected: a gang knew twice as many slots as it needs and waited for these, while other workers were idle. Change: a gang whose room is complete later than a call takes asks for workers with room that it does not know yet, and moves to free room at once. Beyond the limit a reservation is allowed while 0.35 of the pool is free. Tried and dropped: no reservation for gangs that start later than a second; the release woke the gang at once, an endless loop.

--- a/core/src/main/java/org/wasabimount/core/dispatch/AdvicePlan.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/AdvicePlan.java
@@ -173,9 +173,29 @@
         List<WorkerRoom> eligible =
                 gang.eligibleRooms().stream().filter(WorkerRoom::usable).toList();
         int names = Math.min(maxWorkers, namesNeeded(gang, eligible));
-        return names <= 0
-                ? List.of()
-                : unknownWorkers(gang, suitable, pool, Math.max(names, Math.min(JobPlan.ADVISED_WORKERS, maxWorkers)));
+        int leastNames = Math.min(JobPlan.ADVISED_WORKERS, maxWorkers);
+        if (names > 0) {
+            return unknownWorkers(gang, suitable, pool, Math.max(names, leastNames));
+        }
+        return waitsForRoom(gang, nowMillis) ? unknownWorkersWithRoom(gang, suitable, pool, leastNames) : List.of();
+    }
+
+    /** Returns whether a gang waits for room longer than it takes to ask for other workers. */
+    boolean waitsForRoom(WaitingStep gang, long nowMillis) {
+        return reservations.contains(gang)
+                && !advice.of(gang.id()).callInProgress()
+                && reservations.readyInMillis(gang, nowMillis) > callMillis(gang.ready(), JobPlan.ADVISED_WORKERS);
+    }
+
+    private List<WorkerRoom> unknownWorkersWithRoom(
+            WaitingStep step, Predicate<WorkerRoom> suitable, PoolRooms pool, int limit) {
+        AdviceManager.StepAdvice stepAdvice = advice.of(step.id());
+        return pool.mostFreeFirst(step.ready().size())
+                .limit(MAX_ROOMS_SEARCHED)
+                .peek(room -> examined.add(ExaminedCounts.Part.ROUND, 1))
+                .filter(room -> !stepAdvice.named(room.id()) && suitable.test(room))
+                .limit(limit)
+                .toList();
     }
 
     /** Returns when the tickets of a gang must still be valid: when its room is complete. */
@@ -226,12 +246,7 @@
                 .filter(room -> room.usable() && !stepAdvice.hasTicket(room.id(), nowMillis))
                 .filter(suitable)
                 .toList());
-        pool.mostFreeFirst(ready.size())
-                .limit(MAX_ROOMS_SEARCHED)
-                .peek(room -> examined.add(ExaminedCounts.Part.ROUND, 1))
-                .filter(room -> !stepAdvice.named(room.id()) && suitable.test(room))
-                .limit(maxWorkers)
-                .forEach(candidates::add);
+        candidates.addAll(unknownWorkersWithRoom(step, suitable, pool, maxWorkers));
         boolean roomExists =
                 candidates.stream().anyMatch(room -> ready.size().fitsIn(room.availableTo(ready, nowMillis)));
         return roomExists ? select(step, candidates, nowMillis) : List.of();
--- a/core/src/main/java/org/wasabimount/core/dispatch/PoolRooms.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/PoolRooms.java
@@ -28,6 +28,7 @@
     private final Map<WorkerRoom, Entry> entries = new HashMap<>();
     private final NavigableSet<WaitingStep> stepsWithoutAdvice;
     private long cpuMillis;
+    private long freeCpuMillis;
 
     /** What a room was indexed by. */
     private record Entry(long freeCpuMillis, long cpuMillis, String rack) {}
@@ -51,6 +52,11 @@
         return cpuMillis;
     }
 
+    /** Returns the processors that are neither used nor reserved, in thousandths of a core. */
+    long freeCpuMillis() {
+        return freeCpuMillis;
+    }
+
     /** Puts a room in its place after a change; an unusable room is removed. */
     void update(WorkerRoom room) {
         Entry entry = new Entry(
@@ -70,6 +76,7 @@
                     .add(room);
             byRack.computeIfAbsent(entry.rack, absent -> new LinkedHashSet<>()).add(room);
             cpuMillis += entry.cpuMillis;
+            freeCpuMillis += Math.max(0, entry.freeCpuMillis);
         }
     }
 
@@ -82,6 +89,7 @@
         byNumber.remove(room.number());
         byRack.get(entry.rack).remove(room);
         cpuMillis -= entry.cpuMillis;
+        freeCpuMillis -= Math.max(0, entry.freeCpuMillis);
         NavigableSet<WorkerRoom> rooms = byFreeCpu.get(entry.freeCpuMillis);
         rooms.remove(room);
         if (rooms.isEmpty()) {
--- a/core/src/main/java/org/wasabimount/core/dispatch/StepPlacement.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/StepPlacement.java
@@ -74,6 +74,9 @@
      */
     private static final double MAX_RESERVED_SHARE = 0.12;
 
+    /** Share of a pool's processors that must stay free and not reserved for reservations beyond the limit. */
+    private static final double MIN_FREE_SHARE = 0.35;
+
     /** Number of gangs that may have a reservation whatever they need. */
     private static final int FIRST_RESERVATIONS = 2;
 
@@ -562,14 +565,17 @@
 
     /**
      * Returns whether room may be reserved for a gang. The first reservations may have any size; otherwise a large gang
-     * would never start. Urgent gangs need room for a short time only.
+     * would never start. Urgent gangs need room for a short time only, and in a pool that is mostly free a reservation
+     * keeps nothing from others.
      */
     private boolean mayReserve(ReadyStep gang) {
-        String pool = gang.queue().getPool();
-        double required = reservations.reservedCpuMillis(pool) + GangReservations.requiredCpuMillis(gang);
+        String name = gang.queue().getPool();
+        PoolRooms pool = pool(name);
+        double required = GangReservations.requiredCpuMillis(gang);
         return gang.urgent() && !gang.late()
-                || reservations.count(pool) < FIRST_RESERVATIONS
-                || required <= MAX_RESERVED_SHARE * pool(pool).cpuMillis();
+                || reservations.count(name) < FIRST_RESERVATIONS
+                || reservations.reservedCpuMillis(name) + required <= MAX_RESERVED_SHARE * pool.cpuMillis()
+                || pool.freeCpuMillis() - required >= MIN_FREE_SHARE * pool.cpuMillis();
     }
 
     /** Returns the time after which a task of a gang could start in a room that is free after a time in milliseconds. */
@@ -585,6 +591,9 @@
     /** Starts a gang whose reserved room is complete, or prepares its start. */
     private void advance(WaitingStep step) {
         ReadyStep ready = step.ready();
+        if (reservations.readyInMillis(step, nowMillis) > 0) {
+            moveToFreeRoom(step);
+        }
         long readyInMillis = reservations.readyInMillis(step, nowMillis);
         List<WorkerRoom> ticketless = advicePlan.withoutTicket(step, nowMillis + readyInMillis);
         if (readyInMillis == 0 && ticketless.isEmpty()) {
@@ -593,7 +602,7 @@
         }
         long callMillis = advicePlan.callMillis(ready, ticketless.size());
         boolean callDue = !ticketless.isEmpty() && readyInMillis <= callMillis + CALL_LEAD_MILLIS;
-        if (callDue) {
+        if (callDue || ready.requiresAdvice() && advicePlan.waitsForRoom(step, nowMillis)) {
             advicePlan.add(step);
         }
         long untilCallMillis = ticketless.isEmpty() ? readyInMillis : readyInMillis - callMillis;
@@ -605,6 +614,17 @@
                                 Math.min(MAX_RESERVATION_REVIEW_MILLIS, untilCallMillis / 2)));
     }
 
+    /** Moves tasks of a gang to workers that have room now, such as those that a call has just found eligible. */
+    private void moveToFreeRoom(WaitingStep step) {
+        ReadyStep ready = step.ready();
+        Predicate<WorkerRoom> suitable = suitable(ready);
+        examined.add(ExaminedCounts.Part.ROUND, step.eligibleRooms().size());
+        step.eligibleRooms().stream()
+                .filter(room -> room.usable() && ready.size().fitsIn(room.free()) && suitable.test(room))
+                .toList()
+                .forEach(room -> reservations.improve(step, room, startsInMillis(ready, room, 0), nowMillis));
+    }
+
     private void startGang(WaitingStep step) {
         Map<JobTask, WorkerRoom> tasks = new LinkedHashMap<>();
         List<WorkerRoom> slots = reservations.targets(step).entrySet().stream()
--- a/core/src/test/java/org/wasabimount/core/dispatch/DeploymentLoad.java
+++ b/core/src/test/java/org/wasabimount/core/dispatch/DeploymentLoad.java
@@ -281,6 +281,16 @@
         });
     }
 
+    /** Submits jobs of the class whose jobs are all gangs. */
+    void submitGangs(int jobs) {
+        JobClass gangs = deployment.classes.stream()
+                .filter(kind -> kind.gangShare == 1)
+                .findFirst()
+                .orElseThrow();
+        IntStream.range(0, jobs)
+                .forEach(number -> cell.submit(gangs.job("gang-" + number, new Random(number)), gangs.queue));
+    }
+
     /** Returns the share of the jobs of a class that were completed, of those with the most tasks. */
     double completedShareOfWidest(String name, double widestShare) {
         List<String> widestFirst = submitted.getOrDefault(name, Map.of()).entrySet().stream()
--- a/core/src/test/java/org/wasabimount/core/dispatch/WideGangsTest.java
+++ b/core/src/test/java/org/wasabimount/core/dispatch/WideGangsTest.java
@@ -41,4 +41,22 @@
         assertTrue(load.shareInTime("growth-report") >= 0.5, "in time " + load.shareInTime("growth-report"));
         assertEquals(load.cell.violations, List.of());
     }
+
+    /**
+     * Guards against a backlog of gangs that leaves most of the pool idle (seen in a trial of weesteps-sched-large trouble-1
+     * after a loss of power: 73 gangs waited with most of the room free).
+     */
+    @Test
+    public void backlogOfGangsUsesMostOfThePool() {
+        DeploymentLoad load = new DeploymentLoad(1, LARGE, LARGE.workers, 0.01);
+        load.submitGangs(300);
+        load.cell.run(6_000);
+        double coresInUse = 0;
+        for (int second = 0; second < 6; second++) {
+            load.cell.run(1_000);
+            coresInUse += load.shareOfCoresInUse() / 6;
+        }
+        assertTrue(coresInUse >= 0.5, "cores in use " + coresInUse);
+        assertEquals(load.cell.violations, List.of());
+    }
 }
