--- a/core/src/main/java/org/wasabimount/core/dispatch/StepPlacement.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/StepPlacement.java
@@ -253,9 +253,10 @@
         List<WorkerRoom> offered = List.copyOf(gained);
         gained.clear();
         offered.forEach(this::offer);
-        while (!woken.isEmpty()) {
-            consider(woken.pollFirst());
-        }
+        // Steps that are woken meanwhile wait for the next pass: two that wake each other must not keep the thread.
+        List<WaitingStep> due = List.copyOf(woken);
+        woken.clear();
+        due.forEach(this::consider);
         advicePlan.requestCalls(this::suitable, this::poolOf, nowMillis, actions);
         placements.forEach(this::propose);
         placements.clear();
