Log which runs a worker's end takes back and why, and changes of capacity

A later incarnation that announced itself ended the earlier one without a line, and no line named the runs that were lost with a worker. So a task that crashes its workers could not be told from workers that crash by themselves. Each end of an incarnation now has a cause in the log entry (replaced, left, silent), a line with its runs, and a metric by cause; lost runs say whether they never started, were not listed or lapsed. A changed capacity has a line with what is in use.

No decision depends on these fields yet.

--- a/core/src/main/java/org/wasabimount/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/Dispatcher.java
@@ -28,6 +28,7 @@
 import org.wasabimount.protocol.job.PlaceRuns;
 import org.wasabimount.protocol.job.Queue;
 import org.wasabimount.protocol.job.SeeWorker;
+import org.wasabimount.protocol.job.WorkerEndCause;
 import org.wasabimount.protocol.job.WorkerLife;
 
 /**
@@ -81,6 +82,7 @@
     private long queuesVersion = Long.MIN_VALUE;
     private List<DispatchAction> actions = new ArrayList<>();
     private Consumer<Job> ended = job -> {};
+    private Consumer<WorkerEndCause> workerEnded = cause -> {};
     private long nowMillis;
     private long forgetDueMillis;
     private long dueCheckMillis;
@@ -125,6 +127,15 @@
         ended = listener;
     }
 
+    /**
+     * Sets the listener for ended incarnations of workers.
+     *
+     * @param listener receives the cause of each end
+     */
+    public void setWorkerEndListener(Consumer<WorkerEndCause> listener) {
+        workerEnded = listener;
+    }
+
     /**
      * Sets the listener for completed advice calls.
      *
@@ -201,7 +212,8 @@
     public void workerLeft(String worker) {
         table.worker(worker)
                 .flatMap(entry -> workers.trackedWorker(entry.id()))
-                .ifPresent(trackedWorker -> workers.endIncarnation(trackedWorker, "the worker left"));
+                .ifPresent(
+                        trackedWorker -> workers.endIncarnation(trackedWorker, WorkerEndCause.LEFT, "the worker left"));
     }
 
     /**
@@ -445,8 +457,9 @@
     }
 
     @Override
-    public void workerEnded(IncarnationId incarnation) {
-        workers.ended(incarnation);
+    public void workerEnded(IncarnationId incarnation, List<RunId> runs, WorkerEndCause cause) {
+        workers.ended(incarnation, runs, cause);
+        workerEnded.accept(cause);
     }
 
     /** Returns how many items were examined so far. */
--- a/core/src/main/java/org/wasabimount/core/dispatch/TrackedWorker.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/TrackedWorker.java
@@ -70,6 +70,11 @@
         }
     }
 
+    /** Returns the capacity that the assigned runs use, whether they have started or are being stopped. */
+    Capacity usedCapacity() {
+        return usedCapacity;
+    }
+
     /** Returns the capacity that is not used by assigned runs. */
     Capacity freeCapacity() {
         return entry.capacity().minus(usedCapacity);
--- a/core/src/main/java/org/wasabimount/core/dispatch/WorkerManager.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/WorkerManager.java
@@ -29,7 +29,9 @@
 import org.wasabimount.protocol.job.EndWorker;
 import org.wasabimount.protocol.job.JobCommand;
 import org.wasabimount.protocol.job.LoseRuns;
+import org.wasabimount.protocol.job.LossCause;
 import org.wasabimount.protocol.job.Step;
+import org.wasabimount.protocol.job.WorkerEndCause;
 import org.wasabimount.protocol.job.WorkerLife;
 
 /**
@@ -53,6 +55,9 @@
     /** Maximum number of run ends in one list; a list of that length may omit others. */
     private static final int MAX_LISTED_ENDS = 500;
 
+    /** Maximum number of runs that one log line names; more than a worker usually has. */
+    private static final int MAX_LOGGED_RUNS = 40;
+
     /** Delay before a failed call is retried, in milliseconds; a fraction of the shortest objective. */
     private static final long RETRY_MILLIS = 200;
 
@@ -148,11 +153,27 @@
             changedWorkers.add(trackedWorker);
         } else {
             wake(known);
+            if (!known.entry().capacity().equals(worker.capacity())) {
+                LOG.log(
+                        System.Logger.Level.INFO,
+                        "WORKER resized worker={0} from={1} to={2} used={3}",
+                        worker.id(),
+                        known.entry().capacity(),
+                        worker.capacity(),
+                        known.usedCapacity());
+            }
             known.entry(worker);
         }
     }
 
-    void ended(IncarnationId incarnation) {
+    void ended(IncarnationId incarnation, List<RunId> runs, WorkerEndCause cause) {
+        LOG.log(
+                System.Logger.Level.INFO,
+                "WORKER gone worker={0} cause={1} count={2} runs={3}",
+                incarnation,
+                cause,
+                runs.size(),
+                firstOf(runs));
         TrackedWorker trackedWorker = trackedWorkers.remove(incarnation);
         if (trackedWorker != null) {
             wake(trackedWorker);
@@ -160,6 +181,11 @@
         }
     }
 
+    /** Returns as many runs as one log line names. */
+    private static List<RunId> firstOf(List<RunId> runs) {
+        return runs.subList(0, Math.min(MAX_LOGGED_RUNS, runs.size()));
+    }
+
     boolean hasChangedWorkers() {
         return !changedWorkers.isEmpty();
     }
@@ -261,7 +287,10 @@
             if (trackedWorker.unansweredCalls() > 0 && trackedWorker.clock().expired(nowMillis)) {
                 loseAll(trackedWorker, nowMillis);
                 if (trackedWorker.silentMillis(nowMillis) > SILENT_WORKER_REMOVAL_MILLIS) {
-                    endIncarnation(trackedWorker, "no contact for " + SILENT_WORKER_REMOVAL_MILLIS + " ms");
+                    endIncarnation(
+                            trackedWorker,
+                            WorkerEndCause.SILENT,
+                            "no contact for " + SILENT_WORKER_REMOVAL_MILLIS + " ms");
                 }
             }
             List.copyOf(trackedWorker.runs()).forEach(trackedRun -> send(trackedWorker, trackedRun, nowMillis));
@@ -344,7 +373,7 @@
         clockMillis.ifPresent(clock -> trackedWorker.clock().recordReading(clock, nowMillis));
         TrackedRun trackedRun = trackedWorker.run(run);
         if (result == OrderOutcome.OTHER_LIFE) {
-            endIncarnation(trackedWorker, "another incarnation responds at its address");
+            endIncarnation(trackedWorker, WorkerEndCause.REPLACED, "another incarnation responds at its address");
             return;
         }
         if (trackedRun == null || trackedRun.state() != TrackedRun.State.STARTING) {
@@ -379,7 +408,7 @@
         if (trackedRun.unanswered()) {
             stop(trackedRun, nowMillis);
         } else {
-            lose(List.of(trackedRun));
+            lose(List.of(trackedRun), LossCause.NEVER_STARTED);
         }
         if (trackedRun.step().getGang()) {
             stopGang(trackedRun.id(), nowMillis);
@@ -395,7 +424,7 @@
         wake(trackedWorker);
         clockMillis.ifPresent(clock -> trackedWorker.clock().recordReading(clock, nowMillis));
         if (result == OrderOutcome.OTHER_LIFE) {
-            endIncarnation(trackedWorker, "another incarnation responds at its address");
+            endIncarnation(trackedWorker, WorkerEndCause.REPLACED, "another incarnation responds at its address");
             return;
         }
         TrackedRun trackedRun = trackedWorker.run(run);
@@ -417,7 +446,7 @@
         }
         wake(trackedWorker);
         if (result.outcome() == OrderOutcome.OTHER_LIFE) {
-            endIncarnation(trackedWorker, "another worker responds at its address");
+            endIncarnation(trackedWorker, WorkerEndCause.REPLACED, "another worker responds at its address");
             return;
         }
         boolean laterIncarnation = result.outcome() == OrderOutcome.DONE
@@ -468,7 +497,7 @@
         strays.forEach(run -> stopStray(trackedWorker, run));
         if (strays.isEmpty() && !trackedWorker.starting() && !trackedWorker.ending()) {
             proposeEndsInLaterIncarnation(trackedWorker, result.ended());
-            endIncarnation(trackedWorker, "replaced by a later incarnation");
+            endIncarnation(trackedWorker, WorkerEndCause.REPLACED, "replaced by a later incarnation");
         }
         trackedWorker.leaseRenewalCompleted(false, nowMillis + RETRY_MILLIS, nowMillis);
     }
@@ -575,7 +604,7 @@
                 handleUnlisted(trackedRun, requestedMillis, nowMillis).ifPresent(absent::add);
             }
         }
-        lose(absent);
+        lose(absent, LossCause.NOT_LISTED);
         relocateSlowRuns(trackedWorker, slowWorkerDetector.slowRuns(paceSamples), nowMillis);
         running.values().stream()
                 .filter(row -> trackedWorker.run(row.run()) == null)
@@ -655,7 +684,7 @@
                 && trackedRun.startAttempts() == 0
                 && !trackedRun.unanswered();
         if (neverSent) {
-            lose(List.of(trackedRun));
+            lose(List.of(trackedRun), LossCause.NEVER_STARTED);
         } else {
             trackedRun.stopAt(nowMillis);
             trackedWorker(trackedRun.incarnation()).ifPresent(this::wake);
@@ -670,19 +699,20 @@
         if (!lostRuns.isEmpty()) {
             LOG.log(
                     System.Logger.Level.INFO,
-                    "WORKER lapsed worker={0} runs={1} at={2}",
+                    "WORKER lapsed worker={0} silentMillis={1} count={2} runs={3}",
                     trackedWorker.entry().id(),
+                    Long.toString(trackedWorker.silentMillis(nowMillis)),
                     lostRuns.size(),
-                    nowMillis);
-            lose(lostRuns);
+                    firstOf(lostRuns.stream().map(TrackedRun::id).toList()));
+            lose(lostRuns, LossCause.LEASE_EXPIRED);
         }
     }
 
-    private void lose(List<TrackedRun> lostRuns) {
+    private void lose(List<TrackedRun> lostRuns, LossCause cause) {
         if (lostRuns.isEmpty()) {
             return;
         }
-        LoseRuns.Builder command = LoseRuns.newBuilder();
+        LoseRuns.Builder command = LoseRuns.newBuilder().setCause(cause);
         lostRuns.forEach(trackedRun -> {
             trackedRun.losing();
             command.addRuns(trackedRun.id().toKey(trackedRun.saved()));
@@ -691,7 +721,7 @@
     }
 
     /** Ends an incarnation that is proved to be over; the tasks of its runs wait for placement again. */
-    void endIncarnation(TrackedWorker trackedWorker, String reason) {
+    void endIncarnation(TrackedWorker trackedWorker, WorkerEndCause cause, String reason) {
         if (trackedWorker.ending()) {
             return;
         }
@@ -706,7 +736,8 @@
         propose(JobCommand.newBuilder()
                 .setEndWorker(EndWorker.newBuilder()
                         .setWorker(trackedWorker.entry().id().worker())
-                        .setBornMillis(trackedWorker.entry().id().bornMillis()))
+                        .setBornMillis(trackedWorker.entry().id().bornMillis())
+                        .setCause(cause))
                 .build());
     }
 
--- a/core/src/main/java/org/wasabimount/core/job/JobTable.java
+++ b/core/src/main/java/org/wasabimount/core/job/JobTable.java
@@ -1,6 +1,5 @@
 package org.wasabimount.core.job;
 
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -26,6 +25,7 @@
 import org.wasabimount.protocol.job.Queue;
 import org.wasabimount.protocol.job.QueueTable;
 import org.wasabimount.protocol.job.RunKey;
+import org.wasabimount.protocol.job.WorkerEndCause;
 import org.wasabimount.protocol.job.WorkerLife;
 import org.wasabimount.protocol.job.WorkerRecord;
 
@@ -91,11 +91,13 @@
         default void workerAnnounced(WorkerEntry worker) {}
 
         /**
-         * Called when an incarnation of a worker has ended.
+         * Called when an incarnation of a worker has ended, after its runs were released.
          *
          * @param incarnation the incarnation
+         * @param runs the runs that were placed on it
+         * @param cause why it has ended
          */
-        default void workerEnded(IncarnationId incarnation) {}
+        default void workerEnded(IncarnationId incarnation, List<RunId> runs, WorkerEndCause cause) {}
     }
 
     /**
@@ -416,10 +418,10 @@
         }
         boolean sameIncarnation = known != null && known.id().bornMillis() == incarnation.getBornMillis();
         if (known != null && !sameIncarnation) {
-            end(known);
+            end(known, WorkerEndCause.REPLACED);
         }
         // Two processes cannot listen at the same address, so a worker announced there earlier has ended.
-        otherWorkersAt(incarnation).toList().forEach(this::end);
+        otherWorkersAt(incarnation).toList().forEach(other -> end(other, WorkerEndCause.REPLACED));
         WorkerEntry entry = new WorkerEntry(incarnation, sameIncarnation ? known.offset() : 0);
         workers.put(incarnation.getWorker(), entry);
         observer.workerAnnounced(entry);
@@ -437,15 +439,20 @@
         if (worker == null || worker.id().bornMillis() != command.getBornMillis()) {
             return ResultCode.VERSION_CONFLICT;
         }
-        end(worker);
+        end(worker, command.getCause());
         return ResultCode.OK;
     }
 
-    private void end(WorkerEntry worker) {
-        new ArrayList<>(placedOn(worker.id())).forEach(id -> release(task(id).orElseThrow(), worker.id()));
+    private void end(WorkerEntry worker, WorkerEndCause cause) {
+        List<JobTask> tasks =
+                placedOn(worker.id()).stream().map(id -> task(id).orElseThrow()).toList();
+        tasks.forEach(task -> release(task, worker.id()));
         placed.remove(worker.id());
         workers.remove(worker.incarnation().getWorker());
-        observer.workerEnded(worker.id());
+        observer.workerEnded(
+                worker.id(),
+                tasks.stream().map(task -> new RunId(task.id(), task.run())).toList(),
+                cause);
     }
 
     private ResultCode forget(List<String> ids) {
--- a/daemon/src/main/java/org/wasabimount/daemon/job/JobLeader.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/job/JobLeader.java
@@ -266,6 +266,7 @@
                     settings, table(), SchedulingOrder.LATEST_START, term, clock.millis(), wallClock.millis());
             dispatcher.setJobEndListener(
                     job -> metrics.jobEnded(job.phase(), job.endedMillis() - job.acceptedMillis()));
+            dispatcher.setWorkerEndListener(metrics::workerEnded);
             dispatcher.setAdviceCallListener(monitor::adviceCallCompleted);
             dispatcher.setStatusListener(monitor::statusSampled);
             LOG.log(
--- a/daemon/src/main/java/org/wasabimount/daemon/metrics/NodeMetrics.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/metrics/NodeMetrics.java
@@ -1,6 +1,7 @@
 package org.wasabimount.daemon.metrics;
 
 import java.util.Arrays;
+import java.util.stream.Stream;
 
 import org.wasabimount.core.ResultCode;
 import org.wasabimount.core.dispatch.AdviceOutcome;
@@ -10,6 +11,7 @@
 import org.wasabimount.core.dispatch.WaitReason;
 import org.wasabimount.protocol.job.JobOperation;
 import org.wasabimount.protocol.job.JobPhase;
+import org.wasabimount.protocol.job.WorkerEndCause;
 
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.core.metrics.Gauge;
@@ -42,6 +44,11 @@
             .help("Jobs that ended while this node led, by how")
             .labelNames("phase")
             .register(registry());
+    private final Counter workerEnds = counter()
+            .name("wasabimount_worker_ends")
+            .help("Incarnations of workers that ended while this node led, by cause")
+            .labelNames("cause")
+            .register(registry());
     private final Histogram operations = latencyHistogram("operation", "Time from an operation's arrival to its answer")
             .labelNames("operation")
             .register(registry());
@@ -82,6 +89,9 @@
 
     /** Creates the metrics of a node that has not led yet. */
     public NodeMetrics() {
+        Stream.of(WorkerEndCause.REPLACED, WorkerEndCause.LEFT, WorkerEndCause.SILENT)
+                .map(WorkerEndCause::name)
+                .forEach(workerEnds::initLabelValues);
         Arrays.stream(AdviceOutcome.values()).map(AdviceOutcome::name).forEach(adviceCalls::initLabelValues);
         dispatchSampled(DispatchStatus.NONE);
     }
@@ -127,6 +137,15 @@
         orders.labelValues(order, outcome.name()).inc();
     }
 
+    /**
+     * Counts an incarnation of a worker that has ended.
+     *
+     * @param cause why it has ended
+     */
+    public void workerEnded(WorkerEndCause cause) {
+        workerEnds.labelValues(cause.name()).inc();
+    }
+
     /**
      * Records a command that was committed and applied.
      *
--- a/protocol/src/main/java/org/wasabimount/protocol/job/EndWorker.java
+++ b/protocol/src/main/java/org/wasabimount/protocol/job/EndWorker.java
@@ -94,6 +94,49 @@
     bornMillis_ = 0L;
   }
 
+  public static final int CAUSE_FIELD_NUMBER = 3;
+  private int cause_;
+  /**
+   * <code>.wasabimount.job.WorkerEndCause cause = 3;</code>
+   * @return The enum numeric value on the wire for cause.
+   */
+  @java.lang.Override
+  public int getCauseValue() {
+    return cause_;
+  }
+  /**
+   * <code>.wasabimount.job.WorkerEndCause cause = 3;</code>
+   * @return The cause.
+   */
+  @java.lang.Override
+  public org.wasabimount.protocol.job.WorkerEndCause getCause() {
+    org.wasabimount.protocol.job.WorkerEndCause result = org.wasabimount.protocol.job.WorkerEndCause.forNumber(cause_);
+    return result == null ? org.wasabimount.protocol.job.WorkerEndCause.UNRECOGNIZED : result;
+  }
+  /**
+   * <code>.wasabimount.job.WorkerEndCause cause = 3;</code>
+   * @param value The enum numeric value on the wire for cause to set.
+   */
+  private void setCauseValue(int value) {
+      cause_ = value;
+  }
+  /**
+   * <code>.wasabimount.job.WorkerEndCause cause = 3;</code>
+   * @param value The cause to set.
+   * @throws IllegalArgumentException if UNRECOGNIZED is provided.
+   */
+  private void setCause(org.wasabimount.protocol.job.WorkerEndCause value) {
+    cause_ = value.getNumber();
+
+  }
+  /**
+   * <code>.wasabimount.job.WorkerEndCause cause = 3;</code>
+   */
+  private void clearCause() {
+
+    cause_ = 0;
+  }
+
   public static org.wasabimount.protocol.job.EndWorker parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -272,6 +315,53 @@
       return this;
     }
 
+    /**
+     * <code>.wasabimount.job.WorkerEndCause cause = 3;</code>
+     * @return The enum numeric value on the wire for cause.
+     */
+    @java.lang.Override
+    public int getCauseValue() {
+      return instance.getCauseValue();
+    }
+    /**
+     * <code>.wasabimount.job.WorkerEndCause cause = 3;</code>
+     * @param value The cause to set.
+     * @throws IllegalArgumentException if UNRECOGNIZED is provided.
+     * @return This builder for chaining.
+     */
+    public Builder setCauseValue(int value) {
+      copyOnWrite();
+      instance.setCauseValue(value);
+      return this;
+    }
+    /**
+     * <code>.wasabimount.job.WorkerEndCause cause = 3;</code>
+     * @return The cause.
+     */
+    @java.lang.Override
+    public org.wasabimount.protocol.job.WorkerEndCause getCause() {
+      return instance.getCause();
+    }
+    /**
+     * <code>.wasabimount.job.WorkerEndCause cause = 3;</code>
+     * @param value The enum numeric value on the wire for cause to set.
+     * @return This builder for chaining.
+     */
+    public Builder setCause(org.wasabimount.protocol.job.WorkerEndCause value) {
+      copyOnWrite();
+      instance.setCause(value);
+      return this;
+    }
+    /**
+     * <code>.wasabimount.job.WorkerEndCause cause = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearCause() {
+      copyOnWrite();
+      instance.clearCause();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:wasabimount.job.EndWorker)
   }
   @java.lang.Override
@@ -290,10 +380,11 @@
           java.lang.Object[] objects = new java.lang.Object[] {
             "worker_",
             "bornMillis_",
+            "cause_",
           };
           java.lang.String info =
-              "\u0000\u0002\u0000\u0000\u0001\u0002\u0002\u0000\u0000\u0000\u0001\u0208\u0002\u0002" +
-              "";
+              "\u0000\u0003\u0000\u0000\u0001\u0003\u0003\u0000\u0000\u0000\u0001\u0208\u0002\u0002" +
+              "\u0003\f";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/protocol/src/main/java/org/wasabimount/protocol/job/EndWorkerOrBuilder.java
+++ b/protocol/src/main/java/org/wasabimount/protocol/job/EndWorkerOrBuilder.java
@@ -27,4 +27,15 @@
    * @return The bornMillis.
    */
   long getBornMillis();
+
+  /**
+   * <code>.wasabimount.job.WorkerEndCause cause = 3;</code>
+   * @return The enum numeric value on the wire for cause.
+   */
+  int getCauseValue();
+  /**
+   * <code>.wasabimount.job.WorkerEndCause cause = 3;</code>
+   * @return The cause.
+   */
+  org.wasabimount.protocol.job.WorkerEndCause getCause();
 }
--- a/protocol/src/main/java/org/wasabimount/protocol/job/JobSnapshot.java
+++ b/protocol/src/main/java/org/wasabimount/protocol/job/JobSnapshot.java
@@ -17,6 +17,7 @@
   private JobSnapshot() {
     workers_ = emptyProtobufList();
     jobs_ = emptyProtobufList();
+    silentWorkers_ = emptyProtobufList();
   }
   private int bitField0_;
   public static final int QUEUES_FIELD_NUMBER = 1;
@@ -254,6 +255,100 @@
     jobs_.remove(index);
   }
 
+  public static final int SILENT_WORKERS_FIELD_NUMBER = 4;
+  private com.google.protobuf.Internal.ProtobufList<org.wasabimount.protocol.job.SilentWorker> silentWorkers_;
+  /**
+   * <code>repeated .wasabimount.job.SilentWorker silent_workers = 4;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.wasabimount.protocol.job.SilentWorker> getSilentWorkersList() {
+    return silentWorkers_;
+  }
+  /**
+   * <code>repeated .wasabimount.job.SilentWorker silent_workers = 4;</code>
+   */
+  public java.util.List<? extends org.wasabimount.protocol.job.SilentWorkerOrBuilder> 
+      getSilentWorkersOrBuilderList() {
+    return silentWorkers_;
+  }
+  /**
+   * <code>repeated .wasabimount.job.SilentWorker silent_workers = 4;</code>
+   */
+  @java.lang.Override
+  public int getSilentWorkersCount() {
+    return silentWorkers_.size();
+  }
+  /**
+   * <code>repeated .wasabimount.job.SilentWorker silent_workers = 4;</code>
+   */
+  @java.lang.Override
+  public org.wasabimount.protocol.job.SilentWorker getSilentWorkers(int index) {
+    return silentWorkers_.get(index);
+  }
+  /**
+   * <code>repeated .wasabimount.job.SilentWorker silent_workers = 4;</code>
+   */
+  public org.wasabimount.protocol.job.SilentWorkerOrBuilder getSilentWorkersOrBuilder(
+      int index) {
+    return silentWorkers_.get(index);
+  }
+  private void ensureSilentWorkersIsMutable() {
+    com.google.protobuf.Internal.ProtobufList<org.wasabimount.protocol.job.SilentWorker> tmp = silentWorkers_;
+    if (!tmp.isModifiable()) {
+      silentWorkers_ =
+          com.google.protobuf.GeneratedMessageLite.mutableCopy(tmp);
+     }
+  }
+
+  /**
+   * <code>repeated .wasabimount.job.SilentWorker silent_workers = 4;</code>
+   */
+  private void setSilentWorkers(
+      int index, org.wasabimount.protocol.job.SilentWorker value) {
+    java.util.Objects.requireNonNull(value);
+    ensureSilentWorkersIsMutable();
+    silentWorkers_.set(index, value);
+  }
+  /**
+   * <code>repeated .wasabimount.job.SilentWorker silent_workers = 4;</code>
+   */
+  private void addSilentWorkers(org.wasabimount.protocol.job.SilentWorker value) {
+    java.util.Objects.requireNonNull(value);
+    ensureSilentWorkersIsMutable();
+    silentWorkers_.add(value);
+  }
+  /**
+   * <code>repeated .wasabimount.job.SilentWorker silent_workers = 4;</code>
+   */
+  private void addSilentWorkers(
+      int index, org.wasabimount.protocol.job.SilentWorker value) {
+    java.util.Objects.requireNonNull(value);
+    ensureSilentWorkersIsMutable();
+    silentWorkers_.add(index, value);
+  }
+  /**
+   * <code>repeated .wasabimount.job.SilentWorker silent_workers = 4;</code>
+   */
+  private void addAllSilentWorkers(
+      java.lang.Iterable<? extends org.wasabimount.protocol.job.SilentWorker> values) {
+    ensureSilentWorkersIsMutable();
+    com.google.protobuf.AbstractMessageLite.addAll(
+        values, silentWorkers_);
+  }
+  /**
+   * <code>repeated .wasabimount.job.SilentWorker silent_workers = 4;</code>
+   */
+  private void clearSilentWorkers() {
+    silentWorkers_ = emptyProtobufList();
+  }
+  /**
+   * <code>repeated .wasabimount.job.SilentWorker silent_workers = 4;</code>
+   */
+  private void removeSilentWorkers(int index) {
+    ensureSilentWorkersIsMutable();
+    silentWorkers_.remove(index);
+  }
+
   public static org.wasabimount.protocol.job.JobSnapshot parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -602,6 +697,108 @@
       return this;
     }
 
+    /**
+     * <code>repeated .wasabimount.job.SilentWorker silent_workers = 4;</code>
+     */
+    @java.lang.Override
+    public java.util.List<org.wasabimount.protocol.job.SilentWorker> getSilentWorkersList() {
+      return java.util.Collections.unmodifiableList(
+          instance.getSilentWorkersList());
+    }
+    /**
+     * <code>repeated .wasabimount.job.SilentWorker silent_workers = 4;</code>
+     */
+    @java.lang.Override
+    public int getSilentWorkersCount() {
+      return instance.getSilentWorkersCount();
+    }/**
+     * <code>repeated .wasabimount.job.SilentWorker silent_workers = 4;</code>
+     */
+    @java.lang.Override
+    public org.wasabimount.protocol.job.SilentWorker getSilentWorkers(int index) {
+      return instance.getSilentWorkers(index);
+    }
+    /**
+     * <code>repeated .wasabimount.job.SilentWorker silent_workers = 4;</code>
+     */
+    public Builder setSilentWorkers(
+        int index, org.wasabimount.protocol.job.SilentWorker value) {
+      copyOnWrite();
+      instance.setSilentWorkers(index, value);
+      return this;
+    }
+    /**
+     * <code>repeated .wasabimount.job.SilentWorker silent_workers = 4;</code>
+     */
+    public Builder setSilentWorkers(
+        int index, org.wasabimount.protocol.job.SilentWorker.Builder builderForValue) {
+      copyOnWrite();
+      instance.setSilentWorkers(index,
+          builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>repeated .wasabimount.job.SilentWorker silent_workers = 4;</code>
+     */
+    public Builder addSilentWorkers(org.wasabimount.protocol.job.SilentWorker value) {
+      copyOnWrite();
+      instance.addSilentWorkers(value);
+      return this;
+    }
+    /**
+     * <code>repeated .wasabimount.job.SilentWorker silent_workers = 4;</code>
+     */
+    public Builder addSilentWorkers(
+        int index, org.wasabimount.protocol.job.SilentWorker value) {
+      copyOnWrite();
+      instance.addSilentWorkers(index, value);
+      return this;
+    }
+    /**
+     * <code>repeated .wasabimount.job.SilentWorker silent_workers = 4;</code>
+     */
+    public Builder addSilentWorkers(
+        org.wasabimount.protocol.job.SilentWorker.Builder builderForValue) {
+      copyOnWrite();
+      instance.addSilentWorkers(builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>repeated .wasabimount.job.SilentWorker silent_workers = 4;</code>
+     */
+    public Builder addSilentWorkers(
+        int index, org.wasabimount.protocol.job.SilentWorker.Builder builderForValue) {
+      copyOnWrite();
+      instance.addSilentWorkers(index,
+          builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>repeated .wasabimount.job.SilentWorker silent_workers = 4;</code>
+     */
+    public Builder addAllSilentWorkers(
+        java.lang.Iterable<? extends org.wasabimount.protocol.job.SilentWorker> values) {
+      copyOnWrite();
+      instance.addAllSilentWorkers(values);
+      return this;
+    }
+    /**
+     * <code>repeated .wasabimount.job.SilentWorker silent_workers = 4;</code>
+     */
+    public Builder clearSilentWorkers() {
+      copyOnWrite();
+      instance.clearSilentWorkers();
+      return this;
+    }
+    /**
+     * <code>repeated .wasabimount.job.SilentWorker silent_workers = 4;</code>
+     */
+    public Builder removeSilentWorkers(int index) {
+      copyOnWrite();
+      instance.removeSilentWorkers(index);
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:wasabimount.job.JobSnapshot)
   }
   @java.lang.Override
@@ -624,10 +821,12 @@
             org.wasabimount.protocol.job.WorkerRecord.class,
             "jobs_",
             org.wasabimount.protocol.job.JobState.class,
+            "silentWorkers_",
+            org.wasabimount.protocol.job.SilentWorker.class,
           };
           java.lang.String info =
-              "\u0000\u0003\u0000\u0001\u0001\u0003\u0003\u0000\u0002\u0000\u0001\u1009\u0000\u0002" +
-              "\u001b\u0003\u001b";
+              "\u0000\u0004\u0000\u0001\u0001\u0004\u0004\u0000\u0003\u0000\u0001\u1009\u0000\u0002" +
+              "\u001b\u0003\u001b\u0004\u001b";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/protocol/src/main/java/org/wasabimount/protocol/job/JobSnapshotOrBuilder.java
+++ b/protocol/src/main/java/org/wasabimount/protocol/job/JobSnapshotOrBuilder.java
@@ -48,4 +48,18 @@
    * <code>repeated .wasabimount.job.JobState jobs = 3;</code>
    */
   int getJobsCount();
+
+  /**
+   * <code>repeated .wasabimount.job.SilentWorker silent_workers = 4;</code>
+   */
+  java.util.List<org.wasabimount.protocol.job.SilentWorker> 
+      getSilentWorkersList();
+  /**
+   * <code>repeated .wasabimount.job.SilentWorker silent_workers = 4;</code>
+   */
+  org.wasabimount.protocol.job.SilentWorker getSilentWorkers(int index);
+  /**
+   * <code>repeated .wasabimount.job.SilentWorker silent_workers = 4;</code>
+   */
+  int getSilentWorkersCount();
 }
--- a/protocol/src/main/java/org/wasabimount/protocol/job/LoseRuns.java
+++ b/protocol/src/main/java/org/wasabimount/protocol/job/LoseRuns.java
@@ -115,6 +115,49 @@
     runs_.remove(index);
   }
 
+  public static final int CAUSE_FIELD_NUMBER = 2;
+  private int cause_;
+  /**
+   * <code>.wasabimount.job.LossCause cause = 2;</code>
+   * @return The enum numeric value on the wire for cause.
+   */
+  @java.lang.Override
+  public int getCauseValue() {
+    return cause_;
+  }
+  /**
+   * <code>.wasabimount.job.LossCause cause = 2;</code>
+   * @return The cause.
+   */
+  @java.lang.Override
+  public org.wasabimount.protocol.job.LossCause getCause() {
+    org.wasabimount.protocol.job.LossCause result = org.wasabimount.protocol.job.LossCause.forNumber(cause_);
+    return result == null ? org.wasabimount.protocol.job.LossCause.UNRECOGNIZED : result;
+  }
+  /**
+   * <code>.wasabimount.job.LossCause cause = 2;</code>
+   * @param value The enum numeric value on the wire for cause to set.
+   */
+  private void setCauseValue(int value) {
+      cause_ = value;
+  }
+  /**
+   * <code>.wasabimount.job.LossCause cause = 2;</code>
+   * @param value The cause to set.
+   * @throws IllegalArgumentException if UNRECOGNIZED is provided.
+   */
+  private void setCause(org.wasabimount.protocol.job.LossCause value) {
+    cause_ = value.getNumber();
+
+  }
+  /**
+   * <code>.wasabimount.job.LossCause cause = 2;</code>
+   */
+  private void clearCause() {
+
+    cause_ = 0;
+  }
+
   public static org.wasabimount.protocol.job.LoseRuns parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -318,6 +361,53 @@
       return this;
     }
 
+    /**
+     * <code>.wasabimount.job.LossCause cause = 2;</code>
+     * @return The enum numeric value on the wire for cause.
+     */
+    @java.lang.Override
+    public int getCauseValue() {
+      return instance.getCauseValue();
+    }
+    /**
+     * <code>.wasabimount.job.LossCause cause = 2;</code>
+     * @param value The cause to set.
+     * @throws IllegalArgumentException if UNRECOGNIZED is provided.
+     * @return This builder for chaining.
+     */
+    public Builder setCauseValue(int value) {
+      copyOnWrite();
+      instance.setCauseValue(value);
+      return this;
+    }
+    /**
+     * <code>.wasabimount.job.LossCause cause = 2;</code>
+     * @return The cause.
+     */
+    @java.lang.Override
+    public org.wasabimount.protocol.job.LossCause getCause() {
+      return instance.getCause();
+    }
+    /**
+     * <code>.wasabimount.job.LossCause cause = 2;</code>
+     * @param value The enum numeric value on the wire for cause to set.
+     * @return This builder for chaining.
+     */
+    public Builder setCause(org.wasabimount.protocol.job.LossCause value) {
+      copyOnWrite();
+      instance.setCause(value);
+      return this;
+    }
+    /**
+     * <code>.wasabimount.job.LossCause cause = 2;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearCause() {
+      copyOnWrite();
+      instance.clearCause();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:wasabimount.job.LoseRuns)
   }
   @java.lang.Override
@@ -336,9 +426,11 @@
           java.lang.Object[] objects = new java.lang.Object[] {
             "runs_",
             org.wasabimount.protocol.job.RunKey.class,
+            "cause_",
           };
           java.lang.String info =
-              "\u0000\u0001\u0000\u0000\u0001\u0001\u0001\u0000\u0001\u0000\u0001\u001b";
+              "\u0000\u0002\u0000\u0000\u0001\u0002\u0002\u0000\u0001\u0000\u0001\u001b\u0002\f" +
+              "";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/protocol/src/main/java/org/wasabimount/protocol/job/LoseRunsOrBuilder.java
+++ b/protocol/src/main/java/org/wasabimount/protocol/job/LoseRunsOrBuilder.java
@@ -23,4 +23,15 @@
    * <code>repeated .wasabimount.job.RunKey runs = 1;</code>
    */
   int getRunsCount();
+
+  /**
+   * <code>.wasabimount.job.LossCause cause = 2;</code>
+   * @return The enum numeric value on the wire for cause.
+   */
+  int getCauseValue();
+  /**
+   * <code>.wasabimount.job.LossCause cause = 2;</code>
+   * @return The cause.
+   */
+  org.wasabimount.protocol.job.LossCause getCause();
 }
--- a/protocol/src/main/java/org/wasabimount/protocol/job/SeeWorker.java
+++ b/protocol/src/main/java/org/wasabimount/protocol/job/SeeWorker.java
@@ -64,6 +64,44 @@
     bitField0_ = (bitField0_ & ~0x00000001);
   }
 
+  public static final int SEQUENCE_FIELD_NUMBER = 2;
+  private long sequence_;
+  /**
+   * <pre>
+   * Number of the announcement; later ones have higher numbers.
+   * </pre>
+   *
+   * <code>int64 sequence = 2;</code>
+   * @return The sequence.
+   */
+  @java.lang.Override
+  public long getSequence() {
+    return sequence_;
+  }
+  /**
+   * <pre>
+   * Number of the announcement; later ones have higher numbers.
+   * </pre>
+   *
+   * <code>int64 sequence = 2;</code>
+   * @param value The sequence to set.
+   */
+  private void setSequence(long value) {
+    
+    sequence_ = value;
+  }
+  /**
+   * <pre>
+   * Number of the announcement; later ones have higher numbers.
+   * </pre>
+   *
+   * <code>int64 sequence = 2;</code>
+   */
+  private void clearSequence() {
+
+    sequence_ = 0L;
+  }
+
   public static org.wasabimount.protocol.job.SeeWorker parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -208,6 +246,46 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * Number of the announcement; later ones have higher numbers.
+     * </pre>
+     *
+     * <code>int64 sequence = 2;</code>
+     * @return The sequence.
+     */
+    @java.lang.Override
+    public long getSequence() {
+      return instance.getSequence();
+    }
+    /**
+     * <pre>
+     * Number of the announcement; later ones have higher numbers.
+     * </pre>
+     *
+     * <code>int64 sequence = 2;</code>
+     * @param value The sequence to set.
+     * @return This builder for chaining.
+     */
+    public Builder setSequence(long value) {
+      copyOnWrite();
+      instance.setSequence(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Number of the announcement; later ones have higher numbers.
+     * </pre>
+     *
+     * <code>int64 sequence = 2;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearSequence() {
+      copyOnWrite();
+      instance.clearSequence();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:wasabimount.job.SeeWorker)
   }
   @java.lang.Override
@@ -226,9 +304,11 @@
           java.lang.Object[] objects = new java.lang.Object[] {
             "bitField0_",
             "life_",
+            "sequence_",
           };
           java.lang.String info =
-              "\u0000\u0001\u0000\u0001\u0001\u0001\u0001\u0000\u0000\u0000\u0001\u1009\u0000";
+              "\u0000\u0002\u0000\u0001\u0001\u0002\u0002\u0000\u0000\u0000\u0001\u1009\u0000\u0002" +
+              "\u0002";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/protocol/src/main/java/org/wasabimount/protocol/job/SeeWorkerOrBuilder.java
+++ b/protocol/src/main/java/org/wasabimount/protocol/job/SeeWorkerOrBuilder.java
@@ -20,4 +20,14 @@
    * @return The life.
    */
   org.wasabimount.protocol.job.WorkerLife getLife();
+
+  /**
+   * <pre>
+   * Number of the announcement; later ones have higher numbers.
+   * </pre>
+   *
+   * <code>int64 sequence = 2;</code>
+   * @return The sequence.
+   */
+  long getSequence();
 }
--- a/protocol/src/main/java/org/wasabimount/protocol/job/TaskState.java
+++ b/protocol/src/main/java/org/wasabimount/protocol/job/TaskState.java
@@ -296,6 +296,82 @@
 
   }
 
+  public static final int CRASHES_FIELD_NUMBER = 8;
+  private int crashes_;
+  /**
+   * <pre>
+   * Lives of workers that crashed while a run of the task was placed there.
+   * </pre>
+   *
+   * <code>int32 crashes = 8;</code>
+   * @return The crashes.
+   */
+  @java.lang.Override
+  public int getCrashes() {
+    return crashes_;
+  }
+  /**
+   * <pre>
+   * Lives of workers that crashed while a run of the task was placed there.
+   * </pre>
+   *
+   * <code>int32 crashes = 8;</code>
+   * @param value The crashes to set.
+   */
+  private void setCrashes(int value) {
+    
+    crashes_ = value;
+  }
+  /**
+   * <pre>
+   * Lives of workers that crashed while a run of the task was placed there.
+   * </pre>
+   *
+   * <code>int32 crashes = 8;</code>
+   */
+  private void clearCrashes() {
+
+    crashes_ = 0;
+  }
+
+  public static final int LIMITED_STARTS_FIELD_NUMBER = 9;
+  private int limitedStarts_;
+  /**
+   * <pre>
+   * Starts since the crash from which on they are limited.
+   * </pre>
+   *
+   * <code>int32 limited_starts = 9;</code>
+   * @return The limitedStarts.
+   */
+  @java.lang.Override
+  public int getLimitedStarts() {
+    return limitedStarts_;
+  }
+  /**
+   * <pre>
+   * Starts since the crash from which on they are limited.
+   * </pre>
+   *
+   * <code>int32 limited_starts = 9;</code>
+   * @param value The limitedStarts to set.
+   */
+  private void setLimitedStarts(int value) {
+    
+    limitedStarts_ = value;
+  }
+  /**
+   * <pre>
+   * Starts since the crash from which on they are limited.
+   * </pre>
+   *
+   * <code>int32 limited_starts = 9;</code>
+   */
+  private void clearLimitedStarts() {
+
+    limitedStarts_ = 0;
+  }
+
   public static org.wasabimount.protocol.job.TaskState parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -682,6 +758,86 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * Lives of workers that crashed while a run of the task was placed there.
+     * </pre>
+     *
+     * <code>int32 crashes = 8;</code>
+     * @return The crashes.
+     */
+    @java.lang.Override
+    public int getCrashes() {
+      return instance.getCrashes();
+    }
+    /**
+     * <pre>
+     * Lives of workers that crashed while a run of the task was placed there.
+     * </pre>
+     *
+     * <code>int32 crashes = 8;</code>
+     * @param value The crashes to set.
+     * @return This builder for chaining.
+     */
+    public Builder setCrashes(int value) {
+      copyOnWrite();
+      instance.setCrashes(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Lives of workers that crashed while a run of the task was placed there.
+     * </pre>
+     *
+     * <code>int32 crashes = 8;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearCrashes() {
+      copyOnWrite();
+      instance.clearCrashes();
+      return this;
+    }
+
+    /**
+     * <pre>
+     * Starts since the crash from which on they are limited.
+     * </pre>
+     *
+     * <code>int32 limited_starts = 9;</code>
+     * @return The limitedStarts.
+     */
+    @java.lang.Override
+    public int getLimitedStarts() {
+      return instance.getLimitedStarts();
+    }
+    /**
+     * <pre>
+     * Starts since the crash from which on they are limited.
+     * </pre>
+     *
+     * <code>int32 limited_starts = 9;</code>
+     * @param value The limitedStarts to set.
+     * @return This builder for chaining.
+     */
+    public Builder setLimitedStarts(int value) {
+      copyOnWrite();
+      instance.setLimitedStarts(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Starts since the crash from which on they are limited.
+     * </pre>
+     *
+     * <code>int32 limited_starts = 9;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearLimitedStarts() {
+      copyOnWrite();
+      instance.clearLimitedStarts();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:wasabimount.job.TaskState)
   }
   @java.lang.Override
@@ -706,10 +862,12 @@
             "bornMillis_",
             "failures_",
             "saved_",
+            "crashes_",
+            "limitedStarts_",
           };
           java.lang.String info =
-              "\u0000\u0007\u0000\u0001\u0001\u0007\u0007\u0000\u0000\u0000\u0001\u1009\u0000\u0002" +
-              "\u0007\u0003\u0004\u0004\u0208\u0005\u0002\u0006\u0004\u0007\u0208";
+              "\u0000\t\u0000\u0001\u0001\t\t\u0000\u0000\u0000\u0001\u1009\u0000\u0002\u0007\u0003" +
+              "\u0004\u0004\u0208\u0005\u0002\u0006\u0004\u0007\u0208\b\u0004\t\u0004";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/protocol/src/main/java/org/wasabimount/protocol/job/TaskStateOrBuilder.java
+++ b/protocol/src/main/java/org/wasabimount/protocol/job/TaskStateOrBuilder.java
@@ -80,4 +80,24 @@
    */
   com.google.protobuf.ByteString
       getSavedBytes();
+
+  /**
+   * <pre>
+   * Lives of workers that crashed while a run of the task was placed there.
+   * </pre>
+   *
+   * <code>int32 crashes = 8;</code>
+   * @return The crashes.
+   */
+  int getCrashes();
+
+  /**
+   * <pre>
+   * Starts since the crash from which on they are limited.
+   * </pre>
+   *
+   * <code>int32 limited_starts = 9;</code>
+   * @return The limitedStarts.
+   */
+  int getLimitedStarts();
 }
--- a/protocol/src/main/java/org/wasabimount/protocol/job/WorkerRecord.java
+++ b/protocol/src/main/java/org/wasabimount/protocol/job/WorkerRecord.java
@@ -90,6 +90,32 @@
     offset_ = 0L;
   }
 
+  public static final int SEQUENCE_FIELD_NUMBER = 3;
+  private long sequence_;
+  /**
+   * <code>int64 sequence = 3;</code>
+   * @return The sequence.
+   */
+  @java.lang.Override
+  public long getSequence() {
+    return sequence_;
+  }
+  /**
+   * <code>int64 sequence = 3;</code>
+   * @param value The sequence to set.
+   */
+  private void setSequence(long value) {
+    
+    sequence_ = value;
+  }
+  /**
+   * <code>int64 sequence = 3;</code>
+   */
+  private void clearSequence() {
+
+    sequence_ = 0L;
+  }
+
   public static org.wasabimount.protocol.job.WorkerRecord parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -262,6 +288,34 @@
       return this;
     }
 
+    /**
+     * <code>int64 sequence = 3;</code>
+     * @return The sequence.
+     */
+    @java.lang.Override
+    public long getSequence() {
+      return instance.getSequence();
+    }
+    /**
+     * <code>int64 sequence = 3;</code>
+     * @param value The sequence to set.
+     * @return This builder for chaining.
+     */
+    public Builder setSequence(long value) {
+      copyOnWrite();
+      instance.setSequence(value);
+      return this;
+    }
+    /**
+     * <code>int64 sequence = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearSequence() {
+      copyOnWrite();
+      instance.clearSequence();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:wasabimount.job.WorkerRecord)
   }
   @java.lang.Override
@@ -281,10 +335,11 @@
             "bitField0_",
             "life_",
             "offset_",
+            "sequence_",
           };
           java.lang.String info =
-              "\u0000\u0002\u0000\u0001\u0001\u0002\u0002\u0000\u0000\u0000\u0001\u1009\u0000\u0002" +
-              "\u0002";
+              "\u0000\u0003\u0000\u0001\u0001\u0003\u0003\u0000\u0000\u0000\u0001\u1009\u0000\u0002" +
+              "\u0002\u0003\u0002";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/protocol/src/main/java/org/wasabimount/protocol/job/WorkerRecordOrBuilder.java
+++ b/protocol/src/main/java/org/wasabimount/protocol/job/WorkerRecordOrBuilder.java
@@ -26,4 +26,10 @@
    * @return The offset.
    */
   long getOffset();
+
+  /**
+   * <code>int64 sequence = 3;</code>
+   * @return The sequence.
+   */
+  long getSequence();
 }
