Failing tests: tasks that crash their workers, capacities that shrink

SimulatedCell crashes a worker under chosen tasks, has it return later under the same id or another, and checks at every start that such a task is started at most twice after three workers have crashed under it, and that a worker's load fits in its capacity, or in one that it had less than contact and one announcement ago.

--- a/core/src/test/java/org/wasabimount/core/dispatch/SimulatedCell.java
+++ b/core/src/test/java/org/wasabimount/core/dispatch/SimulatedCell.java
@@ -13,6 +13,7 @@
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
+import java.util.function.Predicate;
 import java.util.stream.IntStream;
 
 import org.wasabimount.core.ResultCode;
@@ -23,6 +24,7 @@
 import org.wasabimount.core.job.TaskId;
 import org.wasabimount.protocol.job.AcceptJob;
 import org.wasabimount.protocol.job.AdviceCost;
+import org.wasabimount.protocol.job.Announce;
 import org.wasabimount.protocol.job.CancelJob;
 import org.wasabimount.protocol.job.EndKind;
 import org.wasabimount.protocol.job.JobCommand;
@@ -49,6 +51,13 @@
     private static final long TICKET_MILLIS = 1_500;
     private static final int MAX_ADVICE_WORKERS = 100;
     private static final int PERCENT = 100;
+
+    /** Number of workers that may crash under a task before its further starts are counted, from the contract. */
+    private static final int CRASHES_BEFORE_LIMIT = 3;
+
+    /** Number of starts allowed after that. */
+    private static final int STARTS_BEYOND_LIMIT = 2;
+
     private static final long EPOCH_MILLIS = 1_700_000_000_000L;
 
     final Random random;
@@ -64,6 +73,28 @@
     final Set<String> slowJobs = new HashSet<>();
 
     final Map<String, Integer> starts = new HashMap<>();
+
+    /** Selects the tasks that crash every worker that starts them. */
+    Predicate<TaskId> crashingTasks = task -> false;
+
+    /** Time from the start of such a task to the crash of its worker. */
+    long crashDelayMillis = 50;
+
+    /** Time from a worker's crash to the start of its next incarnation. */
+    long returnMillis = 3_000;
+
+    /** Whether a worker that has crashed returns under the id that it had. */
+    boolean returnsUnderSameId = true;
+
+    /** Number of workers that have crashed under a task. */
+    int crashes;
+
+    /** Largest number of workers that were down at the same time because they had crashed under a task. */
+    int mostDown;
+
+    /** Share of the announcements that arrive after later ones. */
+    double delayedAnnouncementShare;
+
     JobTable table = new JobTable();
     Dispatcher dispatcher;
     double delayedOrderShare;
@@ -91,6 +122,9 @@
     private final Set<TaskId> acknowledgedDone = new HashSet<>();
     private final Map<TaskId, Integer> acknowledgedFailures = new HashMap<>();
     private final Map<String, Long> cancelled = new HashMap<>();
+    private final Map<TaskId, Integer> crashesByTask = new HashMap<>();
+    private final Map<TaskId, Integer> startsBeyondLimit = new HashMap<>();
+    private int down;
     private long nextEvent;
     private long nowMillis = 1_000;
     private long term = 1;
@@ -190,16 +224,50 @@
             if (worker.crashed) {
                 return;
             }
-            if (!disconnectedAddresses.contains(worker.address) && !leaderSuspended) {
-                dispatcher.at(nowMillis);
-                dispatcher
-                        .announcementReceived(worker.announcement())
-                        .ifPresent(workerUpdate -> execute(new DispatchAction.Propose(workerUpdate)));
+            if (!disconnectedAddresses.contains(worker.address)) {
+                Announce announcement = worker.announcement();
+                boolean delayed = delayedAnnouncementShare > 0 && random.nextDouble() < delayedAnnouncementShare;
+                if (delayed) {
+                    after(ANNOUNCE_MILLIS + random.nextInt(2_000), () -> deliver(announcement));
+                } else {
+                    deliver(announcement);
+                }
             }
             announceLater(worker, ANNOUNCE_MILLIS);
         });
     }
 
+    private void deliver(Announce announcement) {
+        if (!leaderSuspended) {
+            dispatcher.at(nowMillis);
+            dispatcher
+                    .announcementReceived(announcement)
+                    .ifPresent(workerUpdate -> execute(new DispatchAction.Propose(workerUpdate)));
+        }
+    }
+
+    /** Crashes a worker under a task; it returns later as another incarnation. */
+    void crash(SimulatedWorker worker) {
+        if (worker.crashed) {
+            return;
+        }
+        worker.kill();
+        crashes++;
+        down++;
+        mostDown = Math.max(mostDown, down);
+        worker.activeRuns.keySet().stream()
+                .map(RunId::task)
+                .filter(crashingTasks)
+                .forEach(task -> crashesByTask.merge(task, 1, Integer::sum));
+        List.copyOf(worker.activeRuns.keySet()).forEach(run -> runEnded(run, EndKind.BROKEN));
+        after(returnMillis, () -> {
+            down--;
+            if (byAddress.get(worker.address) == worker) {
+                worker(returnsUnderSameId ? worker.id : worker.id + "-" + nowMillis, worker.address, worker.capacity);
+            }
+        });
+    }
+
     JobSpec job(String id, int count, Capacity size, boolean gang) {
         return JobSpec.newBuilder()
                 .setId(id)
@@ -532,7 +600,10 @@
                 .filter(other -> other.task().equals(task))
                 .count();
         check(others == 1, "task " + task + " runs " + others + " times");
-        check(worker.used().fitsIn(worker.capacity), "worker " + worker.id + " exceeds its capacity with " + run);
+        check(worker.mayHold(worker.used()), "worker " + worker.id + " exceeds its capacity with " + run);
+        if (crashingTasks.test(task)) {
+            startedCrashingTask(run, worker);
+        }
         check(!acknowledgedDone.contains(task), "task " + task + " starts although it has completed");
         check(
                 job.unblocked(task.occurrence(), task.step()),
@@ -544,6 +615,19 @@
         check(delayed || !cancelled.containsKey(task.job()), "task " + task + " starts although its job is cancelled");
     }
 
+    private void startedCrashingTask(RunId run, SimulatedWorker worker) {
+        TaskId task = run.task();
+        if (crashesByTask.getOrDefault(task, 0) >= CRASHES_BEFORE_LIMIT) {
+            int starts = startsBeyondLimit.merge(task, 1, Integer::sum);
+            check(starts <= STARTS_BEYOND_LIMIT, "task " + task + " starts again after it has crashed its workers");
+        }
+        after(crashDelayMillis, () -> {
+            if (worker.activeRuns.containsKey(run)) {
+                crash(worker);
+            }
+        });
+    }
+
     /** Called by a worker when the leader acknowledges the end of a run. */
     void endAcknowledged(LeaseRenewalResult.RunEnd end, SimulatedWorker worker) {
         if (end.kind() == EndKind.DONE) {
--- a/core/src/test/java/org/wasabimount/core/dispatch/SimulatedWorker.java
+++ b/core/src/test/java/org/wasabimount/core/dispatch/SimulatedWorker.java
@@ -21,16 +21,20 @@
 
     private static final long STOP_MILLIS = 150;
 
+    /** How long a capacity may still be used after it has shrunk, from the contract: contact and one announcement. */
+    private static final long SHRUNK_CAPACITY_MILLIS = 3_000 + 1_500;
+
     final String id;
     final long bornMillis;
     final String address;
-    final Capacity capacity;
+    Capacity capacity;
     final double clockRate;
     final Map<RunId, ActiveRun> activeRuns = new LinkedHashMap<>();
     /** Number of ends that a list contains at most. */
     private static final int MAX_LISTED_ENDS = 500;
 
     final List<LeaseRenewalResult.RunEnd> ended = new ArrayList<>();
+    private final List<EarlierCapacity> earlierCapacities = new ArrayList<>();
     private final Map<TaskId, Integer> highestEndedRun = new HashMap<>();
     private final SimulatedCell cell;
     private final long startedMillis;
@@ -47,6 +51,8 @@
     /** Factor by which tasks that start here take longer than on other workers. */
     double slowdownFactor = 1;
 
+    private record EarlierCapacity(Capacity capacity, long untilMillis) {}
+
     /** The state of an active run. */
     static final class ActiveRun {
         long workStartedMillis;
@@ -66,6 +72,19 @@
         this.startedMillis = cell.nowMillis();
     }
 
+    /** Changes the capacity; the next announcement tells the leader. */
+    void resize(Capacity changed) {
+        earlierCapacities.add(new EarlierCapacity(capacity, cell.nowMillis() + SHRUNK_CAPACITY_MILLIS));
+        capacity = changed;
+    }
+
+    /** Returns whether a load fits in the capacity, or in one that has changed too recently to be known. */
+    boolean mayHold(Capacity load) {
+        return load.fitsIn(capacity)
+                || earlierCapacities.stream()
+                        .anyMatch(earlier -> cell.nowMillis() < earlier.untilMillis && load.fitsIn(earlier.capacity));
+    }
+
     void kill() {
         crashed = true;
     }
