--- a/core/src/main/java/org/wasabimount/core/dispatch/AdvicePlan.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/AdvicePlan.java
@@ -103,8 +103,7 @@
                 eligible.stream().mapToLong(room -> room.slots(ready.size())).sum();
         double slotsPerWorker = eligible.isEmpty() ? 1 : Math.max(1, (double) known / eligible.size());
         double slotsPerName = slotsPerWorker * stepAdvice.eligibleShare();
-        double missing =
-                GANG_SLOTS_PER_TASK * ready.step().getCount() - known - slotsPerName * stepAdvice.queriedUnknown();
+        double missing = GANG_SLOTS_PER_TASK * ready.tasksAtOnce() - known - slotsPerName * stepAdvice.queriedUnknown();
         return (int) Math.ceil(missing / slotsPerName);
     }
 
@@ -135,7 +134,7 @@
                 postponed.add(step);
                 continue;
             }
-            List<WorkerRoom> named = ready.gang()
+            List<WorkerRoom> named = ready.reservesRoom()
                     ? gangCall(step, suitable.apply(ready), pool, nowMillis)
                     : taskCall(step, suitable.apply(ready), pool, nowMillis);
             if (named.isEmpty()) {
@@ -146,7 +145,7 @@
             advice.requestAdvice(step.id(), incarnations, callMillis(ready, named.size()), nowMillis)
                     .ifPresent(call -> {
                         actions.accept(call);
-                        if (ready.gang()) {
+                        if (ready.reservesRoom()) {
                             // Considered again in case one call is not enough.
                             steps.add(step);
                         }
--- a/core/src/main/java/org/wasabimount/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/Dispatcher.java
@@ -194,7 +194,10 @@
                 .orElse(true);
         return unrecorded && !workers.mustReconcileEarlierIncarnation(announcement.getLife())
                 ? Optional.of(JobCommand.newBuilder()
-                        .setSeeWorker(SeeWorker.newBuilder().setLife(announcement.getLife()))
+                        .setSeeWorker(SeeWorker.newBuilder()
+                                .setLife(announcement.getLife())
+                                .setSequence(announcement.getSequence())
+                                .setOthersSilent(workers.othersSilentWithEarlier(announcement.getLife())))
                         .build())
                 : Optional.empty();
     }
@@ -349,7 +352,7 @@
         examined.add(ExaminedCounts.Part.READY, 1);
         JobPlan plan = plans.get(step.id().job());
         scheduledSteps.remove(step);
-        if (plan == null || step.waiting().isEmpty() || !plan.unblocked(step)) {
+        if (plan == null || plan.waiting(step).isEmpty() || !plan.unblocked(step)) {
             placement.remove(step.id());
         } else if (wallMillis < plan.job().dueMillis(step.id().occurrence())) {
             scheduledSteps.add(step);
@@ -365,7 +368,13 @@
         Queue accepted = plan.job().queue();
         Queue queue = queuesByName.getOrDefault(accepted.getName(), accepted);
         return new ReadyStep(
-                plan.job(), queue, step.id(), step.waiting(), latestStartMillis, nowMillis > latestStartMillis);
+                plan.job(),
+                queue,
+                step.id(),
+                plan.waiting(step),
+                latestStartMillis,
+                nowMillis > latestStartMillis,
+                plan.isolated(step));
     }
 
     private void plan(Job job, long arrivedMillis) {
@@ -383,7 +392,7 @@
             change.accept(step, table.task(id).orElseThrow());
             workAhead.update(plan);
             changedSteps.add(step);
-            if (step.finished()) {
+            if (plan.recordSuspects(step) || step.finished()) {
                 changedSteps.addAll(plan.steps());
             }
         }
@@ -426,6 +435,11 @@
         update(task, OpenStep::completed);
     }
 
+    @Override
+    public void suspicionChanged(TaskId task) {
+        update(task, OpenStep::suspicionChanged);
+    }
+
     private void proposed(TaskId task) {
         update(task, OpenStep::proposed);
     }
--- a/core/src/main/java/org/wasabimount/core/dispatch/GangReservations.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/GangReservations.java
@@ -65,7 +65,7 @@
     }
 
     static double requiredCpuMillis(ReadyStep gang) {
-        return (double) gang.size().cpuMillis() * gang.step().getCount();
+        return (double) gang.size().cpuMillis() * gang.tasksAtOnce();
     }
 
     /**
@@ -82,9 +82,8 @@
             Collection<WorkerRoom> candidates,
             ToLongBiFunction<WorkerRoom, Long> startsInMillis,
             long nowMillis) {
-        Capacity size = gang.ready().size();
         Map<WorkerRoom, Integer> reserved = targets.getOrDefault(gang, new LinkedHashMap<>());
-        int missing = gang.ready().step().getCount()
+        int missing = gang.ready().tasksAtOnce()
                 - reserved.values().stream().mapToInt(Integer::intValue).sum();
         Map<WorkerRoom, Integer> added = new LinkedHashMap<>();
         PriorityQueue<Offer> earliestFirst = new PriorityQueue<>(
@@ -107,7 +106,7 @@
         }
         added.forEach((room, tasks) -> {
             reserved.merge(room, tasks, Integer::sum);
-            room.reserve(gang, size.times(tasks));
+            room.reserve(gang, reserved.get(room));
             changed.accept(room);
         });
         return true;
@@ -122,11 +121,14 @@
             long nowMillis) {
         examined.add(ExaminedCounts.Part.ROUND, 1);
         int tasks = added.getOrDefault(room, 0) + 1;
+        int tasksThere = reserved.getOrDefault(room, 0) + tasks;
         int limit = gang.ready().step().getMaxPerWorker();
-        Capacity size = gang.ready().size().times(tasks);
-        boolean possible = (limit == 0 || reserved.getOrDefault(room, 0) + tasks <= limit)
-                && size.fitsIn(room.worker().entry().capacity());
-        long fitsInMillis = possible ? room.millisUntilFits(size, nowMillis) : Long.MAX_VALUE;
+        boolean possible = (limit == 0 || tasksThere <= limit)
+                && gang.ready()
+                        .size()
+                        .times(tasksThere)
+                        .fitsIn(room.worker().entry().capacity());
+        long fitsInMillis = possible ? room.millisUntilFits(gang, tasksThere, nowMillis) : Long.MAX_VALUE;
         return fitsInMillis == Long.MAX_VALUE
                 ? Optional.empty()
                 : Optional.of(new Offer(room, tasks, startsInMillis.applyAsLong(room, fitsInMillis)));
@@ -158,7 +160,8 @@
         long fits = limit == 0
                 ? size.timesIn(room.free())
                 : Math.min(limit - reserved.getOrDefault(room, 0), size.timesIn(room.free()));
-        if (fits <= 0) {
+        boolean shareable = !gang.ready().isolated() || room.idle();
+        if (fits <= 0 || !shareable) {
             return false;
         }
         examined.add(ExaminedCounts.Part.ROUND, reserved.size());
@@ -185,11 +188,10 @@
 
     private void move(WaitingStep gang, WorkerRoom from, WorkerRoom to, int tasks) {
         Map<WorkerRoom, Integer> reserved = targets.get(gang);
-        Capacity size = gang.ready().size().times(tasks);
         reserved.computeIfPresent(from, (room, held) -> held == tasks ? null : held - tasks);
         reserved.merge(to, tasks, Integer::sum);
-        from.release(gang, size);
-        to.reserve(gang, size);
+        from.reserve(gang, reserved.getOrDefault(from, 0));
+        to.reserve(gang, reserved.get(to));
         changed.accept(from);
         changed.accept(to);
     }
@@ -198,7 +200,7 @@
     void release(WaitingStep gang, WorkerRoom room) {
         Integer tasks = targets.getOrDefault(gang, new HashMap<>()).remove(room);
         if (tasks != null) {
-            room.release(gang, gang.ready().size().times(tasks));
+            room.release(gang);
             changed.accept(room);
         }
     }
@@ -209,7 +211,7 @@
         if (reserved == null) {
             return Set.of();
         }
-        reserved.forEach((room, tasks) -> room.release(gang, gang.ready().size().times(tasks)));
+        reserved.keySet().forEach(room -> room.release(gang));
         addReservedCpuMillis(gang, -requiredCpuMillis(gang.ready()));
         return reserved.keySet();
     }
--- a/core/src/main/java/org/wasabimount/core/dispatch/JobPlan.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/JobPlan.java
@@ -1,9 +1,12 @@
 package org.wasabimount.core.dispatch;
 
+import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.stream.IntStream;
 
 import org.wasabimount.core.job.Job;
+import org.wasabimount.core.job.JobTask;
 import org.wasabimount.core.job.StepId;
 import org.wasabimount.protocol.job.JobSpec;
 import org.wasabimount.protocol.job.Queue;
@@ -18,6 +21,7 @@
     private final Job job;
     private final List<OpenStep> steps;
     private final long[] criticalPathMillis;
+    private final Set<OpenStep> suspectSteps = new LinkedHashSet<>();
     private final long arrivedMillis;
     private final long objectiveMillis;
 
@@ -27,6 +31,7 @@
                 .flatMap(occurrence -> IntStream.range(0, job.spec().getStepsCount())
                         .mapToObj(step -> new OpenStep(job, new StepId(job.id(), occurrence, step))))
                 .toList();
+        this.steps.forEach(this::recordSuspects);
         this.arrivedMillis = arrivedMillis;
         this.criticalPathMillis = criticalPathsMillis(job.spec(), job.queue());
         this.objectiveMillis = objectiveMillis(job.spec(), job.queue());
@@ -45,6 +50,27 @@
         return steps.get(occurrence * job.spec().getStepsCount() + step);
     }
 
+    /** Takes over whether a step has suspects; returns true if that has changed. */
+    boolean recordSuspects(OpenStep step) {
+        return step.hasSuspects() ? suspectSteps.add(step) : suspectSteps.remove(step);
+    }
+
+    /** Returns whether the tasks of a step that may be placed must run on workers of their own. */
+    boolean isolated(OpenStep step) {
+        return suspectSteps.contains(step);
+    }
+
+    /**
+     * Returns the tasks of a step that may be placed. While workers are suspected to crash under tasks of the job, these
+     * run first, one step at a time: the job cannot complete without them.
+     */
+    List<JobTask> waiting(OpenStep step) {
+        if (suspectSteps.isEmpty()) {
+            return step.waiting();
+        }
+        return suspectSteps.iterator().next() == step ? step.waitingAlone() : List.of();
+    }
+
     /** Returns whether every step that a step depends on is done. */
     boolean unblocked(OpenStep step) {
         return step.step().getAfterList().stream()
--- a/core/src/main/java/org/wasabimount/core/dispatch/OpenStep.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/OpenStep.java
@@ -3,6 +3,7 @@
 import java.util.BitSet;
 import java.util.List;
 
+import org.wasabimount.core.job.CrashLimit;
 import org.wasabimount.core.job.Job;
 import org.wasabimount.core.job.JobTask;
 import org.wasabimount.core.job.StepId;
@@ -21,6 +22,9 @@
     /** The tasks for which a placement is being committed. */
     private final BitSet proposed = new BitSet();
 
+    /** The tasks that are not done and may run only on workers of their own. */
+    private final BitSet suspects = new BitSet();
+
     private int unfinished;
     private List<JobTask> waiting;
 
@@ -56,6 +60,26 @@
         return waiting;
     }
 
+    /** Returns whether any task may run only on workers of its own. */
+    boolean hasSuspects() {
+        return !suspects.isEmpty();
+    }
+
+    /**
+     * Returns the tasks that may be placed while the step has suspects: all tasks of a gang, otherwise one suspect at a
+     * time, so that no more than one worker can crash under them.
+     */
+    List<JobTask> waitingAlone() {
+        if (step.getGang()) {
+            return waiting();
+        }
+        BitSet indexes = (BitSet) suspects.clone();
+        indexes.and(unplaced);
+        indexes.andNot(proposed);
+        boolean noneStarted = indexes.cardinality() == suspects.cardinality();
+        return noneStarted ? indexes.stream().limit(1).mapToObj(tasks::get).toList() : List.of();
+    }
+
     /** Returns the work of the tasks that are not placed, in thousandths of a core times milliseconds. */
     long unplacedWork() {
         return unplaced.cardinality() * step.getSize().getCpuMillis() * step.getEstimateMillis();
@@ -73,6 +97,11 @@
         refresh(task);
     }
 
+    /** Records that the suspicions against a task have changed. */
+    void suspicionChanged(JobTask task) {
+        refresh(task);
+    }
+
     /** Records that a task is done. */
     void completed(JobTask task) {
         unfinished--;
@@ -81,6 +110,7 @@
 
     private void refresh(JobTask task) {
         unplaced.set(task.id().index(), task.awaitsPlacement());
+        suspects.set(task.id().index(), !task.done() && task.suspicions() >= CrashLimit.ISOLATION);
         waiting = null;
     }
 }
--- a/core/src/main/java/org/wasabimount/core/dispatch/Placer.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/Placer.java
@@ -45,18 +45,26 @@
         Comparator<WorkerRoom> bestFit = Comparator.<WorkerRoom, Boolean>comparing(
                         room -> !nearData(step, room.worker()))
                 .thenComparing(room -> !size.fitsIn(room.free()))
+                .thenComparing(room -> room.worker().hasSuspects())
                 .thenComparing(room -> placeTogether
                         && !domains.isEmpty()
                         && !domains.contains(room.worker().domain()))
                 .thenComparingDouble(room ->
                         free.get(room).dominantShare(room.worker().entry().capacity()))
                 .thenComparingInt(WorkerRoom::number);
+        String job = step.id().job();
+        // Suspects of one job share a worker, so that no more than one crashes, and keep away from those of other jobs.
+        Comparator<WorkerRoom> bestForSuspect = Comparator.<WorkerRoom, Boolean>comparing(
+                        room -> !room.worker().hasSuspectsOf(job))
+                .thenComparing(room -> room.worker().hasSuspects())
+                .thenComparing(bestFit);
         for (JobTask task : step.waiting()) {
+            Comparator<WorkerRoom> order = task.suspicions() > 0 ? bestForSuspect : bestFit;
             examined.add(ExaminedCounts.Part.ROUND, candidates.size());
             WorkerRoom best = null;
             for (WorkerRoom room : candidates) {
                 boolean possible = size.fitsIn(free.get(room)) && belowLimit(step, counts, room);
-                if (possible && (best == null || bestFit.compare(room, best) < 0)) {
+                if (possible && (best == null || order.compare(room, best) < 0)) {
                     best = room;
                 }
             }
--- a/core/src/main/java/org/wasabimount/core/dispatch/ReadyStep.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/ReadyStep.java
@@ -19,8 +19,16 @@
  * @param waiting the waiting tasks, which may be placed
  * @param latestStartMillis the monotonic time after which the job is late
  * @param late true if the latest start time has passed
+ * @param isolated true if the tasks must run on workers of their own, because workers have crashed under them
  */
-record ReadyStep(Job job, Queue queue, StepId id, List<JobTask> waiting, long latestStartMillis, boolean late) {
+record ReadyStep(
+        Job job,
+        Queue queue,
+        StepId id,
+        List<JobTask> waiting,
+        long latestStartMillis,
+        boolean late,
+        boolean isolated) {
 
     /** Time before its latest start from which an urgent task may use reserved room, in milliseconds. */
     private static final long MAX_SLACK_MILLIS = 450;
@@ -46,24 +54,39 @@
         return step().getGang();
     }
 
+    /** Returns whether room is reserved for the tasks until they can all start. */
+    boolean reservesRoom() {
+        return gang() || isolated;
+    }
+
+    /** Returns the number of tasks that have to start together. */
+    int tasksAtOnce() {
+        return gang() ? step().getCount() : waiting.size();
+    }
+
     /**
      * Returns whether the step's tasks may use room that is reserved for gangs: they are urgent, and will be late unless
      * they start soon.
      */
     boolean mayUseReservedRoom(long nowMillis) {
-        boolean urgentTasks = urgent() && !step().getLongRunning();
+        boolean urgentTasks = urgent() && !step().getLongRunning() && !isolated;
         return urgentTasks && !late && latestStartMillis - nowMillis < MAX_SLACK_MILLIS;
     }
 
     /** Returns the same step after its latest start time has passed. */
     ReadyStep nowLate() {
-        return new ReadyStep(job, queue, id, waiting, latestStartMillis, true);
+        return new ReadyStep(job, queue, id, waiting, latestStartMillis, true, isolated);
     }
 
     /** Returns the same step without tasks that no longer wait. */
     ReadyStep without(Collection<JobTask> tasks) {
         List<JobTask> remaining =
                 waiting.stream().filter(task -> !tasks.contains(task)).toList();
-        return new ReadyStep(job, queue, id, remaining, latestStartMillis, late);
+        return new ReadyStep(job, queue, id, remaining, latestStartMillis, late, isolated);
+    }
+
+    /** Returns the same step with tasks that may share their workers with others. */
+    ReadyStep shared() {
+        return new ReadyStep(job, queue, id, waiting, latestStartMillis, late, false);
     }
 }
--- /dev/null
+++ b/core/src/main/java/org/wasabimount/core/dispatch/SilenceLog.java
@@ -0,0 +1,66 @@
+package org.wasabimount.core.dispatch;
+
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+import org.wasabimount.core.job.IncarnationId;
+import org.wasabimount.protocol.job.WorkerLife;
+
+/**
+ * The workers that have recently fallen silent, with the jobs whose runs were on them.
+ *
+ * <p>A task crashes only its own worker. Workers without a common job that fall silent together have another cause, such
+ * as a rack without power or a cut network, and say nothing about the tasks on them.
+ */
+final class SilenceLog {
+
+    /** Time between two silences with one cause, in milliseconds: the longest time for which a list is awaited. */
+    private static final long TOGETHER_MILLIS = 1_500;
+
+    /** How long a silence is remembered, in milliseconds; workers that stay away longer are rarely replaced. */
+    private static final long REMEMBERED_MILLIS = 60_000;
+
+    private final Map<IncarnationId, Silence> silences = new LinkedHashMap<>();
+
+    private record Silence(WorkerLife life, long atMillis, Set<String> jobs, boolean isolated) {}
+
+    void record(TrackedWorker worker, long nowMillis) {
+        silences.values().removeIf(silence -> nowMillis - silence.atMillis > REMEMBERED_MILLIS);
+        Set<String> jobs =
+                worker.runs().stream().map(run -> run.id().task().job()).collect(Collectors.toCollection(HashSet::new));
+        silences.put(
+                worker.entry().id(), new Silence(worker.entry().incarnation(), nowMillis, jobs, worker.isolated()));
+    }
+
+    /** Forgets the silence of a worker that responds again. */
+    void remove(IncarnationId incarnation) {
+        silences.remove(incarnation);
+    }
+
+    /**
+     * Returns whether a worker without a common job fell silent together with an incarnation, or may have: an earlier
+     * leader did not pass on what it saw. Workers of isolated tasks do not count; they are expected to crash.
+     */
+    boolean othersSilentWith(IncarnationId incarnation) {
+        Silence own = silences.get(incarnation);
+        return own == null
+                || silences.values().stream()
+                        .anyMatch(other -> Math.abs(other.atMillis - own.atMillis) <= TOGETHER_MILLIS
+                                && !other.isolated
+                                && other.jobs.stream().noneMatch(own.jobs::contains));
+    }
+
+    /** As {@link #othersSilentWith}, for the incarnations that a later one replaces. */
+    boolean othersSilentWithEarlier(WorkerLife later) {
+        Set<IncarnationId> earlier = silences.values().stream()
+                .map(Silence::life)
+                .filter(life -> life.getWorker().equals(later.getWorker())
+                        || life.getAddress().equals(later.getAddress()))
+                .map(IncarnationId::of)
+                .collect(Collectors.toSet());
+        return earlier.isEmpty() || earlier.stream().anyMatch(this::othersSilentWith);
+    }
+}
--- a/core/src/main/java/org/wasabimount/core/dispatch/StepPlacement.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/StepPlacement.java
@@ -80,6 +80,18 @@
     /** Number of gangs that may have a reservation whatever they need. */
     private static final int FIRST_RESERVATIONS = 2;
 
+    /** Share of a pool's workers that may be set aside for tasks that run alone. */
+    private static final double MAX_ISOLATED_SHARE = 0.125;
+
+    /** Share of a pool's workers that one gang may have to itself, if nothing else runs alone. */
+    private static final double MAX_ISOLATED_GANG_SHARE = 0.5;
+
+    /**
+     * How long tasks wait for a worker of their own before they share one, in milliseconds: about as long as most tasks
+     * take, so that one worker has become free unless many wait for it.
+     */
+    private static final long ISOLATION_PATIENCE_MILLIS = 2_000;
+
     /** Number of gangs, in scheduling order, for which calls may look for eligible workers. */
     private static final int MAX_ASKING_GANGS = 60;
 
@@ -143,11 +155,13 @@
     }
 
     /** Records that a step is ready and has waiting tasks, or that its waiting tasks or its queue have changed. */
-    void ready(ReadyStep ready) {
-        WaitingStep step = steps.computeIfAbsent(ready.id(), absent -> new WaitingStep(ready));
+    void ready(ReadyStep newer) {
+        WaitingStep step = steps.computeIfAbsent(newer.id(), absent -> new WaitingStep(newer));
+        ReadyStep ready = step.placeable(newer, nowMillis);
         boolean samePlace = step.listed()
                 && step.ready().queue().equals(ready.queue())
                 && step.ready().late() == ready.late()
+                && step.ready().isolated() == ready.isolated()
                 && step.ready().latestStartMillis() == ready.latestStartMillis();
         boolean moreTasks = ready.waiting().size() > step.ready().waiting().size();
         if (samePlace) {
@@ -191,7 +205,7 @@
     private void index(WaitingStep step) {
         ReadyStep ready = step.ready();
         waiting.add(step);
-        if (ready.gang()) {
+        if (ready.reservesRoom()) {
             gangs.add(step);
         }
         if (ready.requiresAdvice()) {
@@ -385,7 +399,7 @@
             if (!usable) {
                 continue;
             }
-            if (ready.gang()) {
+            if (ready.reservesRoom()) {
                 if (reservations.contains(step)
                         && reservations.improve(step, room, startsInMillis(ready, room, 0L), nowMillis)) {
                     woken.add(step);
@@ -408,7 +422,7 @@
                 .limit(MAX_OTHER_OFFERS)
                 .peek(step -> examined.add(ExaminedCounts.Part.ROUND, 1))
                 .filter(step -> step.ready().requiresAdvice()
-                        && !step.ready().gang()
+                        && !step.ready().reservesRoom()
                         && step.ready().size().fitsIn(rest)
                         && step.ready().queue().getPool().equals(room.pool())
                         && !advice.of(step.id()).callInProgress()
@@ -423,11 +437,26 @@
             return;
         }
         examined.add(ExaminedCounts.Part.ROUND, 1);
-        if (ready.gang()) {
+        if (ready.reservesRoom()) {
             considerGang(step);
         } else {
             considerTasks(step);
         }
+        if (step.listed()
+                && step.ready().isolated()
+                && missingTasks(step) > 0
+                && step.isolatedMillis(nowMillis) >= ISOLATION_PATIENCE_MILLIS) {
+            share(step);
+        }
+    }
+
+    /** Lets the tasks of a step share their workers with others, because there are none that they could have alone. */
+    private void share(WaitingStep step) {
+        delist(step);
+        step.share();
+        step.ready(step.ready().shared());
+        enlist(step);
+        woken.add(step);
     }
 
     /** Returns whether a worker suits a step, regardless of advice and free capacity. */
@@ -516,7 +545,7 @@
     private boolean startInReservedRoom(WaitingStep step) {
         Map<JobTask, WorkerRoom> tasks =
                 placer.choose(step.ready(), candidates(step), domainsInUse(step.ready()), nowMillis);
-        if (tasks.size() < step.ready().step().getCount()) {
+        if (tasks.size() < step.ready().tasksAtOnce()) {
             return false;
         }
         releaseReservation(step);
@@ -531,7 +560,7 @@
     }
 
     private int missingTasks(WaitingStep step) {
-        return step.ready().step().getCount()
+        return step.ready().tasksAtOnce()
                 - reservations.targets(step).values().stream()
                         .mapToInt(Integer::intValue)
                         .sum();
@@ -570,6 +599,22 @@
      * keeps nothing from others.
      */
     private boolean mayReserve(ReadyStep gang) {
+        return gang.isolated() ? mayIsolate(gang) : mayReserveShared(gang);
+    }
+
+    /** Returns whether enough workers of the pool remain for others if tasks get workers of their own. */
+    private boolean mayIsolate(ReadyStep step) {
+        Collection<WorkerRoom> rooms = poolOf(step).usable();
+        examined.add(ExaminedCounts.Part.ROUND, rooms.size());
+        long isolated = rooms.stream().filter(WorkerRoom::isolated).count();
+        long slots =
+                rooms.stream().mapToLong(room -> room.slots(step.size())).max().orElse(0);
+        double required = Math.ceil((double) step.tasksAtOnce() / Math.max(1, slots));
+        return isolated == 0 && (required == 1 || required <= MAX_ISOLATED_GANG_SHARE * rooms.size())
+                || isolated + required <= MAX_ISOLATED_SHARE * rooms.size();
+    }
+
+    private boolean mayReserveShared(ReadyStep gang) {
         String name = gang.queue().getPool();
         PoolRooms pool = pool(name);
         double required = GangReservations.requiredCpuMillis(gang);
--- a/core/src/main/java/org/wasabimount/core/dispatch/TrackedRun.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/TrackedRun.java
@@ -52,6 +52,8 @@
     private final Step step;
     private final Capacity size;
     private State state;
+    private boolean suspect;
+    private boolean isolated;
     private String ticket = "";
     private String saved = "";
     private boolean unanswered;
@@ -126,6 +128,28 @@
         return this;
     }
 
+    /** Marks the run by what is known of its task's earlier runs. */
+    TrackedRun withSuspicion(boolean workersCrashed, boolean runsAlone) {
+        suspect = workersCrashed;
+        isolated = runsAlone;
+        return this;
+    }
+
+    /** Returns whether a worker may have crashed under an earlier run of the task. */
+    boolean suspect() {
+        return suspect;
+    }
+
+    /** Returns whether the run may share its worker only with runs of its own job. */
+    boolean isolated() {
+        return isolated;
+    }
+
+    /** Returns whether no start has been sent, so that the worker can't have the run. */
+    boolean neverSent() {
+        return (state == State.PROPOSED || state == State.TO_START) && startAttempts == 0 && !unanswered;
+    }
+
     /** Returns whether an order for the run must be sent, now or later. */
     boolean awaitsOrder() {
         return state == State.TO_START || state == State.TO_STOP;
--- a/core/src/main/java/org/wasabimount/core/dispatch/TrackedWorker.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/TrackedWorker.java
@@ -16,6 +16,8 @@
     private final WorkerHealth health = new WorkerHealth();
     private WorkerEntry entry;
     private Capacity usedCapacity = Capacity.NONE;
+    private int suspectRuns;
+    private int isolatedRuns;
     private boolean draining;
     private boolean runsListed;
     private boolean renewalPending;
@@ -61,12 +63,16 @@
     void add(TrackedRun run) {
         runs.put(run.id(), run);
         usedCapacity = usedCapacity.plus(run.size());
+        suspectRuns += run.suspect() ? 1 : 0;
+        isolatedRuns += run.isolated() ? 1 : 0;
     }
 
     void remove(RunId id) {
         TrackedRun removed = runs.remove(id);
         if (removed != null) {
             usedCapacity = usedCapacity.minus(removed.size());
+            suspectRuns -= removed.suspect() ? 1 : 0;
+            isolatedRuns -= removed.isolated() ? 1 : 0;
         }
     }
 
@@ -80,6 +86,23 @@
         return entry.capacity().minus(usedCapacity);
     }
 
+    /** Returns whether a run here may share the worker only with runs of its own job. */
+    boolean isolated() {
+        return isolatedRuns > 0;
+    }
+
+    /** Returns whether workers may have crashed under the task of a run here. */
+    boolean hasSuspects() {
+        return suspectRuns > 0;
+    }
+
+    /** Returns whether workers may have crashed under a task of a job with a run here. */
+    boolean hasSuspectsOf(String job) {
+        return hasSuspects()
+                && runs.values().stream()
+                        .anyMatch(run -> run.suspect() && run.id().task().job().equals(job));
+    }
+
     /** Records an announcement; returns false and ignores it if it is not newer than the last one. */
     boolean announcementReceived(boolean nowDraining, long newSequence, long nowMillis) {
         if (newSequence <= sequence) {
--- a/core/src/main/java/org/wasabimount/core/dispatch/WaitingStep.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/WaitingStep.java
@@ -13,6 +13,8 @@
     private ReadyStep ready;
     private boolean listed;
     private long reviewMillis;
+    private long isolatedSinceMillis = Long.MAX_VALUE;
+    private boolean shared;
 
     WaitingStep(ReadyStep ready) {
         this.ready = ready;
@@ -50,6 +52,24 @@
         return eligibleRooms;
     }
 
+    /** Returns the step's state as it is to be placed: once its tasks may share workers, that is not taken back. */
+    ReadyStep placeable(ReadyStep newer, long nowMillis) {
+        if (newer.isolated()) {
+            isolatedSinceMillis = Math.min(isolatedSinceMillis, nowMillis);
+        }
+        return shared ? newer.shared() : newer;
+    }
+
+    /** Returns how long the step's tasks have waited for workers of their own, in milliseconds. */
+    long isolatedMillis(long nowMillis) {
+        return Math.max(0, nowMillis - isolatedSinceMillis);
+    }
+
+    /** Lets the step's tasks share their workers with others. */
+    void share() {
+        shared = true;
+    }
+
     /** Returns when the step is considered again even if nothing changes for it, as monotonic time in milliseconds. */
     long reviewMillis() {
         return reviewMillis;
--- a/core/src/main/java/org/wasabimount/core/dispatch/WorkerManager.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/WorkerManager.java
@@ -15,6 +15,7 @@
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
+import org.wasabimount.core.job.CrashLimit;
 import org.wasabimount.core.job.IncarnationId;
 import org.wasabimount.core.job.Job;
 import org.wasabimount.core.job.JobTable;
@@ -105,6 +106,7 @@
     private final Map<String, Long> restingCpuMillis = new HashMap<>();
 
     private final Map<StepId, List<RunFailure>> failures = new HashMap<>();
+    private final SilenceLog silences = new SilenceLog();
     private final SlowWorkerDetector slowWorkerDetector = new SlowWorkerDetector();
 
     private record RunFailure(TaskId task, IncarnationId incarnation, long atMillis) {}
@@ -131,8 +133,7 @@
         changedWorkers.add(trackedWorker);
         for (var id : table.placedOn(worker.id())) {
             JobTask task = table.task(id).orElseThrow();
-            trackedWorker.add(new TrackedRun(
-                    new RunId(id, task.run()), worker.id(), step(id.stepId()), TrackedRun.State.INHERITED));
+            trackedWorker.add(trackedRun(new RunId(id, task.run()), worker.id(), TrackedRun.State.INHERITED));
         }
     }
 
@@ -197,6 +198,11 @@
         return taken;
     }
 
+    /** Returns whether other workers fell silent together with the incarnations that a later one replaces. */
+    boolean othersSilentWithEarlier(WorkerLife later) {
+        return silences.othersSilentWithEarlier(later);
+    }
+
     /** Has a worker examined by the next tick; must be called before the worker's state changes. */
     void wake(TrackedWorker trackedWorker) {
         changedWorkers.add(trackedWorker);
@@ -222,9 +228,15 @@
 
     /** Reserves capacity for a run whose placement is being committed. */
     void propose(RunId run, TrackedWorker trackedWorker, String ticket) {
-        trackedWorker.add(
-                new TrackedRun(run, trackedWorker.entry().id(), step(run.task().stepId()), TrackedRun.State.PROPOSED)
-                        .withTicket(ticket));
+        trackedWorker.add(trackedRun(run, trackedWorker.entry().id(), TrackedRun.State.PROPOSED)
+                .withTicket(ticket));
+    }
+
+    private TrackedRun trackedRun(RunId run, IncarnationId incarnation, TrackedRun.State state) {
+        Job job = table.job(run.task().job()).orElseThrow();
+        JobTask task = table.task(run.task()).orElseThrow();
+        return new TrackedRun(run, incarnation, step(run.task().stepId()), state)
+                .withSuspicion(task.suspicions() > 0, CrashLimit.requiresIsolation(job, task));
     }
 
     /** Releases the capacity of a placement that was rejected when it was applied. */
@@ -383,7 +395,7 @@
         switch (result) {
             case DONE -> trackedRun.runs(nowMillis);
             case NO_ANSWER, NOT_SENT -> {
-                logFirstUnansweredCall(trackedWorker, "start", result);
+                recordFirstUnansweredCall(trackedWorker, "start", result, nowMillis);
                 trackedWorker.recordUnansweredCall();
                 trackedRun.startAt(nowMillis + RETRY_MILLIS);
             }
@@ -457,11 +469,12 @@
             return;
         }
         if (result.outcome() != OrderOutcome.DONE) {
-            logFirstUnansweredCall(trackedWorker, "hold", result.outcome());
+            recordFirstUnansweredCall(trackedWorker, "hold", result.outcome(), nowMillis);
             trackedWorker.leaseRenewalCompleted(false, nowMillis + RETRY_MILLIS, nowMillis);
             return;
         }
         if (trackedWorker.unansweredCalls() > 0) {
+            silences.remove(incarnation);
             LOG.log(
                     System.Logger.Level.INFO,
                     "WORKER regained worker={0} misses={1}",
@@ -475,9 +488,11 @@
         reconcileRuns(trackedWorker, result, requestedMillis, nowMillis);
     }
 
-    /** Logs the first unanswered call: nothing is placed on the worker until it lists its runs again. */
-    private static void logFirstUnansweredCall(TrackedWorker trackedWorker, String call, OrderOutcome result) {
+    /** Records the first unanswered call: nothing is placed on the worker until it lists its runs again. */
+    private void recordFirstUnansweredCall(
+            TrackedWorker trackedWorker, String call, OrderOutcome result, long nowMillis) {
         if (trackedWorker.unansweredCalls() == 0) {
+            silences.record(trackedWorker, nowMillis);
             LOG.log(
                     System.Logger.Level.INFO,
                     "WORKER lost worker={0} call={1} answer={2}",
@@ -680,10 +695,7 @@
         if (trackedRun.state().ending() || trackedRun.state() == TrackedRun.State.PROPOSED) {
             return;
         }
-        boolean neverSent = trackedRun.state() == TrackedRun.State.TO_START
-                && trackedRun.startAttempts() == 0
-                && !trackedRun.unanswered();
-        if (neverSent) {
+        if (trackedRun.neverSent()) {
             lose(List.of(trackedRun), LossCause.NEVER_STARTED);
         } else {
             trackedRun.stopAt(nowMillis);
@@ -704,7 +716,12 @@
                     Long.toString(trackedWorker.silentMillis(nowMillis)),
                     lostRuns.size(),
                     firstOf(lostRuns.stream().map(TrackedRun::id).toList()));
-            lose(lostRuns, LossCause.LEASE_EXPIRED);
+            lose(lostRuns.stream().filter(TrackedRun::neverSent).toList(), LossCause.NEVER_STARTED);
+            lose(
+                    lostRuns.stream()
+                            .filter(trackedRun -> trackedRun.state() != TrackedRun.State.LOSING)
+                            .toList(),
+                    LossCause.LEASE_EXPIRED);
         }
     }
 
@@ -733,14 +750,21 @@
                 trackedWorker.entry().id(),
                 trackedWorker.runs().size(),
                 reason);
+        lose(trackedWorker.runs().stream().filter(this::waitsForStart).toList(), LossCause.NEVER_STARTED);
         propose(JobCommand.newBuilder()
                 .setEndWorker(EndWorker.newBuilder()
                         .setWorker(trackedWorker.entry().id().worker())
                         .setBornMillis(trackedWorker.entry().id().bornMillis())
-                        .setCause(cause))
+                        .setCause(cause)
+                        .setOthersSilent(
+                                silences.othersSilentWith(trackedWorker.entry().id())))
                 .build());
     }
 
+    private boolean waitsForStart(TrackedRun trackedRun) {
+        return trackedRun.state() == TrackedRun.State.TO_START && trackedRun.neverSent();
+    }
+
     private void propose(JobCommand command) {
         actions.accept(new DispatchAction.Propose(command));
     }
--- a/core/src/main/java/org/wasabimount/core/dispatch/WorkerRoom.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/WorkerRoom.java
@@ -69,13 +69,13 @@
 
     /** Returns the capacity that a step may use: urgent tasks may also use what is reserved for gangs. */
     Capacity availableTo(ReadyStep step, long nowMillis) {
-        return usable && step.mayUseReservedRoom(nowMillis) ? worker.freeCapacity() : free;
+        return usable && step.mayUseReservedRoom(nowMillis) && !isolated() ? worker.freeCapacity() : free;
     }
 
     /** Takes over the worker's state. */
     void refresh(long nowMillis) {
         usable = worker.usable(nowMillis);
-        free = usable ? worker.freeCapacity().minus(reserved) : Capacity.NONE;
+        free = usable && !worker.isolated() ? worker.freeCapacity().minus(reserved) : Capacity.NONE;
     }
 
     /** Makes the room of a worker that has ended unusable for good. */
@@ -84,16 +84,38 @@
         free = Capacity.NONE;
     }
 
-    /** Reserves capacity for a gang, in addition to what is reserved for it already. */
-    void reserve(WaitingStep gang, Capacity size) {
-        reservations.merge(gang, size, Capacity::plus);
-        reserved = reserved.plus(size);
+    /** Returns whether the worker runs tasks that run alone, or is kept free for them. */
+    boolean isolated() {
+        return worker.isolated()
+                || reservations.keySet().stream().anyMatch(step -> step.ready().isolated());
     }
 
-    /** Releases all or a part of what is reserved for a gang. */
-    void release(WaitingStep gang, Capacity size) {
-        reservations.computeIfPresent(gang, (step, held) -> held.equals(size) ? null : held.minus(size));
-        reserved = reserved.minus(size);
+    /** Returns whether nothing runs here and nothing is reserved. */
+    boolean idle() {
+        return worker.runs().isEmpty() && reservations.isEmpty();
+    }
+
+    /** Returns the capacity that a number of tasks takes here: all of it for tasks that run alone. */
+    private Capacity required(ReadyStep step, int tasks) {
+        return step.isolated() ? worker.entry().capacity() : step.size().times(tasks);
+    }
+
+    /** Reserves room for a number of tasks, in place of what is reserved for their step. */
+    void reserve(WaitingStep step, int tasks) {
+        release(step);
+        if (tasks > 0) {
+            Capacity required = required(step.ready(), tasks);
+            reservations.put(step, required);
+            reserved = reserved.plus(required);
+        }
+    }
+
+    /** Releases what is reserved for a step. */
+    void release(WaitingStep step) {
+        Capacity held = reservations.remove(step);
+        if (held != null) {
+            reserved = reserved.minus(held);
+        }
     }
 
     /** Returns the gangs with reservations, earliest first. */
@@ -115,9 +137,10 @@
         return size.timesIn(worker.entry().capacity().minus(lasting));
     }
 
-    /** Returns the estimated time until a size fits beside all reservations, in milliseconds. */
-    long millisUntilFits(Capacity size, long nowMillis) {
-        return millisUntilFree(reserved.plus(size), nowMillis);
+    /** Returns the estimated time until a number of tasks fits beside the reservations of others, in milliseconds. */
+    long millisUntilFits(WaitingStep step, int tasks, long nowMillis) {
+        Capacity held = reservations.getOrDefault(step, Capacity.NONE);
+        return millisUntilFree(reserved.minus(held).plus(required(step.ready(), tasks)), nowMillis);
     }
 
     /** Returns the estimated time until the reservation of a gang, and those before it, fit, in milliseconds. */
--- /dev/null
+++ b/core/src/main/java/org/wasabimount/core/job/CrashLimit.java
@@ -0,0 +1,57 @@
+package org.wasabimount.core.job;
+
+import java.util.Collection;
+
+/**
+ * Decides when a task is given up because workers crash under it.
+ *
+ * <p>A crash alone does not tell which of the tasks on the worker has caused it, or whether any has. A task under which
+ * workers have crashed repeatedly therefore runs on a worker of its own, and is given up when that one crashes too.
+ */
+public final class CrashLimit {
+
+    /** Number of suspicions from which on a task runs only beside tasks of its own job. */
+    public static final int ISOLATION = 2;
+
+    /** Number of crashes after which further starts are limited, from the platform's contract. */
+    static final int CRASHES = 3;
+
+    /** Number of crashes without others, of these, that prove a cause; crashes of several workers have another one. */
+    private static final int SINGLE_CRASHES = 2;
+
+    /** Number of further starts; the contract forbids a third. */
+    static final int FURTHER_STARTS = 2;
+
+    private CrashLimit() {}
+
+    /**
+     * Returns whether a task may run only beside tasks of its own job.
+     *
+     * @param job the job
+     * @param task one of its tasks
+     * @return true if workers have crashed repeatedly under the task, or under any task of its gang
+     */
+    public static boolean requiresIsolation(Job job, JobTask task) {
+        boolean gang = job.step(task.id().step()).getGang();
+        return gang
+                ? job.tasks(task.id().occurrence(), task.id().step()).stream()
+                        .anyMatch(member -> member.suspicions() >= ISOLATION)
+                : task.suspicions() >= ISOLATION;
+    }
+
+    /**
+     * Returns whether the crash of a single worker proves that one of the tasks on it has caused it: all belong to one
+     * job, and workers have crashed under one of them before.
+     */
+    static boolean proves(Collection<JobTask> aboard) {
+        return aboard.stream().map(task -> task.id().job()).distinct().count() == 1
+                && aboard.stream()
+                        .anyMatch(task ->
+                                !task.done() && task.crashes() >= CRASHES && task.singleCrashes() >= SINGLE_CRASHES);
+    }
+
+    /** Returns whether a task that is not running may not be started again. */
+    static boolean exhausted(JobTask task) {
+        return task.awaitsPlacement() && task.startsUsedUp();
+    }
+}
--- a/core/src/main/java/org/wasabimount/core/job/JobTable.java
+++ b/core/src/main/java/org/wasabimount/core/job/JobTable.java
@@ -1,5 +1,6 @@
 package org.wasabimount.core.job;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -20,11 +21,13 @@
 import org.wasabimount.protocol.job.JobPhase;
 import org.wasabimount.protocol.job.JobSnapshot;
 import org.wasabimount.protocol.job.LoseRuns;
+import org.wasabimount.protocol.job.LossCause;
 import org.wasabimount.protocol.job.PlaceRuns;
 import org.wasabimount.protocol.job.Placement;
 import org.wasabimount.protocol.job.Queue;
 import org.wasabimount.protocol.job.QueueTable;
 import org.wasabimount.protocol.job.RunKey;
+import org.wasabimount.protocol.job.SeeWorker;
 import org.wasabimount.protocol.job.WorkerEndCause;
 import org.wasabimount.protocol.job.WorkerLife;
 import org.wasabimount.protocol.job.WorkerRecord;
@@ -41,6 +44,7 @@
     private final Map<String, WorkerEntry> workers = new LinkedHashMap<>();
     private final Map<String, Job> jobs = new LinkedHashMap<>();
     private final Map<IncarnationId, Set<TaskId>> placed = new HashMap<>();
+    private final SilentWorkers silentWorkers = new SilentWorkers();
     private Observer observer = new Observer() {};
 
     /** Receives a notification of each change when it is applied. */
@@ -76,6 +80,13 @@
          */
         default void taskDone(TaskId task) {}
 
+        /**
+         * Called when it has become known that a worker has crashed with a run of a task, or that it has not.
+         *
+         * @param task the task
+         */
+        default void suspicionChanged(TaskId task) {}
+
         /**
          * Called when a job was completed, broken down or cancelled.
          *
@@ -215,9 +226,9 @@
             case CANCEL -> cancel(command.getCancel().getJob(), nowMillis);
             case PLACE -> place(command.getPlace());
             case END -> endRuns(command.getEnd(), nowMillis);
-            case LOSE -> loseRuns(command.getLose());
-            case SEE_WORKER -> seeWorker(command.getSeeWorker().getLife());
-            case END_WORKER -> endWorker(command.getEndWorker());
+            case LOSE -> loseRuns(command.getLose(), nowMillis);
+            case SEE_WORKER -> seeWorker(command.getSeeWorker(), nowMillis);
+            case END_WORKER -> endWorker(command.getEndWorker(), nowMillis);
             case FORGET -> forget(command.getForget().getJobsList());
             case PUT_QUEUES -> putQueues(command.getPutQueues());
             case BODY_NOT_SET -> ResultCode.UNKNOWN_KIND;
@@ -232,10 +243,12 @@
     public JobSnapshot snapshot() {
         JobSnapshot.Builder snapshot = JobSnapshot.newBuilder().setQueues(queues);
         workers.values()
-                .forEach(worker -> snapshot.addWorkers(
-                        WorkerRecord.newBuilder().setLife(worker.incarnation()).setOffset(worker.offset())));
+                .forEach(worker -> snapshot.addWorkers(WorkerRecord.newBuilder()
+                        .setLife(worker.incarnation())
+                        .setSequence(worker.sequence())
+                        .setOffset(worker.offset())));
         jobs.values().forEach(job -> snapshot.addJobs(job.toState()));
-        return snapshot.build();
+        return snapshot.addAllSilentWorkers(silentWorkers.toMessages()).build();
     }
 
     /**
@@ -249,7 +262,8 @@
         table.queues = snapshot.getQueues();
         snapshot.getWorkersList()
                 .forEach(worker -> table.workers.put(
-                        worker.getLife().getWorker(), new WorkerEntry(worker.getLife(), worker.getOffset())));
+                        worker.getLife().getWorker(),
+                        new WorkerEntry(worker.getLife(), worker.getSequence(), worker.getOffset())));
         snapshot.getJobsList().stream().map(Job::restore).forEach(job -> {
             table.jobs.put(job.id(), job);
             job.tasks()
@@ -257,6 +271,8 @@
                             .ifPresent(incarnation ->
                                     table.mutablePlacedOn(incarnation).add(task.id())));
         });
+        table.silentWorkers.restore(snapshot.getSilentWorkersList());
+        table.silentWorkers.runs().forEach(run -> table.task(run.task()).ifPresent(JobTask::workerSilent));
         return table;
     }
 
@@ -338,6 +354,7 @@
             finish(job, task, end.getRun());
         }
         if (!current) {
+            explainSilence(task, end.getRun(), incarnation);
             return;
         }
         task.save(end.getSaved());
@@ -347,6 +364,14 @@
         release(task, incarnation);
     }
 
+    /** Records that a worker that had fallen silent lists the end of a run: it has not crashed with it. */
+    private void explainSilence(JobTask task, int run, IncarnationId incarnation) {
+        if (silentWorkers.remove(incarnation, new RunId(task.id(), run))) {
+            task.silenceExplained();
+            observer.suspicionChanged(task.id());
+        }
+    }
+
     private void finish(Job job, JobTask task, int run) {
         boolean gang = job.step(task.id().step()).getGang();
         if (gang) {
@@ -376,7 +401,8 @@
                         .filter(task ->
                                 !task.done() && !job.step(task.id().step()).getLongRunning())
                         .anyMatch(task -> attempts(job, task) >= job.queue().getMaxAttempts());
-        if (job.open() && attemptsExhausted) {
+        boolean startsExhausted = job.open() && job.tasks().anyMatch(CrashLimit::exhausted);
+        if (job.open() && (attemptsExhausted || startsExhausted)) {
             endJob(job, JobPhase.BROKEN_DOWN, nowMillis);
         }
     }
@@ -397,32 +423,63 @@
                 : task.failures();
     }
 
-    private ResultCode loseRuns(LoseRuns command) {
+    private ResultCode loseRuns(LoseRuns command, long nowMillis) {
+        Set<Job> changedJobs = new LinkedHashSet<>();
         for (RunKey run : command.getRunsList()) {
             task(TaskId.of(run.getTask()))
-                    .filter(task -> task.run() == run.getRun())
+                    .filter(task ->
+                            task.run() == run.getRun() && task.incarnation().isPresent())
                     .ifPresent(task -> {
                         task.save(run.getSaved());
-                        task.incarnation().ifPresent(incarnation -> release(task, incarnation));
+                        lose(task, command.getCause());
+                        changedJobs.add(jobs.get(task.id().job()));
                     });
         }
+        changedJobs.forEach(job -> endIfFinished(job, nowMillis));
         return ResultCode.OK;
     }
 
-    private ResultCode seeWorker(WorkerLife incarnation) {
+    private void lose(JobTask task, LossCause cause) {
+        IncarnationId incarnation = task.incarnation().orElseThrow();
+        if (cause == LossCause.NEVER_STARTED) {
+            task.neverStarted();
+        } else if (cause == LossCause.LEASE_EXPIRED) {
+            worker(incarnation.worker())
+                    .filter(worker -> worker.id().equals(incarnation))
+                    .ifPresent(worker -> recordSilence(task, worker));
+        }
+        release(task, incarnation);
+    }
+
+    private void recordSilence(JobTask task, WorkerEntry worker) {
+        silentWorkers.add(worker.incarnation(), new RunId(task.id(), task.run()));
+        task.workerSilent();
+    }
+
+    private ResultCode seeWorker(SeeWorker command, long nowMillis) {
+        WorkerLife incarnation = command.getLife();
         WorkerEntry known = workers.get(incarnation.getWorker());
         boolean stale = known != null && known.id().bornMillis() > incarnation.getBornMillis()
                 || otherWorkersAt(incarnation).anyMatch(other -> other.id().bornMillis() > incarnation.getBornMillis());
-        if (stale) {
+        boolean sameIncarnation = known != null && known.id().bornMillis() == incarnation.getBornMillis();
+        if (stale || sameIncarnation && command.getSequence() < known.sequence()) {
             return ResultCode.VERSION_CONFLICT;
         }
-        boolean sameIncarnation = known != null && known.id().bornMillis() == incarnation.getBornMillis();
         if (known != null && !sameIncarnation) {
-            end(known, WorkerEndCause.REPLACED);
+            end(known, WorkerEndCause.REPLACED, command.getOthersSilent(), nowMillis);
         }
         // Two processes cannot listen at the same address, so a worker announced there earlier has ended.
-        otherWorkersAt(incarnation).toList().forEach(other -> end(other, WorkerEndCause.REPLACED));
-        WorkerEntry entry = new WorkerEntry(incarnation, sameIncarnation ? known.offset() : 0);
+        otherWorkersAt(incarnation)
+                .toList()
+                .forEach(other -> end(other, WorkerEndCause.REPLACED, command.getOthersSilent(), nowMillis));
+        silentWorkers.replacedBy(incarnation).forEach(life -> {
+            boolean crashed = !life.getDraining();
+            List<JobTask> aboard = takeSilent(life, crashed, !command.getOthersSilent());
+            if (crashed) {
+                giveUpCrashing(aboard, !command.getOthersSilent(), nowMillis);
+            }
+        });
+        WorkerEntry entry = new WorkerEntry(incarnation, command.getSequence(), sameIncarnation ? known.offset() : 0);
         workers.put(incarnation.getWorker(), entry);
         observer.workerAnnounced(entry);
         return ResultCode.OK;
@@ -434,19 +491,33 @@
                         && !other.incarnation().getWorker().equals(incarnation.getWorker()));
     }
 
-    private ResultCode endWorker(EndWorker command) {
+    private ResultCode endWorker(EndWorker command, long nowMillis) {
         WorkerEntry worker = workers.get(command.getWorker());
         if (worker == null || worker.id().bornMillis() != command.getBornMillis()) {
             return ResultCode.VERSION_CONFLICT;
         }
-        end(worker, command.getCause());
+        end(worker, command.getCause(), command.getOthersSilent(), nowMillis);
         return ResultCode.OK;
     }
 
-    private void end(WorkerEntry worker, WorkerEndCause cause) {
+    private void end(WorkerEntry worker, WorkerEndCause cause, boolean othersSilent, long nowMillis) {
         List<JobTask> tasks =
                 placedOn(worker.id()).stream().map(id -> task(id).orElseThrow()).toList();
+        boolean crashed =
+                cause == WorkerEndCause.REPLACED && !worker.incarnation().getDraining();
+        List<JobTask> aboard = new ArrayList<>(tasks);
+        if (cause == WorkerEndCause.SILENT) {
+            tasks.forEach(task -> recordSilence(task, worker));
+        } else {
+            aboard.addAll(takeSilent(worker.incarnation(), crashed, !othersSilent));
+        }
+        if (crashed) {
+            tasks.forEach(task -> recordCrash(task, !othersSilent));
+        }
         tasks.forEach(task -> release(task, worker.id()));
+        if (crashed) {
+            giveUpCrashing(aboard, !othersSilent, nowMillis);
+        }
         placed.remove(worker.id());
         workers.remove(worker.incarnation().getWorker());
         observer.workerEnded(
@@ -455,6 +526,35 @@
                 cause);
     }
 
+    private static void recordCrash(JobTask task, boolean singleWorker) {
+        if (!task.done()) {
+            task.crashed(singleWorker);
+        }
+    }
+
+    /** Records what has happened to a silent incarnation; returns the tasks that were lost with it. */
+    private List<JobTask> takeSilent(WorkerLife life, boolean crashed, boolean singleWorker) {
+        List<JobTask> tasks = silentWorkers.take(IncarnationId.of(life)).stream()
+                .flatMap(run -> task(run.task()).stream())
+                .toList();
+        if (crashed) {
+            tasks.forEach(task -> recordCrash(task, singleWorker));
+        }
+        tasks.forEach(JobTask::silenceExplained);
+        tasks.forEach(task -> observer.suspicionChanged(task.id()));
+        return tasks;
+    }
+
+    /** Gives up the jobs that the crash of a worker with these tasks proves to be its cause, or that may not start again. */
+    private void giveUpCrashing(List<JobTask> aboard, boolean singleWorker, long nowMillis) {
+        boolean proved = singleWorker && CrashLimit.proves(aboard);
+        aboard.stream()
+                .map(task -> jobs.get(task.id().job()))
+                .distinct()
+                .filter(job -> job.open() && (proved || job.tasks().anyMatch(CrashLimit::exhausted)))
+                .forEach(job -> endJob(job, JobPhase.BROKEN_DOWN, nowMillis));
+    }
+
     private ResultCode forget(List<String> ids) {
         for (String id : ids) {
             boolean removable = job(id).filter(job -> !job.open()
@@ -462,6 +562,7 @@
                     .isPresent();
             if (removable) {
                 jobs.remove(id);
+                silentWorkers.forgetJob(id);
             }
         }
         return ResultCode.OK;
--- a/core/src/main/java/org/wasabimount/core/job/JobTask.java
+++ b/core/src/main/java/org/wasabimount/core/job/JobTask.java
@@ -12,6 +12,10 @@
     private int run;
     private IncarnationId incarnation;
     private int failures;
+    private int crashes;
+    private int singleCrashes;
+    private int silentWorkers;
+    private int limitedStarts;
     private String saved = "";
 
     JobTask(TaskId id) {
@@ -72,6 +76,24 @@
         return failures;
     }
 
+    /**
+     * Returns how many workers have crashed with the task.
+     *
+     * @return the number of incarnations that ended by a crash while a run of the task was placed on them
+     */
+    public int crashes() {
+        return crashes;
+    }
+
+    /**
+     * Returns how many workers have crashed with the task or may have.
+     *
+     * @return the crashes, and the incarnations that fell silent with a run of the task and have not responded since
+     */
+    public int suspicions() {
+        return crashes + silentWorkers;
+    }
+
     /**
      * Returns the saved progress that the next run may resume from.
      *
@@ -84,6 +106,42 @@
     void place(int number, IncarnationId onIncarnation) {
         run = number;
         incarnation = onIncarnation;
+        if (suspicions() >= CrashLimit.CRASHES) {
+            limitedStarts++;
+        }
+    }
+
+    /** Reverts the count of a placement whose start never reached the worker or was refused. */
+    void neverStarted() {
+        limitedStarts = Math.max(0, limitedStarts - 1);
+    }
+
+    /** Returns whether the task may not be started again. */
+    boolean startsUsedUp() {
+        return limitedStarts >= CrashLimit.FURTHER_STARTS;
+    }
+
+    /** Records the crash of a worker with the task, alone or together with other workers. */
+    void crashed(boolean singleWorker) {
+        crashes++;
+        singleCrashes += singleWorker ? 1 : 0;
+    }
+
+    int singleCrashes() {
+        return singleCrashes;
+    }
+
+    /** Records that a worker fell silent with a run of the task. */
+    void workerSilent() {
+        silentWorkers++;
+    }
+
+    /** Records that it has become known what happened to such a worker. */
+    void silenceExplained() {
+        silentWorkers--;
+        if (suspicions() < CrashLimit.CRASHES) {
+            limitedStarts = 0;
+        }
     }
 
     boolean runs(int number, IncarnationId onIncarnation) {
@@ -118,6 +176,9 @@
                 .setDone(done)
                 .setRun(run)
                 .setFailures(failures)
+                .setCrashes(crashes)
+                .setSingleCrashes(singleCrashes)
+                .setLimitedStarts(limitedStarts)
                 .setSaved(saved);
         if (incarnation != null) {
             state.setWorker(incarnation.worker()).setBornMillis(incarnation.bornMillis());
@@ -129,6 +190,9 @@
         done = state.getDone();
         run = state.getRun();
         failures = state.getFailures();
+        crashes = state.getCrashes();
+        singleCrashes = state.getSingleCrashes();
+        limitedStarts = state.getLimitedStarts();
         saved = state.getSaved();
         incarnation = state.getWorker().isEmpty() ? null : new IncarnationId(state.getWorker(), state.getBornMillis());
     }
--- a/core/src/main/java/org/wasabimount/core/job/WorkerEntry.java
+++ b/core/src/main/java/org/wasabimount/core/job/WorkerEntry.java
@@ -9,12 +9,14 @@
     private final WorkerLife incarnation;
     private final IncarnationId id;
     private final Capacity capacity;
+    private final long sequence;
     private long offset;
 
-    WorkerEntry(WorkerLife incarnation, long offset) {
+    WorkerEntry(WorkerLife incarnation, long sequence, long offset) {
         this.incarnation = incarnation;
         this.id = IncarnationId.of(incarnation);
         this.capacity = Capacity.of(incarnation.getCapacity());
+        this.sequence = sequence;
         this.offset = offset;
     }
 
@@ -45,6 +47,15 @@
         return capacity;
     }
 
+    /**
+     * Returns the number of the announcement that the data is from.
+     *
+     * @return the number; later announcements of the incarnation have higher ones
+     */
+    public long sequence() {
+        return sequence;
+    }
+
     /**
      * Returns the offset up to which the worker's run ends have been recorded.
      *
--- a/protocol/src/main/java/org/wasabimount/protocol/job/EndWorker.java
+++ b/protocol/src/main/java/org/wasabimount/protocol/job/EndWorker.java
@@ -137,6 +137,44 @@
     cause_ = 0;
   }
 
+  public static final int OTHERS_SILENT_FIELD_NUMBER = 4;
+  private boolean othersSilent_;
+  /**
+   * <pre>
+   * Other workers fell silent at the same time, so that no task of this one can be the cause of all.
+   * </pre>
+   *
+   * <code>bool others_silent = 4;</code>
+   * @return The othersSilent.
+   */
+  @java.lang.Override
+  public boolean getOthersSilent() {
+    return othersSilent_;
+  }
+  /**
+   * <pre>
+   * Other workers fell silent at the same time, so that no task of this one can be the cause of all.
+   * </pre>
+   *
+   * <code>bool others_silent = 4;</code>
+   * @param value The othersSilent to set.
+   */
+  private void setOthersSilent(boolean value) {
+    
+    othersSilent_ = value;
+  }
+  /**
+   * <pre>
+   * Other workers fell silent at the same time, so that no task of this one can be the cause of all.
+   * </pre>
+   *
+   * <code>bool others_silent = 4;</code>
+   */
+  private void clearOthersSilent() {
+
+    othersSilent_ = false;
+  }
+
   public static org.wasabimount.protocol.job.EndWorker parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -362,6 +400,46 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * Other workers fell silent at the same time, so that no task of this one can be the cause of all.
+     * </pre>
+     *
+     * <code>bool others_silent = 4;</code>
+     * @return The othersSilent.
+     */
+    @java.lang.Override
+    public boolean getOthersSilent() {
+      return instance.getOthersSilent();
+    }
+    /**
+     * <pre>
+     * Other workers fell silent at the same time, so that no task of this one can be the cause of all.
+     * </pre>
+     *
+     * <code>bool others_silent = 4;</code>
+     * @param value The othersSilent to set.
+     * @return This builder for chaining.
+     */
+    public Builder setOthersSilent(boolean value) {
+      copyOnWrite();
+      instance.setOthersSilent(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Other workers fell silent at the same time, so that no task of this one can be the cause of all.
+     * </pre>
+     *
+     * <code>bool others_silent = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearOthersSilent() {
+      copyOnWrite();
+      instance.clearOthersSilent();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:wasabimount.job.EndWorker)
   }
   @java.lang.Override
@@ -381,10 +459,11 @@
             "worker_",
             "bornMillis_",
             "cause_",
+            "othersSilent_",
           };
           java.lang.String info =
-              "\u0000\u0003\u0000\u0000\u0001\u0003\u0003\u0000\u0000\u0000\u0001\u0208\u0002\u0002" +
-              "\u0003\f";
+              "\u0000\u0004\u0000\u0000\u0001\u0004\u0004\u0000\u0000\u0000\u0001\u0208\u0002\u0002" +
+              "\u0003\f\u0004\u0007";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/protocol/src/main/java/org/wasabimount/protocol/job/EndWorkerOrBuilder.java
+++ b/protocol/src/main/java/org/wasabimount/protocol/job/EndWorkerOrBuilder.java
@@ -38,4 +38,14 @@
    * @return The cause.
    */
   org.wasabimount.protocol.job.WorkerEndCause getCause();
+
+  /**
+   * <pre>
+   * Other workers fell silent at the same time, so that no task of this one can be the cause of all.
+   * </pre>
+   *
+   * <code>bool others_silent = 4;</code>
+   * @return The othersSilent.
+   */
+  boolean getOthersSilent();
 }
--- a/protocol/src/main/java/org/wasabimount/protocol/job/SeeWorker.java
+++ b/protocol/src/main/java/org/wasabimount/protocol/job/SeeWorker.java
@@ -102,6 +102,44 @@
     sequence_ = 0L;
   }
 
+  public static final int OTHERS_SILENT_FIELD_NUMBER = 3;
+  private boolean othersSilent_;
+  /**
+   * <pre>
+   * Other workers fell silent together with the life that this one replaces.
+   * </pre>
+   *
+   * <code>bool others_silent = 3;</code>
+   * @return The othersSilent.
+   */
+  @java.lang.Override
+  public boolean getOthersSilent() {
+    return othersSilent_;
+  }
+  /**
+   * <pre>
+   * Other workers fell silent together with the life that this one replaces.
+   * </pre>
+   *
+   * <code>bool others_silent = 3;</code>
+   * @param value The othersSilent to set.
+   */
+  private void setOthersSilent(boolean value) {
+    
+    othersSilent_ = value;
+  }
+  /**
+   * <pre>
+   * Other workers fell silent together with the life that this one replaces.
+   * </pre>
+   *
+   * <code>bool others_silent = 3;</code>
+   */
+  private void clearOthersSilent() {
+
+    othersSilent_ = false;
+  }
+
   public static org.wasabimount.protocol.job.SeeWorker parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -286,6 +324,46 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * Other workers fell silent together with the life that this one replaces.
+     * </pre>
+     *
+     * <code>bool others_silent = 3;</code>
+     * @return The othersSilent.
+     */
+    @java.lang.Override
+    public boolean getOthersSilent() {
+      return instance.getOthersSilent();
+    }
+    /**
+     * <pre>
+     * Other workers fell silent together with the life that this one replaces.
+     * </pre>
+     *
+     * <code>bool others_silent = 3;</code>
+     * @param value The othersSilent to set.
+     * @return This builder for chaining.
+     */
+    public Builder setOthersSilent(boolean value) {
+      copyOnWrite();
+      instance.setOthersSilent(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Other workers fell silent together with the life that this one replaces.
+     * </pre>
+     *
+     * <code>bool others_silent = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearOthersSilent() {
+      copyOnWrite();
+      instance.clearOthersSilent();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:wasabimount.job.SeeWorker)
   }
   @java.lang.Override
@@ -305,10 +383,11 @@
             "bitField0_",
             "life_",
             "sequence_",
+            "othersSilent_",
           };
           java.lang.String info =
-              "\u0000\u0002\u0000\u0001\u0001\u0002\u0002\u0000\u0000\u0000\u0001\u1009\u0000\u0002" +
-              "\u0002";
+              "\u0000\u0003\u0000\u0001\u0001\u0003\u0003\u0000\u0000\u0000\u0001\u1009\u0000\u0002" +
+              "\u0002\u0003\u0007";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/protocol/src/main/java/org/wasabimount/protocol/job/SeeWorkerOrBuilder.java
+++ b/protocol/src/main/java/org/wasabimount/protocol/job/SeeWorkerOrBuilder.java
@@ -30,4 +30,14 @@
    * @return The sequence.
    */
   long getSequence();
+
+  /**
+   * <pre>
+   * Other workers fell silent together with the life that this one replaces.
+   * </pre>
+   *
+   * <code>bool others_silent = 3;</code>
+   * @return The othersSilent.
+   */
+  boolean getOthersSilent();
 }
--- a/protocol/src/main/java/org/wasabimount/protocol/job/TaskState.java
+++ b/protocol/src/main/java/org/wasabimount/protocol/job/TaskState.java
@@ -372,6 +372,44 @@
     limitedStarts_ = 0;
   }
 
+  public static final int SINGLE_CRASHES_FIELD_NUMBER = 10;
+  private int singleCrashes_;
+  /**
+   * <pre>
+   * Those crashes at which no other worker fell silent.
+   * </pre>
+   *
+   * <code>int32 single_crashes = 10;</code>
+   * @return The singleCrashes.
+   */
+  @java.lang.Override
+  public int getSingleCrashes() {
+    return singleCrashes_;
+  }
+  /**
+   * <pre>
+   * Those crashes at which no other worker fell silent.
+   * </pre>
+   *
+   * <code>int32 single_crashes = 10;</code>
+   * @param value The singleCrashes to set.
+   */
+  private void setSingleCrashes(int value) {
+    
+    singleCrashes_ = value;
+  }
+  /**
+   * <pre>
+   * Those crashes at which no other worker fell silent.
+   * </pre>
+   *
+   * <code>int32 single_crashes = 10;</code>
+   */
+  private void clearSingleCrashes() {
+
+    singleCrashes_ = 0;
+  }
+
   public static org.wasabimount.protocol.job.TaskState parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -838,6 +876,46 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * Those crashes at which no other worker fell silent.
+     * </pre>
+     *
+     * <code>int32 single_crashes = 10;</code>
+     * @return The singleCrashes.
+     */
+    @java.lang.Override
+    public int getSingleCrashes() {
+      return instance.getSingleCrashes();
+    }
+    /**
+     * <pre>
+     * Those crashes at which no other worker fell silent.
+     * </pre>
+     *
+     * <code>int32 single_crashes = 10;</code>
+     * @param value The singleCrashes to set.
+     * @return This builder for chaining.
+     */
+    public Builder setSingleCrashes(int value) {
+      copyOnWrite();
+      instance.setSingleCrashes(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Those crashes at which no other worker fell silent.
+     * </pre>
+     *
+     * <code>int32 single_crashes = 10;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearSingleCrashes() {
+      copyOnWrite();
+      instance.clearSingleCrashes();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:wasabimount.job.TaskState)
   }
   @java.lang.Override
@@ -864,10 +942,11 @@
             "saved_",
             "crashes_",
             "limitedStarts_",
+            "singleCrashes_",
           };
           java.lang.String info =
-              "\u0000\t\u0000\u0001\u0001\t\t\u0000\u0000\u0000\u0001\u1009\u0000\u0002\u0007\u0003" +
-              "\u0004\u0004\u0208\u0005\u0002\u0006\u0004\u0007\u0208\b\u0004\t\u0004";
+              "\u0000\n\u0000\u0001\u0001\n\n\u0000\u0000\u0000\u0001\u1009\u0000\u0002\u0007\u0003" +
+              "\u0004\u0004\u0208\u0005\u0002\u0006\u0004\u0007\u0208\b\u0004\t\u0004\n\u0004";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/protocol/src/main/java/org/wasabimount/protocol/job/TaskStateOrBuilder.java
+++ b/protocol/src/main/java/org/wasabimount/protocol/job/TaskStateOrBuilder.java
@@ -100,4 +100,14 @@
    * @return The limitedStarts.
    */
   int getLimitedStarts();
+
+  /**
+   * <pre>
+   * Those crashes at which no other worker fell silent.
+   * </pre>
+   *
+   * <code>int32 single_crashes = 10;</code>
+   * @return The singleCrashes.
+   */
+  int getSingleCrashes();
 }
