Delay and give up declared tasks under which workers crash

The same cause as in the cell that declared resources run in: when a later incarnation of a worker registered, its tasks were pending again at once, whatever had ended the earlier one, and nothing counted it. A task that crashes its workers took down one after the other without an end.

The first restart is at once, as most crashes are not the task's doing; further ones are delayed like those of failed tasks (0.5 s to 60 s). A task that should end is given up at the fifth crash, a job of all-at-once tasks is broken. Services are only delayed. Ten minutes without a crash end the suspicion; a worker that announced that it leaves says nothing; a worker whose lease has expired delays, but gives nothing up.

WorkerIncarnationTest.taskUnderWhichWorkersCrashIsGivenUp and restartsAfterCrashesAreDelayedMoreAndMore need the new count.

--- a/core/src/main/java/org/wasabimount/core/cell/CellState.java
+++ b/core/src/main/java/org/wasabimount/core/cell/CellState.java
@@ -424,7 +424,7 @@
             workers.put(announced.getWorker(), new Worker(announced));
         } else {
             if (registered.incarnation() != announced.getIncarnation()) {
-                transitions.releaseAll(registered, nowMillis);
+                releaseEnded(registered, nowMillis);
             }
             registered.update(announced);
         }
@@ -432,6 +432,14 @@
         return ok().build();
     }
 
+    private void releaseEnded(Worker worker, long nowMillis) {
+        if (worker.leaving()) {
+            transitions.releaseAll(worker, nowMillis);
+        } else {
+            transitions.releaseCrashed(worker, nowMillis);
+        }
+    }
+
     private Reply loseWorker(LoseWorker request, long nowMillis) {
         Worker worker = workers.get(request.getWorker());
         if (worker == null || worker.incarnation() != request.getIncarnation()) {
--- a/core/src/main/java/org/wasabimount/core/cell/Task.java
+++ b/core/src/main/java/org/wasabimount/core/cell/Task.java
@@ -12,6 +12,8 @@
     private Worker worker;
     private long epoch;
     private int failures;
+    private int crashes;
+    private long lastCrashMillis;
     private long pendingSinceMillis;
     private long notBeforeMillis;
 
@@ -129,10 +131,26 @@
         notBeforeMillis = nowMillis + delayMillis;
     }
 
+    /** Delays the next start, if it is not due later anyway. */
+    void delay(long untilMillis) {
+        notBeforeMillis = Math.max(notBeforeMillis, untilMillis);
+    }
+
     void incrementFailures() {
         failures++;
     }
 
+    /** Returns how many workers have crashed with the task, without a longer pause between two crashes. */
+    int crashes() {
+        return crashes;
+    }
+
+    /** Records that a worker has crashed with the task; crashes that are long past have had another cause. */
+    void recordCrash(long nowMillis, long pauseMillis) {
+        crashes = nowMillis - lastCrashMillis > pauseMillis ? 1 : crashes + 1;
+        lastCrashMillis = nowMillis;
+    }
+
     TaskStatus toStatus() {
         return TaskStatus.newBuilder()
                 .setTask(id)
@@ -142,12 +160,16 @@
                 .setFailures(failures)
                 .setPendingSinceMillis(pendingSinceMillis)
                 .setNotBeforeMillis(notBeforeMillis)
+                .setCrashes(crashes)
+                .setLastCrashMillis(lastCrashMillis)
                 .build();
     }
 
     void restore(TaskStatus status, Worker restoredWorker) {
         epoch = status.getEpoch();
         failures = status.getFailures();
+        crashes = status.getCrashes();
+        lastCrashMillis = status.getLastCrashMillis();
         pendingSinceMillis = status.getPendingSinceMillis();
         notBeforeMillis = status.getNotBeforeMillis();
         worker = restoredWorker;
--- a/core/src/main/java/org/wasabimount/core/cell/TaskTransitions.java
+++ b/core/src/main/java/org/wasabimount/core/cell/TaskTransitions.java
@@ -1,6 +1,7 @@
 package org.wasabimount.core.cell;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
@@ -15,6 +16,15 @@
     private static final long MAX_BACKOFF_MILLIS = 60_000;
     private static final int MAX_BACKOFF_DOUBLINGS = 7;
 
+    /** Time without a crash after which a task is no longer suspected; ten times the longest delay. */
+    private static final long CRASH_PAUSE_MILLIS = 10 * MAX_BACKOFF_MILLIS;
+
+    /**
+     * Number of crashes after which a task that should end is given up. Tasks beside the one that has caused a crash are
+     * rarely beside it again, as they start with different delays.
+     */
+    private static final int MAX_CRASHES = 5;
+
     private final Consumer<DeclaredResource> changeListener;
     private final Set<DeclaredResource> removable = new LinkedHashSet<>();
 
@@ -77,12 +87,55 @@
         release(List.copyOf(worker.tasks()), nowMillis);
     }
 
+    /** Releases the tasks of an incarnation that has ended without announcing it; one of them may have crashed it. */
+    void releaseCrashed(Worker worker, long nowMillis) {
+        handleCrashes(worker.tasks(), true, nowMillis);
+    }
+
+    private void handleCrashes(Collection<Task> tasks, boolean certain, long nowMillis) {
+        List.copyOf(tasks).forEach(task -> {
+            handleCrash(task, certain, nowMillis);
+            changeListener.accept(task.owner());
+        });
+    }
+
+    /** Releases a task whose worker has crashed, or is silent and may have. */
+    private void handleCrash(Task task, boolean certain, long nowMillis) {
+        DeclaredResource resource = task.owner();
+        if (task.state() == TaskState.STOPPING) {
+            handleStopped(task, nowMillis);
+            return;
+        }
+        task.recordCrash(nowMillis, CRASH_PAUSE_MILLIS);
+        if (certain && !resource.kind().runsForever() && task.crashes() >= MAX_CRASHES) {
+            giveUp(task, nowMillis);
+        } else {
+            handleStopped(task, nowMillis);
+            if (task.state() == TaskState.PENDING) {
+                // The first restart is not delayed: most crashes are not the task's doing.
+                task.delay(nowMillis + (task.crashes() == 1 ? 0 : backoffMillis(task.crashes() - 1)));
+            }
+        }
+    }
+
+    private void giveUp(Task task, long nowMillis) {
+        if (task.owner().kind().allAtOnce()) {
+            task.owner().markBroken(task.crashes() + " workers crashed under task " + task.id());
+            handleStopped(task, nowMillis);
+            task.owner().tasks().stream()
+                    .filter(other -> other.state().holdsCapacity())
+                    .forEach(this::stop);
+        } else {
+            task.release(TaskState.FAILED);
+        }
+    }
+
     /** Releases the tasks that a worker stops by itself when its lease expires. */
     void releaseExpired(Worker worker, long nowMillis) {
         List<Task> expired = worker.tasks().stream()
                 .filter(task -> !task.owner().keptThroughPartition())
                 .toList();
-        release(expired, nowMillis);
+        handleCrashes(expired, false, nowMillis);
     }
 
     private void release(List<Task> tasks, long nowMillis) {
--- a/core/src/main/java/org/wasabimount/core/cell/Worker.java
+++ b/core/src/main/java/org/wasabimount/core/cell/Worker.java
@@ -105,6 +105,11 @@
         return committed;
     }
 
+    /** Returns whether the worker has announced that it leaves. */
+    boolean leaving() {
+        return leaving;
+    }
+
     /**
      * Returns the capacity that is not committed.
      *
--- a/core/src/test/java/org/wasabimount/core/cell/WorkerIncarnationTest.java
+++ b/core/src/test/java/org/wasabimount/core/cell/WorkerIncarnationTest.java
@@ -2,6 +2,7 @@
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
 
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -68,6 +69,60 @@
         assertEquals(task().state(), TaskState.PENDING);
     }
 
+    /** Guards against a task that crashes one worker after the other and is started again at once each time. */
+    @Test
+    public void taskUnderWhichWorkersCrashIsGivenUp() {
+        long incarnation = 3;
+        register(incarnation);
+        assertEquals(task().notBeforeMillis(), 0, "most crashes are not the task's doing");
+        while (task().state() == TaskState.PENDING) {
+            bind(incarnation);
+            incarnation++;
+            register(incarnation);
+            state = CellState.restore(state.snapshot());
+        }
+        assertEquals(task().state(), TaskState.FAILED);
+        assertEquals(incarnation, 7, "the task crashed incarnations 2 to 6");
+    }
+
+    @Test
+    public void restartsAfterCrashesAreDelayedMoreAndMore() {
+        long firstDelayMillis = crashAgain(3);
+        long secondDelayMillis = crashAgain(4);
+        long thirdDelayMillis = crashAgain(5);
+        assertEquals(firstDelayMillis, 0);
+        assertTrue(secondDelayMillis > 0);
+        assertTrue(thirdDelayMillis > secondDelayMillis);
+    }
+
+    /** Replaces the task's worker by the next incarnation and binds the task to it; returns the delay of its restart. */
+    private long crashAgain(long nextIncarnation) {
+        register(nextIncarnation);
+        long delayMillis = task().notBeforeMillis();
+        bind(nextIncarnation);
+        return delayMillis;
+    }
+
+    @Test
+    public void workerThatLeftSaysNothingAboutItsTasks() {
+        apply(CellCommand.newBuilder()
+                .setRegisterWorker(RegisterWorker.newBuilder()
+                        .setWorker(announced(2).toBuilder().setLeaving(true))));
+        register(3);
+        assertEquals(task().state(), TaskState.PENDING);
+        assertEquals(task().crashes(), 0);
+    }
+
+    private void bind(long incarnation) {
+        apply(CellCommand.newBuilder()
+                .setTimeMillis(task().notBeforeMillis())
+                .setBindTasks(BindTasks.newBuilder()
+                        .addBindings(Binding.newBuilder()
+                                .setTask("org/batches/codes/0")
+                                .setWorker("worker")
+                                .setIncarnation(incarnation))));
+    }
+
     private Task task() {
         return state.task("org/batches/codes/0").orElseThrow();
     }
--- a/protocol/src/main/java/org/wasabimount/protocol/cell/TaskStatus.java
+++ b/protocol/src/main/java/org/wasabimount/protocol/cell/TaskStatus.java
@@ -271,6 +271,70 @@
     notBeforeMillis_ = 0L;
   }
 
+  public static final int CRASHES_FIELD_NUMBER = 8;
+  private int crashes_;
+  /**
+   * <pre>
+   * Incarnations of workers that ended unplanned with the task, without a longer pause between them.
+   * </pre>
+   *
+   * <code>int32 crashes = 8;</code>
+   * @return The crashes.
+   */
+  @java.lang.Override
+  public int getCrashes() {
+    return crashes_;
+  }
+  /**
+   * <pre>
+   * Incarnations of workers that ended unplanned with the task, without a longer pause between them.
+   * </pre>
+   *
+   * <code>int32 crashes = 8;</code>
+   * @param value The crashes to set.
+   */
+  private void setCrashes(int value) {
+    
+    crashes_ = value;
+  }
+  /**
+   * <pre>
+   * Incarnations of workers that ended unplanned with the task, without a longer pause between them.
+   * </pre>
+   *
+   * <code>int32 crashes = 8;</code>
+   */
+  private void clearCrashes() {
+
+    crashes_ = 0;
+  }
+
+  public static final int LAST_CRASH_MILLIS_FIELD_NUMBER = 9;
+  private long lastCrashMillis_;
+  /**
+   * <code>int64 last_crash_millis = 9;</code>
+   * @return The lastCrashMillis.
+   */
+  @java.lang.Override
+  public long getLastCrashMillis() {
+    return lastCrashMillis_;
+  }
+  /**
+   * <code>int64 last_crash_millis = 9;</code>
+   * @param value The lastCrashMillis to set.
+   */
+  private void setLastCrashMillis(long value) {
+    
+    lastCrashMillis_ = value;
+  }
+  /**
+   * <code>int64 last_crash_millis = 9;</code>
+   */
+  private void clearLastCrashMillis() {
+
+    lastCrashMillis_ = 0L;
+  }
+
   public static org.wasabimount.protocol.cell.TaskStatus parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -637,6 +701,74 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * Incarnations of workers that ended unplanned with the task, without a longer pause between them.
+     * </pre>
+     *
+     * <code>int32 crashes = 8;</code>
+     * @return The crashes.
+     */
+    @java.lang.Override
+    public int getCrashes() {
+      return instance.getCrashes();
+    }
+    /**
+     * <pre>
+     * Incarnations of workers that ended unplanned with the task, without a longer pause between them.
+     * </pre>
+     *
+     * <code>int32 crashes = 8;</code>
+     * @param value The crashes to set.
+     * @return This builder for chaining.
+     */
+    public Builder setCrashes(int value) {
+      copyOnWrite();
+      instance.setCrashes(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Incarnations of workers that ended unplanned with the task, without a longer pause between them.
+     * </pre>
+     *
+     * <code>int32 crashes = 8;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearCrashes() {
+      copyOnWrite();
+      instance.clearCrashes();
+      return this;
+    }
+
+    /**
+     * <code>int64 last_crash_millis = 9;</code>
+     * @return The lastCrashMillis.
+     */
+    @java.lang.Override
+    public long getLastCrashMillis() {
+      return instance.getLastCrashMillis();
+    }
+    /**
+     * <code>int64 last_crash_millis = 9;</code>
+     * @param value The lastCrashMillis to set.
+     * @return This builder for chaining.
+     */
+    public Builder setLastCrashMillis(long value) {
+      copyOnWrite();
+      instance.setLastCrashMillis(value);
+      return this;
+    }
+    /**
+     * <code>int64 last_crash_millis = 9;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearLastCrashMillis() {
+      copyOnWrite();
+      instance.clearLastCrashMillis();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:wasabimount.cell.TaskStatus)
   }
   @java.lang.Override
@@ -660,10 +792,12 @@
             "failures_",
             "pendingSinceMillis_",
             "notBeforeMillis_",
+            "crashes_",
+            "lastCrashMillis_",
           };
           java.lang.String info =
-              "\u0000\u0007\u0000\u0000\u0001\u0007\u0007\u0000\u0000\u0000\u0001\u0208\u0002\f" +
-              "\u0003\u0208\u0004\u0002\u0005\u0004\u0006\u0002\u0007\u0002";
+              "\u0000\t\u0000\u0000\u0001\t\t\u0000\u0000\u0000\u0001\u0208\u0002\f\u0003\u0208" +
+              "\u0004\u0002\u0005\u0004\u0006\u0002\u0007\u0002\b\u0004\t\u0002";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/protocol/src/main/java/org/wasabimount/protocol/cell/TaskStatusOrBuilder.java
+++ b/protocol/src/main/java/org/wasabimount/protocol/cell/TaskStatusOrBuilder.java
@@ -72,4 +72,20 @@
    * @return The notBeforeMillis.
    */
   long getNotBeforeMillis();
+
+  /**
+   * <pre>
+   * Incarnations of workers that ended unplanned with the task, without a longer pause between them.
+   * </pre>
+   *
+   * <code>int32 crashes = 8;</code>
+   * @return The crashes.
+   */
+  int getCrashes();
+
+  /**
+   * <code>int64 last_crash_millis = 9;</code>
+   * @return The lastCrashMillis.
+   */
+  long getLastCrashMillis();
 }
