Send a request to no third backend server after two have ended with it

A request that ends its backend server was retried on another one up to three times, as long as the budget for retries had tokens. Two connections that close in the middle of the same request are now enough: the caller is told that the answer was lost. Attempts that never reached a server are not counted.

RequestRouterTest.requestThatEndsItsServersIsNotSentToAThird failed before (three attempts instead of two).

--- a/core/src/main/java/org/wasabimount/core/routing/RequestRouter.java
+++ b/core/src/main/java/org/wasabimount/core/routing/RequestRouter.java
@@ -23,6 +23,10 @@
 public final class RequestRouter {
 
     private static final int MAX_ATTEMPTS = 3;
+
+    /** Number of servers that may end with a request; a request that has ended two would probably end a third. */
+    private static final int MAX_CUT_SHORT = 2;
+
     private static final long NO_SERVER_RETRY_AFTER_MILLIS = 1_000;
     private static final long REMOVE_AFTER_TERMS = 20;
     private static final long MIN_RETRY_AFTER_MILLIS = 100;
@@ -350,7 +354,8 @@
                 && safeToRetry
                 && enoughTimeLeft
                 && otherServerPresent
-                && request.attempts() < MAX_ATTEMPTS;
+                && request.attempts() < MAX_ATTEMPTS
+                && request.cutShort() < MAX_CUT_SHORT;
         boolean retry = retryAllowed && budget(request).tryTakeToken();
         if (retry) {
             attempt.pool().queue().requeue(request);
--- a/core/src/main/java/org/wasabimount/core/routing/RoutedRequest.java
+++ b/core/src/main/java/org/wasabimount/core/routing/RoutedRequest.java
@@ -15,6 +15,7 @@
     private int attempts;
     private BackendServer lastServer;
     private boolean mayHaveRun;
+    private int cutShort;
     private double finishTag;
 
     /**
@@ -111,6 +112,12 @@
 
     void recordAttempt(AttemptResult result) {
         mayHaveRun |= result.mayHaveRun();
+        cutShort += result == AttemptResult.CUT_SHORT ? 1 : 0;
+    }
+
+    /** Returns how many servers closed the connection after they had received the request. */
+    int cutShort() {
+        return cutShort;
     }
 
     void recordDispatch(BackendServer server) {
--- a/core/src/test/java/org/wasabimount/core/routing/RequestRouterTest.java
+++ b/core/src/test/java/org/wasabimount/core/routing/RequestRouterTest.java
@@ -133,6 +133,28 @@
         assertTrue(dispatches <= 1_000 * 1.1 + 11, dispatches + " attempts for 1000 requests");
     }
 
+    /** Guards against a request that ends every server that it is sent to. */
+    @Test
+    public void requestThatEndsItsServersIsNotSentToAThird() {
+        announce("one", "d1", false, 0);
+        announce("two", "d1", false, 0);
+        announce("three", "d1", false, 0);
+        // Requests that are answered at once fill the budget for retries.
+        for (int number = 0; number < 100; number++) {
+            router.attemptFinished(singleDispatch(route("a", 5_000, 0)).attempt(), AttemptResult.ANSWERED, 0);
+            router.takeActions();
+        }
+        int attempts = 0;
+        List<RoutingAction> actions = route("a", 5_000, 0);
+        while (actions.get(0) instanceof RoutingAction.Dispatch dispatch) {
+            attempts++;
+            router.attemptFinished(dispatch.attempt(), AttemptResult.CUT_SHORT, attempts);
+            actions = router.takeActions();
+        }
+        assertEquals(attempts, 2);
+        assertEquals(((RoutingAction.GiveUp) actions.get(0)).refusal().code(), ResultCode.ANSWER_LOST);
+    }
+
     private List<RoutingAction> route(String organisation, long timeoutMillis, long nowMillis) {
         nextId++;
         router.route(
