An error in the dispatcher or a command no longer ends one leader after the other

What could happen: one list of a worker that names a task with a negative number ended every node of the core. The leader committed the end; JobTable.apply threw on each replica, GroupThread ended the process, and after its restart the log had the same entry. An error of the dispatcher itself (in a round, an observer or a response) ended the leader, and the next leader met the same state.

- Job.has refuses negative steps and indexes.
- JobStateMachine leaves out a command that fails unexpectedly; it fails alike on every replica.
An entry that can't be parsed still stops the node: it is of another version or damaged.
- JobTable tells its observer of changes in a way that a failing observer, which only the leader has, can't cut a command short and let the leader's table differ.
- JobLeader ends a dispatcher that has failed and starts another one from the table, 500 ms later and after all its proposals are applied.
A step that can't be considered names its job (StepFailure), and that job waits for the next term.
- wasabimount_dispatcher_failures_total counts it; DISPATCH failed has the error.

JobTableTest.endsOfTasksThatDoNotExistChangeNothing and failingObserverDoesNotCutCommandsShort, and UnexpectedErrorTest.dispatcherThatFailsUnexpectedlyStartsAgain failed before.

--- a/core/src/main/java/org/wasabimount/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/Dispatcher.java
@@ -67,6 +67,7 @@
 
     private final DispatchSettings settings;
     private final JobTable table;
+    private final Set<String> excludedJobs;
     private final WorkerManager workers;
     private final AdviceManager advice = new AdviceManager();
     private final ExaminedCounts examined = new ExaminedCounts();
@@ -99,6 +100,7 @@
      * @param table the replicated state; the new instance becomes its observer
      * @param order the order in which steps are considered
      * @param fence the leader's term, higher than that of any previous leader
+     * @param excludedJobs the jobs whose steps are not considered, because that has failed unexpectedly
      * @param nowMillis the current monotonic time, in milliseconds
      * @param wallMillis the current time of day, in milliseconds since 1970
      */
@@ -107,10 +109,12 @@
             JobTable table,
             SchedulingOrder order,
             long fence,
+            Set<String> excludedJobs,
             long nowMillis,
             long wallMillis) {
         this.settings = settings;
         this.table = table;
+        this.excludedJobs = Set.copyOf(excludedJobs);
         this.nowMillis = nowMillis;
         this.workers = new WorkerManager(settings, table, fence, this::add, examined, nowMillis);
         this.waits = new WaitSampler(workers, advice);
@@ -334,7 +338,7 @@
             lastPassMillis = nowMillis;
             List<OpenStep> changed = List.copyOf(changedSteps);
             changedSteps.clear();
-            changed.forEach(step -> refresh(step, wallMillis));
+            changed.forEach(step -> StepFailure.guard(step.id(), () -> refresh(step, wallMillis)));
             placement.pass();
         }
         if (nowMillis >= forgetDueMillis) {
@@ -391,6 +395,9 @@
     }
 
     private void plan(Job job, long arrivedMillis) {
+        if (excludedJobs.contains(job.id())) {
+            return;
+        }
         JobPlan plan = new JobPlan(job, arrivedMillis);
         plans.put(job.id(), plan);
         workAhead.update(plan);
--- a/core/src/main/java/org/wasabimount/core/dispatch/StepPlacement.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/StepPlacement.java
@@ -271,7 +271,7 @@
         // Steps that are woken meanwhile wait for the next pass: two that wake each other must not keep the thread.
         List<WaitingStep> due = List.copyOf(woken);
         woken.clear();
-        due.forEach(this::consider);
+        due.forEach(step -> StepFailure.guard(step.id(), () -> consider(step)));
         advicePlan.requestCalls(this::suitable, this::poolOf, nowMillis, actions);
         placements.forEach(this::propose);
         placements.clear();
--- a/core/src/main/java/org/wasabimount/core/job/Job.java
+++ b/core/src/main/java/org/wasabimount/core/job/Job.java
@@ -189,7 +189,9 @@
 
     boolean has(TaskId task) {
         return occurrences.containsKey(task.occurrence())
+                && task.step() >= 0
                 && task.step() < spec.getStepsCount()
+                && task.index() >= 0
                 && task.index() < spec.getSteps(task.step()).getCount();
     }
 
--- a/core/src/main/java/org/wasabimount/core/job/JobTable.java
+++ b/core/src/main/java/org/wasabimount/core/job/JobTable.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.stream.Stream;
 
 import org.wasabimount.core.ResultCode;
@@ -41,12 +42,15 @@
  */
 public final class JobTable {
 
+    private static final System.Logger LOG = System.getLogger("wasabimount.job");
+
     private QueueTable queues = QueueTable.getDefaultInstance();
     private final Map<String, WorkerEntry> workers = new LinkedHashMap<>();
     private final Map<String, Job> jobs = new LinkedHashMap<>();
     private final Map<IncarnationId, Set<TaskId>> placed = new HashMap<>();
     private final SilentWorkers silentWorkers = new SilentWorkers();
     private Observer observer = new Observer() {};
+    private RuntimeException observerFailure;
 
     /** Receives a notification of each change when it is applied. */
     public interface Observer {
@@ -280,11 +284,32 @@
         return table;
     }
 
+    /** Tells the observer of a change; only one replica has one, so its failure must not affect the state. */
+    private void tell(Consumer<Observer> change) {
+        try {
+            change.accept(observer);
+        } catch (RuntimeException e) {
+            LOG.log(System.Logger.Level.ERROR, "JOB observer failed", e);
+            observerFailure = e;
+        }
+    }
+
+    /**
+     * Returns and clears the last failure of the observer.
+     *
+     * @return the failure, empty if the observer has handled all changes since the last call
+     */
+    public Optional<RuntimeException> takeObserverFailure() {
+        Optional<RuntimeException> failure = Optional.ofNullable(observerFailure);
+        observerFailure = null;
+        return failure;
+    }
+
     private ResultCode accept(AcceptJob command, long nowMillis) {
         if (!jobs.containsKey(command.getSpec().getId())) {
             Job job = new Job(command.getSpec(), command.getQueue(), nowMillis);
             jobs.put(job.id(), job);
-            observer.accepted(job);
+            tell(changes -> changes.accepted(job));
         }
         return ResultCode.OK;
     }
@@ -301,7 +326,7 @@
     private void endJob(Job job, JobPhase endPhase, long nowMillis) {
         if (job.open()) {
             job.end(endPhase, nowMillis);
-            observer.ended(job);
+            tell(changes -> changes.ended(job));
         }
     }
 
@@ -317,7 +342,7 @@
             job.activate();
             job.task(id).place(placement.getRun(), incarnation);
             mutablePlacedOn(incarnation).add(id);
-            observer.placed(new RunId(id, placement.getRun()), incarnation);
+            tell(changes -> changes.placed(new RunId(id, placement.getRun()), incarnation));
         }
         return ResultCode.OK;
     }
@@ -372,7 +397,7 @@
     private void explainSilence(JobTask task, int run, IncarnationId incarnation) {
         if (silentWorkers.remove(incarnation, new RunId(task.id(), run))) {
             task.silenceExplained();
-            observer.suspicionChanged(task.id());
+            tell(changes -> changes.suspicionChanged(task.id()));
         }
     }
 
@@ -391,7 +416,7 @@
     private void finish(JobTask task) {
         if (!task.done()) {
             task.finish();
-            observer.taskDone(task.id());
+            tell(changes -> changes.taskDone(task.id()));
         }
     }
 
@@ -486,7 +511,7 @@
         WorkerEntry entry = new WorkerEntry(
                 incarnation, command.getSequence(), command.getClockMillis(), sameIncarnation ? known.offset() : 0);
         workers.put(incarnation.getWorker(), entry);
-        observer.workerAnnounced(entry);
+        tell(changes -> changes.workerAnnounced(entry));
         return ResultCode.OK;
     }
 
@@ -536,7 +561,7 @@
         workers.remove(worker.incarnation().getWorker());
         List<RunId> runs =
                 tasks.stream().map(task -> new RunId(task.id(), task.run())).toList();
-        observer.workerEnded(worker.id(), runs, cause);
+        tell(changes -> changes.workerEnded(worker.id(), runs, cause));
     }
 
     private static void recordCrash(JobTask task, boolean singleWorker) {
@@ -554,7 +579,7 @@
             tasks.forEach(task -> recordCrash(task, singleWorker));
         }
         tasks.forEach(JobTask::silenceExplained);
-        tasks.forEach(task -> observer.suspicionChanged(task.id()));
+        tasks.forEach(task -> tell(changes -> changes.suspicionChanged(task.id())));
         return tasks;
     }
 
@@ -591,7 +616,7 @@
     private void release(JobTask task, IncarnationId incarnation) {
         task.release();
         mutablePlacedOn(incarnation).remove(task.id());
-        observer.released(new RunId(task.id(), task.run()), incarnation);
+        tell(changes -> changes.released(new RunId(task.id(), task.run()), incarnation));
     }
 
     private Set<TaskId> mutablePlacedOn(IncarnationId incarnation) {
--- a/core/src/test/java/org/wasabimount/core/dispatch/SimulatedCell.java
+++ b/core/src/test/java/org/wasabimount/core/dispatch/SimulatedCell.java
@@ -311,6 +311,7 @@
                 table,
                 order,
                 term,
+                Set.of(),
                 nowMillis,
                 EPOCH_MILLIS + nowMillis);
         dispatcher.callers(List.of("vm1", "vm2", "vm3", "vm4"));
--- a/core/src/test/java/org/wasabimount/core/job/JobTableTest.java
+++ b/core/src/test/java/org/wasabimount/core/job/JobTableTest.java
@@ -239,6 +239,38 @@
         assertTrue(table.job("job").isEmpty());
     }
 
+    /** Guards against a run end with a negative number, which ended every replica that applied it. */
+    @Test
+    public void endsOfTasksThatDoNotExistChangeNothing() {
+        accept("job", 1, false);
+        place(task(0, 0), 1, "w1", 10);
+        end(task(0, -1), 1, EndKind.DONE, 1);
+        end(task(-1, 0), 1, EndKind.DONE, 2);
+        end(task(7, 0), 1, EndKind.DONE, 3);
+        assertEquals(table.job("job").orElseThrow().phase(), JobPhase.ACTIVE);
+    }
+
+    /** Guards against a leader whose table differs from those of the others after its observer has failed. */
+    @Test
+    public void failingObserverDoesNotCutCommandsShort() {
+        accept("job", 2, false);
+        table.setObserver(new JobTable.Observer() {
+            @Override
+            public void placed(RunId run, IncarnationId incarnation) {
+                throw new IllegalStateException("the observer fails");
+            }
+        });
+        Placement.Builder placement =
+                Placement.newBuilder().setRun(1).setWorker("w1").setBornMillis(10);
+        apply(JobCommand.newBuilder()
+                .setPlace(PlaceRuns.newBuilder()
+                        .addPlacements(placement.setTask(task(0, 0).toKey()).build())
+                        .addPlacements(placement.setTask(task(0, 1).toKey()).build())));
+        assertEquals(table.placedOn(new IncarnationId("w1", 10)).size(), 2);
+        assertTrue(table.takeObserverFailure().isPresent());
+        assertTrue(table.takeObserverFailure().isEmpty());
+    }
+
     @Test
     public void olderQueueTableChangesNothing() {
         apply(JobCommand.newBuilder().setPutQueues(table(7, "/a/")));
--- a/daemon/src/main/java/org/wasabimount/daemon/job/JobLeader.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/job/JobLeader.java
@@ -2,8 +2,10 @@
 
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.function.Consumer;
@@ -20,6 +22,7 @@
 import org.wasabimount.core.dispatch.LeaseRenewalResult;
 import org.wasabimount.core.dispatch.OrderOutcome;
 import org.wasabimount.core.dispatch.SchedulingOrder;
+import org.wasabimount.core.dispatch.StepFailure;
 import org.wasabimount.core.job.IncarnationId;
 import org.wasabimount.core.job.Job;
 import org.wasabimount.core.job.JobCheck;
@@ -51,6 +54,9 @@
     /** Longest time between two calls of the dispatcher, in milliseconds: half of the interval of its rounds. */
     private static final long MAX_WORK_INTERVAL_MILLIS = 20;
 
+    /** Time before a dispatcher that has failed starts again, in milliseconds; a few rounds of calls to workers. */
+    private static final long RESTART_DELAY_MILLIS = 500;
+
     private final GroupThread group;
     private final JobStateMachine stateMachine;
     private final DispatchSettings settings;
@@ -64,7 +70,10 @@
     private final ConcurrentLinkedQueue<Runnable> deferredEvents = new ConcurrentLinkedQueue<>();
     private final SuspensionWatch suspensionWatch;
     private final DispatchMonitor monitor;
+    private final Set<String> excludedJobs = new HashSet<>();
     private Dispatcher dispatcher;
+    private int openProposals;
+    private long restartMillis = Long.MIN_VALUE;
     private long term;
 
     /**
@@ -104,7 +113,9 @@
         if (!mayDecide()) {
             return CompletableFuture.completedFuture(group.notLeader());
         }
-        beginOrContinueTerm();
+        if (!beginOrContinueTerm()) {
+            return refuse(new Refusal(ResultCode.NOT_READY, "the dispatcher starts again", RESTART_DELAY_MILLIS));
+        }
         return switch (operation.getBodyCase()) {
             case SUBMIT -> submit(operation.getRequest(), operation.getSubmit());
             case STATE -> CompletableFuture.completedFuture(state(operation.getState()));
@@ -128,9 +139,9 @@
      * @param response the result
      */
     public void advised(long callId, AdviceResult response) {
-        if (dispatcher != null) {
-            dispatcher.at(clock.millis());
-            dispatcher.advised(callId, response);
+        Dispatcher current = dispatcher;
+        if (current != null) {
+            runInTerm(current, () -> current.advised(callId, response));
         }
     }
 
@@ -253,17 +264,53 @@
         if (!mayDecide()) {
             return;
         }
-        beginOrContinueTerm();
-        dispatcher.callers(adviceCallers.get());
-        dispatcher.work(wallClock.millis()).forEach(this::carryOut);
+        try {
+            if (beginOrContinueTerm()) {
+                dispatcher.callers(adviceCallers.get());
+                dispatcher.work(wallClock.millis()).forEach(this::carryOut);
+            }
+        } catch (RuntimeException e) {
+            restartLater(e);
+        }
+        table().takeObserverFailure().ifPresent(this::restartLater);
+    }
+
+    /**
+     * Ends the dispatcher after an unexpected error; another one takes over from the table, as in a new term. An error that
+     * ended the process would end the next leader, too.
+     */
+    private void restartLater(RuntimeException error) {
+        LOG.log(System.Logger.Level.ERROR, "DISPATCH failed, it starts again from the state", error);
+        if (error instanceof StepFailure failure) {
+            LOG.log(System.Logger.Level.ERROR, "DISPATCH goes on without job={0}", failure.job());
+            excludedJobs.add(failure.job());
+        }
+        metrics.dispatcherFailed();
+        dispatcher = null;
+        restartMillis = clock.millis() + RESTART_DELAY_MILLIS;
+        table().setObserver(new JobTable.Observer() {});
     }
 
-    /** Creates the dispatcher at the beginning of a term, and sets the dispatcher's time. */
-    private void beginOrContinueTerm() {
+    /**
+     * Creates the dispatcher at the beginning of a term, and sets the dispatcher's time.
+     *
+     * @return false if the dispatcher has failed and does not start again yet
+     */
+    private boolean beginOrContinueTerm() {
         if (dispatcher == null) {
+            // Placements that the failed dispatcher has proposed must be in the table from which the next one starts.
+            if (clock.millis() < restartMillis || openProposals > 0) {
+                return false;
+            }
             term = group.replica().term();
             dispatcher = new Dispatcher(
-                    settings, table(), SchedulingOrder.LATEST_START, term, clock.millis(), wallClock.millis());
+                    settings,
+                    table(),
+                    SchedulingOrder.LATEST_START,
+                    term,
+                    excludedJobs,
+                    clock.millis(),
+                    wallClock.millis());
             dispatcher.setJobEndListener(
                     job -> metrics.jobEnded(job.phase(), job.endedMillis() - job.acceptedMillis()));
             dispatcher.setWorkerEndListener(metrics::workerEnded);
@@ -277,12 +324,16 @@
                     table().workers().size());
         }
         dispatcher.at(clock.millis());
+        return true;
     }
 
     private void resign() {
         LOG.log(System.Logger.Level.INFO, "RESIGN term={0}", Long.toString(term));
         dispatcher = null;
         pendingAccepts.clear();
+        excludedJobs.clear();
+        openProposals = 0;
+        restartMillis = Long.MIN_VALUE;
         monitor.resigned();
         table().setObserver(new JobTable.Observer() {});
     }
@@ -342,17 +393,24 @@
      * runs after the next batch: a response that is lost would leave its order open for the rest of the term.
      */
     private void submitInTerm(Dispatcher current, Runnable event) {
-        Runnable eventInTerm = () -> {
-            if (dispatcher == current) {
-                dispatcher.at(clock.millis());
-                event.run();
-            }
-        };
+        Runnable eventInTerm = () -> runInTerm(current, event);
         if (!group.submit(eventInTerm)) {
             deferredEvents.add(eventInTerm);
         }
     }
 
+    private void runInTerm(Dispatcher current, Runnable event) {
+        if (dispatcher != current) {
+            return;
+        }
+        try {
+            dispatcher.at(clock.millis());
+            event.run();
+        } catch (RuntimeException e) {
+            restartLater(e);
+        }
+    }
+
     private void runDeferredEvents() {
         int count = 0;
         for (Runnable event = deferredEvents.poll(); event != null; event = deferredEvents.poll()) {
@@ -366,9 +424,14 @@
 
     private CompletableFuture<Reply> propose(JobCommand command) {
         long proposedMillis = clock.millis();
+        long proposedTerm = term;
+        openProposals++;
         CompletableFuture<Reply> reply = group.propose(
                 command.toBuilder().setTimeMillis(wallClock.millis()).build().toByteString());
-        return reply.whenComplete((done, failure) -> metrics.commandCommitted(clock.millis() - proposedMillis));
+        return reply.whenComplete((done, failure) -> {
+            openProposals -= proposedTerm == term && openProposals > 0 ? 1 : 0;
+            metrics.commandCommitted(clock.millis() - proposedMillis);
+        });
     }
 
     private boolean mayDecide() {
--- a/daemon/src/main/java/org/wasabimount/daemon/job/JobStateMachine.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/job/JobStateMachine.java
@@ -13,6 +13,8 @@
 /** Applies the log of the jobs' group to the job table. */
 final class JobStateMachine implements StateMachine {
 
+    private static final System.Logger LOG = System.getLogger("wasabimount.job");
+
     private JobTable table = new JobTable();
 
     /** Returns the current table; restoring a snapshot replaces it by another object. */
@@ -22,8 +24,18 @@
 
     @Override
     public Reply apply(ByteString bytes) throws InvalidProtocolBufferException {
-        ResultCode code = table.apply(JobCommand.parseFrom(bytes));
-        return Reply.newBuilder().setResultCode(code.number()).build();
+        JobCommand command = JobCommand.parseFrom(bytes);
+        return Reply.newBuilder().setResultCode(apply(command).number()).build();
+    }
+
+    /** Applies a command; one that fails unexpectedly fails on every replica, and must not end one after the other. */
+    private ResultCode apply(JobCommand command) {
+        try {
+            return table.apply(command);
+        } catch (RuntimeException e) {
+            LOG.log(System.Logger.Level.ERROR, "JOB command " + command.getBodyCase() + " failed, it is left out", e);
+            return ResultCode.INTERNAL;
+        }
     }
 
     @Override
--- a/daemon/src/main/java/org/wasabimount/daemon/metrics/NodeMetrics.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/metrics/NodeMetrics.java
@@ -44,6 +44,10 @@
             .help("Jobs that ended while this node led, by how")
             .labelNames("phase")
             .register(registry());
+    private final Counter dispatcherFailures = counter()
+            .name("wasabimount_dispatcher_failures")
+            .help("Unexpected errors after which the dispatcher of this node started again")
+            .register(registry());
     private final Counter workerEnds = counter()
             .name("wasabimount_worker_ends")
             .help("Incarnations of workers that ended while this node led, by cause")
@@ -137,6 +141,11 @@
         orders.labelValues(order, outcome.name()).inc();
     }
 
+    /** Counts an unexpected error after which the dispatcher starts again. */
+    public void dispatcherFailed() {
+        dispatcherFailures.inc();
+    }
+
     /**
      * Counts an incarnation of a worker that has ended.
      *
--- a/daemon/src/test/java/org/wasabimount/daemon/job/UnexpectedErrorTest.java
+++ b/daemon/src/test/java/org/wasabimount/daemon/job/UnexpectedErrorTest.java
@@ -36,10 +36,13 @@
 
     private final AtomicReference<IOException> failure = new AtomicReference<>();
     private volatile boolean clockFails;
+    private volatile boolean workFails;
+    private volatile int failures;
     private JobGroup group;
 
     private long wallMillis() {
-        if (clockFails && calledBy("announce")) {
+        if (clockFails && calledBy("announce") || workFails && calledBy("work") && !calledBy("mayDecide")) {
+            failures++;
             throw new IllegalStateException("the clock fails");
         }
         return Clock.wall().millis();
@@ -123,4 +126,17 @@
         awaitLeadership();
         assertEquals(failure.get(), null);
     }
+
+    /** Guards against a state or response at which the dispatcher fails, and with it one leader after the other. */
+    @Test(timeOut = 60_000)
+    public void dispatcherThatFailsUnexpectedlyStartsAgain() throws InterruptedException {
+        awaitLeadership();
+        workFails = true;
+        while (failures < 2) {
+            Thread.sleep(20);
+        }
+        workFails = false;
+        awaitLeadership();
+        assertEquals(failure.get(), null);
+    }
 }
