Stop the rest of a gang when one of its workers is silent and none of its tasks work

While a worker is silent, the other tasks of its gangs are looked at: if half of that time has passed and no list has shown one of them working, they are stopped, before they end by themselves.

Two silences count as one cause within 2 s instead of 1.5 s: a call in progress may have to time out before the list is missed. PLACE and JOB ended lines tell alone= and crashes=.

--- a/core/src/main/java/org/wasabimount/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/Dispatcher.java
@@ -478,11 +478,12 @@
         ended.accept(job);
         LOG.log(
                 System.Logger.Level.INFO,
-                "JOB ended job={0} queue={1} phase={2} tookMillis={3}",
+                "JOB ended job={0} queue={1} phase={2} tookMillis={3} crashes={4}",
                 job.id(),
                 job.queue().getName(),
                 job.phase(),
-                Long.toString(job.endedMillis() - job.acceptedMillis()));
+                Long.toString(job.endedMillis() - job.acceptedMillis()),
+                job.tasks().mapToInt(JobTask::crashes).max().orElse(0));
     }
 
     @Override
--- a/core/src/main/java/org/wasabimount/core/dispatch/SilenceLog.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/SilenceLog.java
@@ -17,8 +17,8 @@
  */
 final class SilenceLog {
 
-    /** Time between two silences with one cause, in milliseconds: the longest time for which a list is awaited. */
-    private static final long TOGETHER_MILLIS = 1_500;
+    /** Longest time between noticing two crashes of one moment, in milliseconds: a list takes 1.3 s, a call before it as long. */
+    private static final long TOGETHER_MILLIS = 2_000;
 
     /** How long a silence is remembered, in milliseconds; workers that stay away longer are rarely replaced. */
     private static final long REMEMBERED_MILLIS = 60_000;
--- a/core/src/main/java/org/wasabimount/core/dispatch/StepPlacement.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/StepPlacement.java
@@ -752,7 +752,7 @@
         ReadyStep ready = step.ready();
         LOG.log(
                 System.Logger.Level.INFO,
-                "PLACE step={0} queue={1} tasks={2} waiting={3} workers={4} slackMillis={5}",
+                "PLACE step={0} queue={1} tasks={2} waiting={3} workers={4} slackMillis={5} alone={6}",
                 step.id(),
                 ready.queue().getName(),
                 command.getPlacementsCount(),
@@ -761,7 +761,8 @@
                         .map(Placement::getWorker)
                         .distinct()
                         .toList(),
-                Long.toString(ready.latestStartMillis() - nowMillis));
+                Long.toString(ready.latestStartMillis() - nowMillis),
+                ready.isolated());
         actions.accept(new DispatchAction.Propose(
                 JobCommand.newBuilder().setPlace(command).build()));
     }
--- a/core/src/main/java/org/wasabimount/core/dispatch/TrackedRun.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/TrackedRun.java
@@ -18,6 +18,8 @@
 
     private static final double PERCENT = 100.0;
 
+    private static final int NOT_LISTED = -1;
+
     /** Least progress from which the duration of a run is estimated; progress is listed in whole percent. */
     private static final int MIN_PERCENT_FOR_ESTIMATE = 5;
 
@@ -69,6 +71,9 @@
     /** The latest progress of a run that this leader started without saved progress, and when it was listed. */
     private int listedPercent;
 
+    private int firstListedPercent = NOT_LISTED;
+    private boolean advanced;
+
     private long listedMillis;
 
     TrackedRun(RunId id, IncarnationId incarnation, Step step, State state) {
@@ -215,6 +220,10 @@
         if (!latestSaved.isEmpty()) {
             saved = latestSaved;
         }
+        if (firstListedPercent == NOT_LISTED) {
+            firstListedPercent = resumesFromSaved ? percent : 0;
+        }
+        advanced |= percent > firstListedPercent;
         boolean startedFromZero = startedMillis > 0 && !resumesFromSaved && startAttempts > 0;
         if (startedFromZero) {
             listedPercent = percent;
@@ -236,6 +245,11 @@
         return OptionalDouble.of(pace);
     }
 
+    /** Returns whether a list has shown that the run works: a gang does so only once all its tasks have started. */
+    boolean advanced() {
+        return advanced;
+    }
+
     /** Returns the estimated remaining time of the run, in milliseconds: by its progress if that is known. */
     long remainingMillis(long nowMillis) {
         boolean started = startedMillis > 0;
--- a/core/src/main/java/org/wasabimount/core/dispatch/WorkerManager.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/WorkerManager.java
@@ -69,6 +69,15 @@
     /** Number of start attempts after which the run is stopped instead. */
     private static final int MAX_START_ATTEMPTS = 4;
 
+    /**
+     * Share of the time for which a task of a gang waits for the others after which it must have been seen working, if one
+     * of them is on a silent worker; the rest is for the stop, and lists arrive at least every second.
+     */
+    private static final double MAX_GANG_WAIT_SHARE = 0.5;
+
+    /** Interval between two checks of the gangs with a task on a silent worker, in milliseconds; a part of a stop. */
+    private static final long GANG_CHECK_INTERVAL_MILLIS = 100;
+
     /**
      * How long a task avoids a worker on which it failed, in milliseconds; after that it may run on any worker again,
      * rather than keep waiting.
@@ -116,6 +125,7 @@
     /** The workers whose latest announcement is not recorded in the table. */
     private final Set<TrackedWorker> unconfirmed = new LinkedHashSet<>();
 
+    private long gangCheckMillis;
     private final SilenceLog silences = new SilenceLog();
     private final SlowWorkerDetector slowWorkerDetector = new SlowWorkerDetector();
 
@@ -385,11 +395,18 @@
     /** Sends all due lease renewals, starts and stops, and handles expired leases. */
     void tick(long nowMillis) {
         checkCapacityAges(nowMillis);
+        boolean gangCheckDue = nowMillis >= gangCheckMillis;
+        if (gangCheckDue) {
+            gangCheckMillis = nowMillis + GANG_CHECK_INTERVAL_MILLIS;
+        }
         List.copyOf(awake).forEach(trackedWorker -> {
             examined.add(ExaminedCounts.Part.TICK, 1 + trackedWorker.runs().size());
             if (trackedWorker.renewalDue(nowMillis)) {
                 renewLease(trackedWorker, nowMillis);
             }
+            if (gangCheckDue && trackedWorker.unansweredCalls() > 0) {
+                stopGangsThatMissTasks(trackedWorker, nowMillis);
+            }
             if (trackedWorker.unansweredCalls() > 0 && trackedWorker.clock().expired(nowMillis)) {
                 loseAll(trackedWorker, nowMillis);
                 if (trackedWorker.silentMillis(nowMillis) > SILENT_WORKER_REMOVAL_MILLIS) {
@@ -811,6 +828,36 @@
         actions.accept(new DispatchAction.Stop(run, trackedWorker.entry(), fence));
     }
 
+    /**
+     * Stops the other tasks of gangs with a task on a silent worker if they do not work. They wait for one that may have
+     * never started, and would end by themselves soon; a gang that works is left alone, as its worker may only be cut off.
+     */
+    private void stopGangsThatMissTasks(TrackedWorker silentWorker, long nowMillis) {
+        silentWorker.runs().stream()
+                .filter(trackedRun -> trackedRun.step().getGang()
+                        && !trackedRun.state().ending()
+                        && trackedRun.state() != TrackedRun.State.PROPOSED)
+                .map(TrackedRun::id)
+                .toList()
+                .forEach(run -> {
+                    List<TrackedRun> others = otherMembers(run);
+                    boolean working = others.stream().anyMatch(TrackedRun::advanced);
+                    boolean waitedLong = others.stream()
+                            .anyMatch(other -> other.state() == TrackedRun.State.RUNNING
+                                    && nowMillis - other.startedMillis()
+                                            >= MAX_GANG_WAIT_SHARE * settings.gangMillis());
+                    if (waitedLong && !working) {
+                        stopGang(run, nowMillis);
+                    }
+                });
+    }
+
+    private List<TrackedRun> otherMembers(RunId member) {
+        TaskId id = member.task();
+        return placedRuns(table.job(id.job()).orElseThrow().tasks(id.occurrence(), id.step()).stream()
+                .filter(task -> task.run() == member.number() && task.id().index() != id.index()));
+    }
+
     private Capacity sizeOf(List<RunId> runs) {
         return runs.stream()
                 .filter(run -> table.task(run.task()).isPresent())
@@ -819,12 +866,7 @@
     }
 
     private void stopGang(RunId member, long nowMillis) {
-        TaskId id = member.task();
-        List<JobTask> gang = table.job(id.job()).orElseThrow().tasks(id.occurrence(), id.step());
-        placedRuns(gang.stream()
-                        .filter(task ->
-                                task.run() == member.number() && task.id().index() != id.index()))
-                .forEach(trackedRun -> stop(trackedRun, nowMillis));
+        otherMembers(member).forEach(trackedRun -> stop(trackedRun, nowMillis));
     }
 
     private void stop(TrackedRun trackedRun, long nowMillis) {
--- a/core/src/test/java/org/wasabimount/core/dispatch/CrashingTaskTest.java
+++ b/core/src/test/java/org/wasabimount/core/dispatch/CrashingTaskTest.java
@@ -123,6 +123,40 @@
         assertCompleted(cell, "other", 100);
     }
 
+    /** Guards against tasks of a gang that wait in vain for one whose worker has crashed at its start. */
+    @Test(dataProvider = "seeds")
+    public void restOfGangIsStoppedWhenOneCrashesItsWorkerAtTheStart(long seed) {
+        SimulatedCell cell = cell(seed);
+        cell.crashDelayMillis = 0;
+        cell.crashingTasks = task -> task.job().equals("crashing") && task.index() == 3;
+        cell.submit(cell.job("crashing", 8, LARGE, true));
+        cell.run(GIVEN_UP_MILLIS);
+        assertNoViolations(cell);
+        assertEquals(cell.phase("crashing"), JobPhase.BROKEN_DOWN);
+        assertEquals(cell.aloneEnds, 0);
+    }
+
+    /** Guards against a gang that is stopped because a worker is silent for a moment, while all its tasks work. */
+    @Test(dataProvider = "seeds")
+    public void gangThatWorksOutlivesSilentWorker(long seed) {
+        SimulatedCell cell = cell(seed);
+        cell.workMillis(8_000);
+        cell.submit(cell.job("gang", 8, LARGE, true));
+        cell.run(1_000 + seed % 3 * 500);
+        String address = cell.byAddress.values().stream()
+                .filter(worker -> !worker.activeRuns.isEmpty())
+                .findFirst()
+                .orElseThrow()
+                .address;
+        cell.disconnectedAddresses.add(address);
+        cell.run(3_500);
+        cell.disconnectedAddresses.clear();
+        cell.run(20_000);
+        assertNoViolations(cell);
+        assertEquals(cell.phase("gang"), JobPhase.COMPLETED);
+        assertEquals(cell.starts.get("gang"), 8, "the gang was started again");
+    }
+
     /** Guards against blaming the tasks that were beside the one that crashed their worker. */
     @Test(dataProvider = "seeds")
     public void tasksBesideCrashingOnesAreNotGivenUp(long seed) {
--- a/core/src/test/java/org/wasabimount/core/dispatch/SimulatedCell.java
+++ b/core/src/test/java/org/wasabimount/core/dispatch/SimulatedCell.java
@@ -87,6 +87,9 @@
     /** Whether a worker that has crashed returns under the id that it had. */
     boolean returnsUnderSameId = true;
 
+    /** Number of runs that ended because the other tasks of their gang did not come. */
+    int aloneEnds;
+
     /** Number of workers that have crashed under a task. */
     int crashes;
 
@@ -229,7 +232,7 @@
                 Announce announcement = worker.announcement();
                 boolean delayed = delayedAnnouncementShare > 0 && random.nextDouble() < delayedAnnouncementShare;
                 if (delayed) {
-                    after(ANNOUNCE_MILLIS + random.nextInt(2_000), () -> deliver(announcement));
+                    after(ANNOUNCE_MILLIS + random.nextInt(6_000), () -> deliver(announcement));
                 } else {
                     deliver(announcement);
                 }
@@ -260,7 +263,10 @@
                 .map(RunId::task)
                 .filter(crashingTasks)
                 .forEach(task -> crashesByTask.merge(task, 1, Integer::sum));
-        List.copyOf(worker.activeRuns.keySet()).forEach(run -> runEnded(run, EndKind.BROKEN));
+        // The others of a gang notice the loss of one only once they work together.
+        List.copyOf(worker.activeRuns.entrySet()).stream()
+                .filter(run -> run.getValue().endsMillis != Long.MAX_VALUE)
+                .forEach(run -> runEnded(run.getKey(), EndKind.BROKEN));
         after(returnMillis, () -> {
             down--;
             if (byAddress.get(worker.address) == worker) {
@@ -644,6 +650,7 @@
         if (!isGang(run.task())) {
             return;
         }
+        aloneEnds += endKind == EndKind.ALONE ? 1 : 0;
         for (SimulatedWorker worker : alive()) {
             for (RunId other : List.copyOf(worker.activeRuns.keySet())) {
                 if (other.task().stepId().equals(run.task().stepId()) && other.number() == run.number()) {
