Tasks that last are not given up for crashes far apart, and limited ones do not wait for ever

A task that is to last and has worked for a minute is no longer suspected when its worker crashes (JobTableTest. crashAfterLongWorkDoesNotCountAgainstLastingTask). It does not keep a worker to itself either; its starts are limited as before. - A task with limited starts waited for a worker of its own without end where every worker has a run that lasts. After 10 s it shares one; it has two starts.

--- a/core/src/main/java/org/wasabimount/core/dispatch/OpenStep.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/OpenStep.java
@@ -110,7 +110,8 @@
 
     private void refresh(JobTask task) {
         unplaced.set(task.id().index(), task.awaitsPlacement());
-        suspects.set(task.id().index(), !task.done() && task.suspicions() >= CrashLimit.ISOLATION);
+        boolean suspect = !task.done() && !step.getLongRunning() && task.suspicions() >= CrashLimit.ISOLATION;
+        suspects.set(task.id().index(), suspect);
         waiting = null;
     }
 }
--- a/core/src/main/java/org/wasabimount/core/dispatch/StepPlacement.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/StepPlacement.java
@@ -93,6 +93,12 @@
      */
     private static final long ISOLATION_PATIENCE_MILLIS = 2_000;
 
+    /**
+     * As {@link #ISOLATION_PATIENCE_MILLIS}, for tasks whose starts are limited: several such tasks one after the other. If
+     * no worker can be emptied, as every one has a run that lasts, the task must not wait for ever.
+     */
+    private static final long LIMITED_ISOLATION_PATIENCE_MILLIS = 10_000;
+
     /** Number of gangs, in scheduling order, for which calls may look for eligible workers. */
     private static final int MAX_ASKING_GANGS = 60;
 
@@ -446,16 +452,16 @@
         if (step.listed()
                 && step.ready().isolated()
                 && missingTasks(step) > 0
-                && step.isolatedMillis(nowMillis) >= ISOLATION_PATIENCE_MILLIS
-                && mayShare(step.ready())) {
+                && step.isolatedMillis(nowMillis) >= isolationPatienceMillis(step.ready())) {
             share(step);
         }
     }
 
-    /** Returns whether a step's tasks may share workers: not if their starts are limited, unless it can't be avoided. */
-    private boolean mayShare(ReadyStep step) {
+    /** Returns how long a step's tasks wait for workers of their own: long if their starts are limited. */
+    private long isolationPatienceMillis(ReadyStep step) {
         boolean limited = step.waiting().stream().anyMatch(CrashLimit::startsLimited);
-        return !limited || workersRequiredAlone(step) > MAX_ISOLATED_IDLE_SHARE * knownWorkers(step);
+        boolean tooWide = workersRequiredAlone(step) > MAX_ISOLATED_IDLE_SHARE * knownWorkers(step);
+        return limited && !tooWide ? LIMITED_ISOLATION_PATIENCE_MILLIS : ISOLATION_PATIENCE_MILLIS;
     }
 
     /** Lets the tasks of a step share their workers with others, because there are none that they could have alone. */
--- a/core/src/main/java/org/wasabimount/core/job/CrashLimit.java
+++ b/core/src/main/java/org/wasabimount/core/job/CrashLimit.java
@@ -2,6 +2,8 @@
 
 import java.util.Collection;
 
+import org.wasabimount.protocol.job.Step;
+
 /**
  * Decides when a task is given up because workers crash under it.
  *
@@ -22,6 +24,9 @@
     /** Number of further starts; the contract forbids a third. */
     static final int FURTHER_STARTS = 2;
 
+    /** Time after which a task that is to last no longer counts as the cause of a crash, in milliseconds. */
+    private static final long LASTING_TASK_PROVEN_MILLIS = 60_000;
+
     private CrashLimit() {}
 
     /**
@@ -42,8 +47,12 @@
      * @return true if workers have crashed repeatedly under the task, or under any task of its gang
      */
     public static boolean requiresIsolation(Job job, JobTask task) {
-        boolean gang = job.step(task.id().step()).getGang();
-        return gang
+        Step step = job.step(task.id().step());
+        if (step.getLongRunning()) {
+            // It would keep the worker to itself for ever.
+            return false;
+        }
+        return step.getGang()
                 ? job.tasks(task.id().occurrence(), task.id().step()).stream()
                         .anyMatch(member -> member.suspicions() >= ISOLATION)
                 : task.suspicions() >= ISOLATION;
@@ -60,6 +69,16 @@
                                 !task.done() && task.crashes() >= CRASHES && task.singleCrashes() >= SINGLE_CRASHES);
     }
 
+    /**
+     * Returns whether the crash of a worker counts against a task: not if the task is to last and has worked there for so
+     * long that it would otherwise collect crashes over the months.
+     */
+    static boolean counts(Job job, JobTask task, long nowMillis) {
+        boolean proven = job.step(task.id().step()).getLongRunning()
+                && nowMillis - task.placedMillis() >= LASTING_TASK_PROVEN_MILLIS;
+        return !task.done() && !proven;
+    }
+
     /** Returns whether a task that is not running may not be started again. */
     static boolean exhausted(JobTask task) {
         return task.awaitsPlacement() && task.startsUsedUp();
--- a/core/src/main/java/org/wasabimount/core/job/JobTable.java
+++ b/core/src/main/java/org/wasabimount/core/job/JobTable.java
@@ -229,7 +229,7 @@
         return switch (command.getBodyCase()) {
             case ACCEPT -> accept(command.getAccept(), nowMillis);
             case CANCEL -> cancel(command.getCancel().getJob(), nowMillis);
-            case PLACE -> place(command.getPlace());
+            case PLACE -> place(command.getPlace(), nowMillis);
             case END -> endRuns(command.getEnd(), nowMillis);
             case LOSE -> loseRuns(command.getLose(), nowMillis);
             case SEE_WORKER -> seeWorker(command.getSeeWorker(), nowMillis);
@@ -330,7 +330,7 @@
         }
     }
 
-    private ResultCode place(PlaceRuns command) {
+    private ResultCode place(PlaceRuns command, long nowMillis) {
         boolean valid = command.getPlacementsList().stream().allMatch(this::placeable);
         if (!valid) {
             return ResultCode.VERSION_CONFLICT;
@@ -340,7 +340,7 @@
             IncarnationId incarnation = new IncarnationId(placement.getWorker(), placement.getBornMillis());
             Job job = jobs.get(id.job());
             job.activate();
-            job.task(id).place(placement.getRun(), incarnation);
+            job.task(id).place(placement.getRun(), incarnation, nowMillis);
             mutablePlacedOn(incarnation).add(id);
             tell(changes -> changes.placed(new RunId(id, placement.getRun()), incarnation));
         }
@@ -503,7 +503,7 @@
                 .forEach(other -> end(other, WorkerEndCause.REPLACED, command.getOthersSilent(), nowMillis));
         silentWorkers.replacedBy(incarnation).forEach(life -> {
             boolean crashed = !life.getDraining();
-            List<JobTask> aboard = takeSilent(life, crashed, !command.getOthersSilent());
+            List<JobTask> aboard = takeSilent(life, crashed, !command.getOthersSilent(), nowMillis);
             if (crashed) {
                 giveUpCrashing(aboard, !command.getOthersSilent(), nowMillis);
             }
@@ -548,10 +548,10 @@
         if (cause == WorkerEndCause.SILENT) {
             tasks.forEach(task -> recordSilence(task, worker));
         } else {
-            aboard.addAll(takeSilent(worker.incarnation(), crashed, !othersSilent));
+            aboard.addAll(takeSilent(worker.incarnation(), crashed, !othersSilent, nowMillis));
         }
         if (crashed) {
-            tasks.forEach(task -> recordCrash(task, !othersSilent));
+            tasks.forEach(task -> recordCrash(task, !othersSilent, nowMillis));
         }
         tasks.forEach(task -> release(task, worker.id()));
         if (crashed) {
@@ -564,19 +564,21 @@
         tell(changes -> changes.workerEnded(worker.id(), runs, cause));
     }
 
-    private static void recordCrash(JobTask task, boolean singleWorker) {
-        if (!task.done()) {
+    private void recordCrash(JobTask task, boolean singleWorker, long nowMillis) {
+        if (CrashLimit.counts(jobs.get(task.id().job()), task, nowMillis)) {
             task.crashed(singleWorker);
+        } else {
+            task.cleared();
         }
     }
 
     /** Records what has happened to a silent incarnation; returns the tasks that were lost with it. */
-    private List<JobTask> takeSilent(WorkerLife life, boolean crashed, boolean singleWorker) {
+    private List<JobTask> takeSilent(WorkerLife life, boolean crashed, boolean singleWorker, long nowMillis) {
         List<JobTask> tasks = silentWorkers.take(IncarnationId.of(life)).stream()
                 .flatMap(run -> task(run.task()).stream())
                 .toList();
         if (crashed) {
-            tasks.forEach(task -> recordCrash(task, singleWorker));
+            tasks.forEach(task -> recordCrash(task, singleWorker, nowMillis));
         }
         tasks.forEach(JobTask::silenceExplained);
         tasks.forEach(task -> tell(changes -> changes.suspicionChanged(task.id())));
--- a/core/src/main/java/org/wasabimount/core/job/JobTask.java
+++ b/core/src/main/java/org/wasabimount/core/job/JobTask.java
@@ -16,6 +16,7 @@
     private int singleCrashes;
     private int silentWorkers;
     private int limitedStarts;
+    private long placedMillis;
     private String saved = "";
 
     JobTask(TaskId id) {
@@ -103,7 +104,8 @@
         return saved;
     }
 
-    void place(int number, IncarnationId onIncarnation) {
+    void place(int number, IncarnationId onIncarnation, long nowMillis) {
+        placedMillis = nowMillis;
         run = number;
         incarnation = onIncarnation;
         if (CrashLimit.startsLimited(this)) {
@@ -121,6 +123,18 @@
         return limitedStarts >= CrashLimit.FURTHER_STARTS;
     }
 
+    /** Returns when the last run was placed, as wall-clock time in milliseconds since 1970. */
+    long placedMillis() {
+        return placedMillis;
+    }
+
+    /** Ends all suspicions that earlier crashes have raised. */
+    void cleared() {
+        crashes = 0;
+        singleCrashes = 0;
+        limitedStarts = 0;
+    }
+
     /** Records the crash of a worker with the task, alone or together with other workers. */
     void crashed(boolean singleWorker) {
         crashes++;
@@ -179,6 +193,7 @@
                 .setCrashes(crashes)
                 .setSingleCrashes(singleCrashes)
                 .setLimitedStarts(limitedStarts)
+                .setPlacedMillis(placedMillis)
                 .setSaved(saved);
         if (incarnation != null) {
             state.setWorker(incarnation.worker()).setBornMillis(incarnation.bornMillis());
@@ -193,6 +208,7 @@
         crashes = state.getCrashes();
         singleCrashes = state.getSingleCrashes();
         limitedStarts = state.getLimitedStarts();
+        placedMillis = state.getPlacedMillis();
         saved = state.getSaved();
         incarnation = state.getWorker().isEmpty() ? null : new IncarnationId(state.getWorker(), state.getBornMillis());
     }
--- a/core/src/test/java/org/wasabimount/core/job/JobTableTest.java
+++ b/core/src/test/java/org/wasabimount/core/job/JobTableTest.java
@@ -13,6 +13,7 @@
 import org.wasabimount.protocol.job.End;
 import org.wasabimount.protocol.job.EndKind;
 import org.wasabimount.protocol.job.EndRuns;
+import org.wasabimount.protocol.job.EndWorker;
 import org.wasabimount.protocol.job.ForgetJobs;
 import org.wasabimount.protocol.job.JobCommand;
 import org.wasabimount.protocol.job.JobPhase;
@@ -25,6 +26,7 @@
 import org.wasabimount.protocol.job.QueueTable;
 import org.wasabimount.protocol.job.SeeWorker;
 import org.wasabimount.protocol.job.Step;
+import org.wasabimount.protocol.job.WorkerEndCause;
 import org.wasabimount.protocol.job.WorkerLife;
 
 /** Checks the effect of the commands of the replicated log on the state of jobs. */
@@ -250,6 +252,27 @@
         assertEquals(table.job("job").orElseThrow().phase(), JobPhase.ACTIVE);
     }
 
+    /** Guards against services that are given up after some crashes of their workers in a year. */
+    @Test
+    public void crashAfterLongWorkDoesNotCountAgainstLastingTask() {
+        JobSpec.Builder spec = JobSpec.newBuilder().setId("service");
+        spec.addSteps(Step.newBuilder().setCount(1).setLongRunning(true));
+        apply(JobCommand.newBuilder()
+                .setAccept(AcceptJob.newBuilder().setSpec(spec).setQueue(QUEUE)));
+        TaskId task = new TaskId("service", 0, 0, 0);
+        place(task, 1, "w1", 10);
+        announceWorker("w1", 11, "10.0.0.1:80");
+        assertEquals(table.task(task).orElseThrow().crashes(), 1);
+        place(task, 2, "w1", 11);
+        table.apply(JobCommand.newBuilder()
+                .setTimeMillis(1_000 + 60_000)
+                .setEndWorker(
+                        EndWorker.newBuilder().setWorker("w1").setBornMillis(11).setCause(WorkerEndCause.REPLACED))
+                .build());
+        assertEquals(table.task(task).orElseThrow().crashes(), 0);
+        assertTrue(table.job("service").orElseThrow().open());
+    }
+
     /** Guards against a leader whose table differs from those of the others after its observer has failed. */
     @Test
     public void failingObserverDoesNotCutCommandsShort() {
--- a/protocol/src/main/java/org/wasabimount/protocol/job/TaskState.java
+++ b/protocol/src/main/java/org/wasabimount/protocol/job/TaskState.java
@@ -410,6 +410,44 @@
     singleCrashes_ = 0;
   }
 
+  public static final int PLACED_MILLIS_FIELD_NUMBER = 11;
+  private long placedMillis_;
+  /**
+   * <pre>
+   * Time of day at which the last run was placed.
+   * </pre>
+   *
+   * <code>int64 placed_millis = 11;</code>
+   * @return The placedMillis.
+   */
+  @java.lang.Override
+  public long getPlacedMillis() {
+    return placedMillis_;
+  }
+  /**
+   * <pre>
+   * Time of day at which the last run was placed.
+   * </pre>
+   *
+   * <code>int64 placed_millis = 11;</code>
+   * @param value The placedMillis to set.
+   */
+  private void setPlacedMillis(long value) {
+    
+    placedMillis_ = value;
+  }
+  /**
+   * <pre>
+   * Time of day at which the last run was placed.
+   * </pre>
+   *
+   * <code>int64 placed_millis = 11;</code>
+   */
+  private void clearPlacedMillis() {
+
+    placedMillis_ = 0L;
+  }
+
   public static org.wasabimount.protocol.job.TaskState parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -916,6 +954,46 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * Time of day at which the last run was placed.
+     * </pre>
+     *
+     * <code>int64 placed_millis = 11;</code>
+     * @return The placedMillis.
+     */
+    @java.lang.Override
+    public long getPlacedMillis() {
+      return instance.getPlacedMillis();
+    }
+    /**
+     * <pre>
+     * Time of day at which the last run was placed.
+     * </pre>
+     *
+     * <code>int64 placed_millis = 11;</code>
+     * @param value The placedMillis to set.
+     * @return This builder for chaining.
+     */
+    public Builder setPlacedMillis(long value) {
+      copyOnWrite();
+      instance.setPlacedMillis(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Time of day at which the last run was placed.
+     * </pre>
+     *
+     * <code>int64 placed_millis = 11;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearPlacedMillis() {
+      copyOnWrite();
+      instance.clearPlacedMillis();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:wasabimount.job.TaskState)
   }
   @java.lang.Override
@@ -943,10 +1021,12 @@
             "crashes_",
             "limitedStarts_",
             "singleCrashes_",
+            "placedMillis_",
           };
           java.lang.String info =
-              "\u0000\n\u0000\u0001\u0001\n\n\u0000\u0000\u0000\u0001\u1009\u0000\u0002\u0007\u0003" +
-              "\u0004\u0004\u0208\u0005\u0002\u0006\u0004\u0007\u0208\b\u0004\t\u0004\n\u0004";
+              "\u0000\u000b\u0000\u0001\u0001\u000b\u000b\u0000\u0000\u0000\u0001\u1009\u0000\u0002" +
+              "\u0007\u0003\u0004\u0004\u0208\u0005\u0002\u0006\u0004\u0007\u0208\b\u0004\t\u0004" +
+              "\n\u0004\u000b\u0002";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/protocol/src/main/java/org/wasabimount/protocol/job/TaskStateOrBuilder.java
+++ b/protocol/src/main/java/org/wasabimount/protocol/job/TaskStateOrBuilder.java
@@ -110,4 +110,14 @@
    * @return The singleCrashes.
    */
   int getSingleCrashes();
+
+  /**
+   * <pre>
+   * Time of day at which the last run was placed.
+   * </pre>
+   *
+   * <code>int64 placed_millis = 11;</code>
+   * @return The placedMillis.
+   */
+  long getPlacedMillis();
 }
