Leader tells of idle jobs: since when, what they wait for, how much room is free and reserved

A job is idle while one of its steps is ready and it has no run placed; tracked for each event at a cost that does not depend on the open jobs. The sample of the dispatcher adds what idle jobs wait for (IDLE lines, wasabimount_idle_jobs and others). No decision of the scheduler uses it.

DispatchMonitorTest: the WAITING line is expected with its new fields.

--- a/core/src/main/java/org/wasabimount/core/dispatch/AdvicePlan.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/AdvicePlan.java
@@ -73,6 +73,12 @@
                 || !longCalls.isEmpty() && advice.callerIdle(Double.MAX_VALUE, nowMillis);
     }
 
+    /** Returns whether a call for a step is wanted and no VM is available for it. */
+    boolean awaitsCaller(WaitingStep step, long nowMillis) {
+        return shortCalls.contains(step) && !advice.callerIdle(0, nowMillis)
+                || longCalls.contains(step) && !advice.callerIdle(Double.MAX_VALUE, nowMillis);
+    }
+
     /** Returns the duration of a call for a step, in milliseconds, or of the longest if several are needed. */
     long callMillis(ReadyStep step, int workers) {
         int named = Math.min(workers, AdviceManager.maxWorkers(step.queue()));
--- a/core/src/main/java/org/wasabimount/core/dispatch/DispatchStatus.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/DispatchStatus.java
@@ -13,12 +13,17 @@
  * @param usableWorkers the number of workers on which tasks may be placed
  * @param waitingSteps the number of ready steps with tasks that are not placed, by reason
  * @param longWaits the steps that have waited long and are due for a report, longest unreported first
+ * @param idle the idle jobs and the room
  */
 public record DispatchStatus(
-        int knownWorkers, int usableWorkers, Map<WaitReason, Long> waitingSteps, List<LongWait> longWaits) {
+        int knownWorkers,
+        int usableWorkers,
+        Map<WaitReason, Long> waitingSteps,
+        List<LongWait> longWaits,
+        IdleStatus idle) {
 
     /** The status of a node that does not lead. */
-    public static final DispatchStatus NONE = new DispatchStatus(0, 0, Map.of(), List.of());
+    public static final DispatchStatus NONE = new DispatchStatus(0, 0, Map.of(), List.of(), IdleStatus.NONE);
 
     /**
      * A step that has waited long.
--- a/core/src/main/java/org/wasabimount/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/Dispatcher.java
@@ -72,6 +72,7 @@
     private final AdviceManager advice = new AdviceManager();
     private final ExaminedCounts examined = new ExaminedCounts();
     private final WaitSampler waits;
+    private final IdleJobs idleJobs = new IdleJobs();
     private final StepPlacement placement;
     private final WorkAhead workAhead = new WorkAhead(examined);
     private final Map<String, JobPlan> plans = new LinkedHashMap<>();
@@ -119,6 +120,7 @@
         this.workers = new WorkerManager(settings, table, fence, this::add, examined, nowMillis);
         this.waits = new WaitSampler(workers, advice);
         this.placement = new StepPlacement(workers, advice, waits, order, this::add, this::proposed, examined);
+        this.waits.setIdleSampler(new IdleSampler(idleJobs, workers, advice, placement)::sample);
         table.jobs().stream().filter(Job::open).forEach(job -> {
             long ageMillis = Math.max(0, wallMillis - job.acceptedMillis());
             plan(job, nowMillis - ageMillis);
@@ -369,6 +371,7 @@
         examined.add(ExaminedCounts.Part.READY, 1);
         JobPlan plan = plans.get(step.id().job());
         scheduledSteps.remove(step);
+        recordReadiness(plan, step, wallMillis);
         if (plan == null || plan.waiting(step).isEmpty() || !plan.unblocked(step)) {
             placement.remove(step.id());
         } else if (wallMillis < plan.job().dueMillis(step.id().occurrence())) {
@@ -379,6 +382,14 @@
         }
     }
 
+    private void recordReadiness(JobPlan plan, OpenStep step, long wallMillis) {
+        boolean ready = plan != null
+                && step.hasUnplaced()
+                && plan.unblocked(step)
+                && wallMillis >= plan.job().dueMillis(step.id().occurrence());
+        idleJobs.ready(step.id(), ready, nowMillis);
+    }
+
     private ReadyStep readyStep(JobPlan plan, OpenStep step) {
         long latestStartMillis = plan.dueMillis(step.id().occurrence())
                 - plan.criticalPathMillis(step.id().step());
@@ -400,6 +411,7 @@
         }
         JobPlan plan = new JobPlan(job, arrivedMillis);
         plans.put(job.id(), plan);
+        idleJobs.opened(job);
         workAhead.update(plan);
         changedSteps.addAll(plan.steps());
     }
@@ -441,12 +453,14 @@
     @Override
     public void placed(RunId run, IncarnationId incarnation) {
         workers.placed(run, incarnation, nowMillis);
+        idleJobs.placed(run.task(), nowMillis);
         update(run.task(), OpenStep::settled);
     }
 
     @Override
     public void released(RunId run, IncarnationId incarnation) {
         workers.released(run, incarnation, nowMillis);
+        idleJobs.released(run.task(), nowMillis);
         update(run.task(), OpenStep::settled);
     }
 
@@ -466,6 +480,7 @@
 
     @Override
     public void ended(Job job) {
+        idleJobs.ended(job.id());
         JobPlan plan = plans.remove(job.id());
         if (plan != null) {
             workAhead.remove(plan);
--- a/core/src/main/java/org/wasabimount/core/dispatch/OpenStep.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/OpenStep.java
@@ -80,6 +80,11 @@
         return noneStarted ? indexes.stream().limit(1).mapToObj(tasks::get).toList() : List.of();
     }
 
+    /** Returns whether any task is neither done nor placed, even if its placement is being committed. */
+    boolean hasUnplaced() {
+        return !unplaced.isEmpty();
+    }
+
     /** Returns the work of the tasks that are not placed, in thousandths of a core times milliseconds. */
     long unplacedWork() {
         return unplaced.cardinality() * step.getSize().getCpuMillis() * step.getEstimateMillis();
--- a/core/src/main/java/org/wasabimount/core/dispatch/StepPlacement.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/StepPlacement.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.NavigableSet;
+import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.TreeSet;
@@ -156,6 +157,22 @@
         advice.setStepListener(this::adviceCompleted);
     }
 
+    Optional<WaitingStep> waitingStep(StepId id) {
+        return Optional.ofNullable(steps.get(id));
+    }
+
+    Collection<WorkerRoom> rooms() {
+        return rooms.values();
+    }
+
+    GangReservations reservations() {
+        return reservations;
+    }
+
+    AdvicePlan advicePlan() {
+        return advicePlan;
+    }
+
     /** Sets the time of the events that follow, as monotonic time in milliseconds. */
     void at(long millis) {
         nowMillis = millis;
@@ -284,7 +301,7 @@
         sample();
     }
 
-    private PoolRooms poolOf(ReadyStep step) {
+    PoolRooms poolOf(ReadyStep step) {
         return pool(step.queue().getPool());
     }
 
@@ -474,7 +491,7 @@
     }
 
     /** Returns whether a worker suits a step, regardless of advice and free capacity. */
-    private Predicate<WorkerRoom> suitable(ReadyStep step) {
+    Predicate<WorkerRoom> suitable(ReadyStep step) {
         String label = step.step().getRequiredLabel();
         Set<IncarnationId> failedRecently = workers.failedRecently(step, nowMillis);
         return room -> room.worker().hasLabel(label) && !failedRecently.contains(room.id());
--- a/core/src/main/java/org/wasabimount/core/dispatch/TrackedRun.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/TrackedRun.java
@@ -250,6 +250,12 @@
         return advanced;
     }
 
+    /** Returns whether the run lasts longer than estimated, so that its remaining time is not known. */
+    boolean overdue(long nowMillis) {
+        boolean started = startedMillis > 0 && nowMillis - startedMillis >= MIN_REMAINING_MILLIS;
+        return started && remainingMillis(nowMillis) <= MIN_REMAINING_MILLIS;
+    }
+
     /** Returns the estimated remaining time of the run, in milliseconds: by its progress if that is known. */
     long remainingMillis(long nowMillis) {
         boolean started = startedMillis > 0;
--- a/core/src/main/java/org/wasabimount/core/dispatch/WaitSampler.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/WaitSampler.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
+import java.util.function.LongFunction;
 import java.util.function.Predicate;
 
 import org.wasabimount.core.job.StepId;
@@ -36,6 +37,7 @@
     private final AdviceManager advice;
     private final Map<WaitReason, Long> reasons = new EnumMap<>(WaitReason.class);
     private Consumer<DispatchStatus> listener = status -> {};
+    private LongFunction<IdleStatus> idleSampler = millis -> IdleStatus.NONE;
     private Map<StepId, Wait> previousWaits = Map.of();
     private Map<StepId, Wait> waits = new LinkedHashMap<>();
     private List<TrackedWorker> usable = List.of();
@@ -54,6 +56,11 @@
         listener = newListener;
     }
 
+    /** Sets what samples the idle jobs at a time, as monotonic time in milliseconds. */
+    void setIdleSampler(LongFunction<IdleStatus> sampler) {
+        idleSampler = sampler;
+    }
+
     /** Returns whether a sample is due. */
     boolean due(long millis) {
         return millis >= sampleDueMillis;
@@ -115,7 +122,8 @@
                 workers.trackedWorkers().size(),
                 usable.size(),
                 Map.copyOf(reasons),
-                reported.stream().map(this::longWait).toList()));
+                reported.stream().map(this::longWait).toList(),
+                idleSampler.apply(nowMillis)));
     }
 
     private boolean reportDue(Wait wait) {
--- a/core/src/main/java/org/wasabimount/core/dispatch/WorkerRoom.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/WorkerRoom.java
@@ -150,6 +150,34 @@
 
     /** Returns the estimated time until the reservation of a gang, and those before it, fit, in milliseconds. */
     long millisUntilReserved(WaitingStep gang, long nowMillis) {
+        return millisUntilFree(reservedUpTo(gang), nowMillis);
+    }
+
+    /** Returns whether the reservation of a gang, and those before it, wait only for runs that are overdue. */
+    boolean awaitsOnlyOverdueRuns(WaitingStep gang, long nowMillis) {
+        Capacity available = worker.runs().stream()
+                .filter(run -> overdue(run, nowMillis))
+                .map(TrackedRun::size)
+                .reduce(worker.freeCapacity(), Capacity::plus);
+        return reservedUpTo(gang).fitsIn(available);
+    }
+
+    /** Returns the number of runs that last longer than estimated. */
+    int overdueRuns(long nowMillis) {
+        return (int)
+                worker.runs().stream().filter(run -> overdue(run, nowMillis)).count();
+    }
+
+    private static boolean overdue(TrackedRun run, long nowMillis) {
+        return !run.step().getLongRunning() && run.overdue(nowMillis);
+    }
+
+    /** Returns the processors that are reserved and that the worker has, in thousandths of a core. */
+    long reservedCpuMillis() {
+        return Math.min(reserved.cpuMillis(), worker.capacity().cpuMillis());
+    }
+
+    private Capacity reservedUpTo(WaitingStep gang) {
         Capacity required = Capacity.NONE;
         for (Map.Entry<WaitingStep, Capacity> reservation : reservations.entrySet()) {
             required = required.plus(reservation.getValue());
@@ -157,7 +185,7 @@
                 break;
             }
         }
-        return millisUntilFree(required, nowMillis);
+        return required;
     }
 
     /** Returns {@link Long#MAX_VALUE} if the capacity is not free when all runs have ended but those that last. */
--- a/core/src/test/java/org/wasabimount/core/dispatch/WaitSamplerTest.java
+++ b/core/src/test/java/org/wasabimount/core/dispatch/WaitSamplerTest.java
@@ -57,14 +57,24 @@
         startWorkers();
         cell.submit(cell.job("job1", 10, SMALL, false));
         cell.run(1_500);
-        assertEquals(lastSample(), new DispatchStatus(WORKERS, WORKERS, Map.of(), List.of()));
+        assertEquals(
+                lastSample(),
+                new DispatchStatus(
+                        WORKERS, WORKERS, Map.of(), List.of(), lastSample().idle()));
     }
 
     @Test
     public void stepWithoutUsableWorkerWaitsForWorkers() {
         cell.submit(cell.job("job1", 1, SMALL, false));
         cell.run(1_500);
-        assertEquals(lastSample(), new DispatchStatus(0, 0, Map.of(WaitReason.NO_USABLE_WORKER, 1L), List.of()));
+        assertEquals(
+                lastSample(),
+                new DispatchStatus(
+                        0,
+                        0,
+                        Map.of(WaitReason.NO_USABLE_WORKER, 1L),
+                        List.of(),
+                        lastSample().idle()));
     }
 
     @Test
@@ -74,7 +84,14 @@
         cell.run(3_000);
         cell.submit(cell.job("job1", 1, SMALL, false));
         cell.run(1_500);
-        assertEquals(lastSample(), new DispatchStatus(WORKERS, 0, Map.of(WaitReason.NO_USABLE_WORKER, 1L), List.of()));
+        assertEquals(
+                lastSample(),
+                new DispatchStatus(
+                        WORKERS,
+                        0,
+                        Map.of(WaitReason.NO_USABLE_WORKER, 1L),
+                        List.of(),
+                        lastSample().idle()));
     }
 
     /**
--- a/daemon/src/main/java/org/wasabimount/daemon/job/DispatchMonitor.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/job/DispatchMonitor.java
@@ -2,6 +2,7 @@
 
 import java.util.Arrays;
 import java.util.EnumMap;
+import java.util.Locale;
 import java.util.Map;
 import java.util.stream.Collectors;
 
@@ -10,6 +11,7 @@
 import org.wasabimount.core.dispatch.AdviceOutcome;
 import org.wasabimount.core.dispatch.CompletedAdviceCall;
 import org.wasabimount.core.dispatch.DispatchStatus;
+import org.wasabimount.core.dispatch.IdleStatus;
 import org.wasabimount.daemon.metrics.NodeMetrics;
 
 /** Reports on the leader, in metrics and log lines, how advice calls end and why steps wait. */
@@ -62,12 +64,16 @@
                         wait.tasks(),
                         Long.toString(wait.waitedMillis()),
                         wait.advice().map(AdviceOutcome::name).orElse("none")));
-        if (!status.longWaits().isEmpty()) {
+        IdleStatus idle = status.idle();
+        idle.longIdle().forEach(DispatchMonitor::logIdleJob);
+        if (!status.longWaits().isEmpty() || !idle.longIdle().isEmpty()) {
             LOG.log(
                     System.Logger.Level.INFO,
-                    "WAITING workersKnown={0} workersUsable={1} {2}",
+                    "WAITING workersKnown={0} workersUsable={1} freeShare={2} reservedShare={3} {4}",
                     status.knownWorkers(),
                     status.usableWorkers(),
+                    share(idle.freeShare()),
+                    share(idle.reservedShare()),
                     status.waitingSteps().entrySet().stream()
                             .sorted(Map.Entry.comparingByKey())
                             .map(reason -> reason.getKey().label() + "=" + reason.getValue())
@@ -75,6 +81,32 @@
         }
     }
 
+    private static void logIdleJob(IdleStatus.IdleJob job) {
+        LOG.log(
+                System.Logger.Level.INFO,
+                "IDLE job={0} step={1} queue={2} idleMillis={3} waitsFor={4} tasks={5} tasksReserved={6}"
+                        + " workersReserved={7} withoutTicket={8} unusable={9} readyInMillis={10} overdueRuns={11}"
+                        + " eligibleWorkers={12} freeShare={13}",
+                job.step().job(),
+                job.step(),
+                job.queue(),
+                Long.toString(job.idleMillis()),
+                job.waitsFor().label(),
+                Integer.toString(job.tasks()),
+                Integer.toString(job.tasksReserved()),
+                Integer.toString(job.workersReserved()),
+                Integer.toString(job.withoutTicket()),
+                Integer.toString(job.unusable()),
+                Long.toString(job.readyInMillis()),
+                Integer.toString(job.overdueRuns()),
+                Integer.toString(job.eligibleWorkers()),
+                share(job.freeShare()));
+    }
+
+    private static String share(double share) {
+        return String.format(Locale.ROOT, "%.3f", share);
+    }
+
     /** Ends the term: a node that does not lead knows of no workers and no steps. */
     void resigned() {
         metrics.dispatchSampled(DispatchStatus.NONE);
--- a/daemon/src/main/java/org/wasabimount/daemon/metrics/NodeMetrics.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/metrics/NodeMetrics.java
@@ -7,6 +7,8 @@
 import org.wasabimount.core.dispatch.AdviceOutcome;
 import org.wasabimount.core.dispatch.CompletedAdviceCall;
 import org.wasabimount.core.dispatch.DispatchStatus;
+import org.wasabimount.core.dispatch.IdleReason;
+import org.wasabimount.core.dispatch.IdleStatus;
 import org.wasabimount.core.dispatch.OrderOutcome;
 import org.wasabimount.core.dispatch.WaitReason;
 import org.wasabimount.protocol.job.JobOperation;
@@ -84,6 +86,23 @@
             .help("Ready steps with tasks that are not placed, by reason, 0 on nodes that do not lead")
             .labelNames("reason")
             .register(registry());
+    private final Gauge idleJobs = settableGauge()
+            .name("wasabimount_idle_jobs")
+            .help("Open jobs with a ready step and no run placed, by what they wait for, 0 on nodes that do not lead")
+            .labelNames("reason")
+            .register(registry());
+    private final Gauge longestIdle = settableGauge()
+            .name("wasabimount_longest_idle_seconds")
+            .help("For how long the longest idle job has had no run placed, 0 on nodes that do not lead")
+            .register(registry());
+    private final Gauge freeCores = settableGauge()
+            .name("wasabimount_free_cores_share")
+            .help("Share of the usable workers' cores that no run uses, 0 on nodes that do not lead")
+            .register(registry());
+    private final Gauge reservedCores = settableGauge()
+            .name("wasabimount_reserved_cores_share")
+            .help("Share of the usable workers' cores that is reserved, 0 on nodes that do not lead")
+            .register(registry());
     private final Histogram jobs = histogram()
             .name("wasabimount_job_seconds")
             .help("Time from a job's acceptance to its completion")
@@ -176,7 +195,7 @@
     }
 
     /**
-     * Records a sample of the leader's workers and waiting steps.
+     * Records a sample of the leader's workers, waiting steps and idle jobs.
      *
      * @param status the sample, {@link DispatchStatus#NONE} if this node does not lead
      */
@@ -186,6 +205,13 @@
         for (WaitReason reason : WaitReason.values()) {
             waitingSteps.labelValues(reason.label()).set(status.waitingSteps().getOrDefault(reason, 0L));
         }
+        IdleStatus idle = status.idle();
+        for (IdleReason reason : IdleReason.values()) {
+            idleJobs.labelValues(reason.label()).set(idle.jobs().getOrDefault(reason, 0L));
+        }
+        longestIdle.set(seconds(idle.longestMillis()));
+        freeCores.set(idle.freeShare());
+        reservedCores.set(idle.reservedShare());
     }
 
     /**
--- a/daemon/src/test/java/org/wasabimount/daemon/DocsTest.java
+++ b/daemon/src/test/java/org/wasabimount/daemon/DocsTest.java
@@ -13,6 +13,7 @@
 import org.wasabimount.core.ResultCode;
 import org.wasabimount.core.cell.ConfigurationKey;
 import org.wasabimount.core.dispatch.AdviceOutcome;
+import org.wasabimount.core.dispatch.IdleReason;
 import org.wasabimount.core.dispatch.WaitReason;
 import org.wasabimount.daemon.metrics.NodeMetrics;
 import org.wasabimount.daemon.settings.NodeSettingsFile;
@@ -101,6 +102,18 @@
         }
     }
 
+    /** Guards against a reason in metrics and lines that operators can't look up. */
+    @Test
+    public void idleReasonsAreDocumented() throws IOException {
+        String text = Files.readString(DOCS.resolve("METRICS.md"));
+        String table = text.substring(text.indexOf("| idle reason | meaning |"));
+        for (IdleReason reason : IdleReason.values()) {
+            assertTrue(
+                    table.lines().anyMatch(line -> line.startsWith("| `" + reason.label() + "` | ")),
+                    "docs/METRICS.md lacks the idle reason " + reason);
+        }
+    }
+
     /** Asserts that the row exists and that its last column describes the entry in one sentence. */
     private static void assertDocumented(String text, String row, String file) {
         Optional<String> line =
--- a/daemon/src/test/java/org/wasabimount/daemon/job/DispatchMonitorTest.java
+++ b/daemon/src/test/java/org/wasabimount/daemon/job/DispatchMonitorTest.java
@@ -15,6 +15,8 @@
 import org.wasabimount.core.dispatch.AdviceOutcome;
 import org.wasabimount.core.dispatch.CompletedAdviceCall;
 import org.wasabimount.core.dispatch.DispatchStatus;
+import org.wasabimount.core.dispatch.IdleReason;
+import org.wasabimount.core.dispatch.IdleStatus;
 import org.wasabimount.core.dispatch.WaitReason;
 import org.wasabimount.core.job.StepId;
 import org.wasabimount.daemon.metrics.NodeMetrics;
@@ -115,12 +117,14 @@
     @Test
     public void measuresWorkersAndWaitingStepsUntilItResigns() {
         assertMeasured("wasabimount_waiting_steps{reason=\"no_advice\"} 0.0");
-        monitor.statusSampled(new DispatchStatus(WORKERS, 240, Map.of(WaitReason.NO_ADVICE, 12L), List.of()));
+        monitor.statusSampled(
+                new DispatchStatus(WORKERS, 240, Map.of(WaitReason.NO_ADVICE, 12L), List.of(), IdleStatus.NONE));
         assertMeasured("wasabimount_workers_known 246.0");
         assertMeasured("wasabimount_workers_usable 240.0");
         assertMeasured("wasabimount_waiting_steps{reason=\"no_advice\"} 12.0");
         assertMeasured("wasabimount_waiting_steps{reason=\"no_room\"} 0.0");
-        monitor.statusSampled(new DispatchStatus(WORKERS, 240, Map.of(WaitReason.NO_ROOM, 1L), List.of()));
+        monitor.statusSampled(
+                new DispatchStatus(WORKERS, 240, Map.of(WaitReason.NO_ROOM, 1L), List.of(), IdleStatus.NONE));
         assertMeasured("wasabimount_waiting_steps{reason=\"no_advice\"} 0.0");
         monitor.resigned();
         assertMeasured("wasabimount_workers_known 0.0");
@@ -135,11 +139,63 @@
                 240,
                 Map.of(WaitReason.NO_ROOM, 3L, WaitReason.NO_ADVICE, 12L),
                 List.of(new DispatchStatus.LongWait(
-                        STEP, "queue", WaitReason.NO_ADVICE, 6, 2_040, Optional.of(AdviceOutcome.REFUSED)))));
+                        STEP, "queue", WaitReason.NO_ADVICE, 6, 2_040, Optional.of(AdviceOutcome.REFUSED))),
+                new IdleStatus(Map.of(), 0, 0.5184, 0.12, List.of())));
         assertEquals(
                 loggedLines(),
                 List.of(
                         "WAIT step=job1.0.0 queue=queue reason=no_advice tasks=6 waitedMillis=2040 lastAdvice=REFUSED",
-                        "WAITING workersKnown=246 workersUsable=240 no_advice=12 no_room=3"));
+                        "WAITING workersKnown=246 workersUsable=240 freeShare=0.518 reservedShare=0.120 no_advice=12 no_room=3"));
+    }
+
+    /**
+     * Guards against jobs that wait for a minute with nothing running while most of the room is free, and of which no line
+     * tells what they wait for (issue 31).
+     */
+    @Test
+    public void logsIdleJobsWithWhatTheyWaitFor() {
+        monitor.statusSampled(new DispatchStatus(
+                WORKERS,
+                240,
+                Map.of(WaitReason.NO_ROOM, 1L),
+                List.of(),
+                new IdleStatus(
+                        Map.of(IdleReason.OVERDUE_RUN, 1L),
+                        12_345,
+                        0.7216,
+                        0.0304,
+                        List.of(new IdleStatus.IdleJob(
+                                STEP, "queue", 12_345, IdleReason.OVERDUE_RUN, 41, 40, 9, 2, 1, 1_100, 3, 31, 0.25)))));
+        assertEquals(
+                loggedLines(),
+                List.of(
+                        "IDLE job=job1 step=job1.0.0 queue=queue idleMillis=12345 waitsFor=overdue_run tasks=41"
+                                + " tasksReserved=40 workersReserved=9 withoutTicket=2 unusable=1 readyInMillis=1100"
+                                + " overdueRuns=3 eligibleWorkers=31 freeShare=0.250",
+                        "WAITING workersKnown=246 workersUsable=240 freeShare=0.722 reservedShare=0.030 no_room=1"));
+    }
+
+    /** Guards against a metric that keeps the last value of a reason, or that of a node that no longer leads. */
+    @Test
+    public void measuresIdleJobsAndRoomUntilItResigns() {
+        assertMeasured("wasabimount_idle_jobs{reason=\"overdue_run\"} 0.0");
+        monitor.statusSampled(new DispatchStatus(
+                WORKERS,
+                240,
+                Map.of(),
+                List.of(),
+                new IdleStatus(
+                        Map.of(IdleReason.OVERDUE_RUN, 2L, IdleReason.NO_CALLER, 1L), 2_500, 0.75, 0.125, List.of())));
+        assertMeasured("wasabimount_idle_jobs{reason=\"overdue_run\"} 2.0");
+        assertMeasured("wasabimount_idle_jobs{reason=\"no_caller\"} 1.0");
+        assertMeasured("wasabimount_longest_idle_seconds 2.5");
+        assertMeasured("wasabimount_free_cores_share 0.75");
+        assertMeasured("wasabimount_reserved_cores_share 0.125");
+        monitor.resigned();
+        assertMeasured("wasabimount_idle_jobs{reason=\"overdue_run\"} 0.0");
+        assertMeasured("wasabimount_longest_idle_seconds 0.0");
+        assertMeasured("wasabimount_free_cores_share 0.0");
+        assertMeasured("wasabimount_reserved_cores_share 0.0");
+        assertEquals(loggedLines(), List.of());
     }
 }
