--- a/core/src/main/java/org/wasabimount/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/Dispatcher.java
@@ -146,6 +146,25 @@
         workerEnded = listener;
     }
 
+    /**
+     * Sets the listener for reservations that are given back before the tasks have started.
+     *
+     * @param listener receives the cause for each reservation, or for each worker that a part of it was on
+     */
+    public void setReservationListener(Consumer<ReservationEnd> listener) {
+        placement.setReservationListener(listener);
+    }
+
+    /**
+     * Sets the listener for gangs that were placed and are not started, because a worker's capacity is not known or has
+     * shrunk.
+     *
+     * @param listener called for each such gang
+     */
+    public void setGangWithheldListener(Runnable listener) {
+        workers.setGangWithheldListener(listener);
+    }
+
     /**
      * Sets the listener for completed advice calls.
      *
--- a/core/src/main/java/org/wasabimount/core/dispatch/StepPlacement.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/StepPlacement.java
@@ -128,6 +128,7 @@
     private final Set<WorkerRoom> gained = new LinkedHashSet<>();
     private final Map<WaitingStep, PlaceRuns.Builder> placements = new LinkedHashMap<>();
     private int nextRoom;
+    private Consumer<ReservationEnd> reservationEnded = cause -> {};
     private long unusableCheckMillis;
     private long nowMillis;
 
@@ -157,6 +158,11 @@
         advice.setStepListener(this::adviceCompleted);
     }
 
+    /** Sets the listener for reservations, or their parts on one worker, that are given back before a start. */
+    void setReservationListener(Consumer<ReservationEnd> listener) {
+        reservationEnded = listener;
+    }
+
     Optional<WaitingStep> waitingStep(StepId id) {
         return Optional.ofNullable(steps.get(id));
     }
@@ -397,7 +403,9 @@
     }
 
     private void releaseReservationsIn(WorkerRoom room) {
+        ReservationEnd cause = room.usable() ? ReservationEnd.WORKER_SHRUNK : ReservationEnd.WORKER_UNUSABLE;
         room.reservingGangs().forEach(gang -> {
+            reservationEnded.accept(cause);
             reservations.release(gang, room);
             woken.add(gang);
         });
@@ -560,11 +568,15 @@
             if (ready.requiresAdvice() && mayAskForWorkers(step) && advicePlan.moreWorkersNeeded(step, candidates)) {
                 advicePlan.add(step);
             }
-            boolean reservable = reservations.contains(step) || mayReserve(ready);
+            boolean held = reservations.contains(step);
+            boolean reservable = held || mayReserve(ready);
             if (reservable) {
                 reservations.reserve(
                         step, candidates, (room, millis) -> startsInMillis(ready, room, millis), nowMillis);
             }
+            if (held && !reservations.contains(step)) {
+                reservationEnded.accept(ReservationEnd.OTHER);
+            }
         }
         // A worker may turn out to be unusable while its room is being reserved.
         if (missingTasks(step) == 0) {
@@ -714,7 +726,11 @@
         step.eligibleRooms().stream()
                 .filter(room -> room.usable() && ready.size().fitsIn(room.free()) && suitable.test(room))
                 .toList()
-                .forEach(room -> reservations.improve(step, room, startsInMillis(ready, room, 0), nowMillis));
+                .forEach(room -> {
+                    if (reservations.improve(step, room, startsInMillis(ready, room, 0), nowMillis)) {
+                        reservationEnded.accept(ReservationEnd.MOVED);
+                    }
+                });
     }
 
     private void startGang(WaitingStep step) {
@@ -731,6 +747,7 @@
 
     private void releaseReservation(WaitingStep step) {
         if (reservations.contains(step)) {
+            reservationEnded.accept(ReservationEnd.OTHER);
             reservations.release(step).forEach(this::update);
             considerNextGangs();
         }
--- a/core/src/main/java/org/wasabimount/core/dispatch/WorkerManager.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/WorkerManager.java
@@ -128,6 +128,7 @@
     private long gangCheckMillis;
     private final SilenceLog silences = new SilenceLog();
     private final SlowWorkerDetector slowWorkerDetector = new SlowWorkerDetector();
+    private Runnable gangWithheld = () -> {};
 
     private record RunFailure(TaskId task, IncarnationId incarnation, long atMillis) {}
 
@@ -157,6 +158,11 @@
         }
     }
 
+    /** Sets the listener for starts of gangs that are withheld, because a worker's capacity is not known or has shrunk. */
+    void setGangWithheldListener(Runnable listener) {
+        gangWithheld = listener;
+    }
+
     Collection<TrackedWorker> trackedWorkers() {
         return trackedWorkers.values();
     }
@@ -472,6 +478,7 @@
                     trackedWorker.capacityKnown(nowMillis));
             stop(trackedRun, nowMillis);
             if (trackedRun.step().getGang()) {
+                gangWithheld.run();
                 stopGang(trackedRun.id(), nowMillis);
             }
             return;
--- a/daemon/src/main/java/org/wasabimount/daemon/job/JobLeader.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/job/JobLeader.java
@@ -316,6 +316,8 @@
             dispatcher.setWorkerEndListener(metrics::workerEnded);
             dispatcher.setAdviceCallListener(monitor::adviceCallCompleted);
             dispatcher.setStatusListener(monitor::statusSampled);
+            dispatcher.setReservationListener(metrics::reservationEnded);
+            dispatcher.setGangWithheldListener(metrics::gangWithheld);
             LOG.log(
                     System.Logger.Level.INFO,
                     "LEAD term={0} jobs={1} workers={2}",
--- a/daemon/src/main/java/org/wasabimount/daemon/metrics/NodeMetrics.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/metrics/NodeMetrics.java
@@ -10,6 +10,7 @@
 import org.wasabimount.core.dispatch.IdleReason;
 import org.wasabimount.core.dispatch.IdleStatus;
 import org.wasabimount.core.dispatch.OrderOutcome;
+import org.wasabimount.core.dispatch.ReservationEnd;
 import org.wasabimount.core.dispatch.WaitReason;
 import org.wasabimount.protocol.job.JobOperation;
 import org.wasabimount.protocol.job.JobPhase;
@@ -103,6 +104,16 @@
             .name("wasabimount_reserved_cores_share")
             .help("Share of the usable workers' cores that is reserved, 0 on nodes that do not lead")
             .register(registry());
+    private final Counter reservationEnds = counter()
+            .name("wasabimount_reservations_given_back")
+            .help(
+                    "Reservations, or parts of them on one worker, given back before a start while this node led, by cause")
+            .labelNames("cause")
+            .register(registry());
+    private final Counter gangsWithheld = counter()
+            .name("wasabimount_gang_starts_withheld")
+            .help("Gangs that were placed and not started while this node led, as a worker had no room for certain")
+            .register(registry());
     private final Histogram jobs = histogram()
             .name("wasabimount_job_seconds")
             .help("Time from a job's acceptance to its completion")
@@ -116,6 +127,7 @@
                 .map(WorkerEndCause::name)
                 .forEach(workerEnds::initLabelValues);
         Arrays.stream(AdviceOutcome.values()).map(AdviceOutcome::name).forEach(adviceCalls::initLabelValues);
+        Arrays.stream(ReservationEnd.values()).map(ReservationEnd::label).forEach(reservationEnds::initLabelValues);
         dispatchSampled(DispatchStatus.NONE);
     }
 
@@ -214,6 +226,20 @@
         reservedCores.set(idle.reservedShare());
     }
 
+    /**
+     * Counts a reservation, or its part on one worker, that was given back before the tasks have started.
+     *
+     * @param cause why it was given back
+     */
+    public void reservationEnded(ReservationEnd cause) {
+        reservationEnds.labelValues(cause.label()).inc();
+    }
+
+    /** Counts a gang that was placed and is not started, because a worker's capacity is not known or has shrunk. */
+    public void gangWithheld() {
+        gangsWithheld.inc();
+    }
+
     /**
      * Records the end of a job.
      *
--- a/daemon/src/test/java/org/wasabimount/daemon/job/DispatchMonitorTest.java
+++ b/daemon/src/test/java/org/wasabimount/daemon/job/DispatchMonitorTest.java
@@ -17,6 +17,7 @@
 import org.wasabimount.core.dispatch.DispatchStatus;
 import org.wasabimount.core.dispatch.IdleReason;
 import org.wasabimount.core.dispatch.IdleStatus;
+import org.wasabimount.core.dispatch.ReservationEnd;
 import org.wasabimount.core.dispatch.WaitReason;
 import org.wasabimount.core.job.StepId;
 import org.wasabimount.daemon.metrics.NodeMetrics;
@@ -198,4 +199,18 @@
         assertMeasured("wasabimount_reserved_cores_share 0.0");
         assertEquals(loggedLines(), List.of());
     }
+
+    /** Guards against causes that appear only after they have occurred, so that a rate over them misses the first. */
+    @Test
+    public void countsReservationsGivenBackByCauseAndGangsWithheld() {
+        for (ReservationEnd cause : ReservationEnd.values()) {
+            assertMeasured("wasabimount_reservations_given_back_total{cause=\"" + cause.label() + "\"} 0.0");
+        }
+        assertMeasured("wasabimount_gang_starts_withheld_total 0.0");
+        metrics.reservationEnded(ReservationEnd.WORKER_UNUSABLE);
+        metrics.gangWithheld();
+        assertMeasured("wasabimount_reservations_given_back_total{cause=\"worker_unusable\"} 1.0");
+        assertMeasured("wasabimount_reservations_given_back_total{cause=\"moved\"} 0.0");
+        assertMeasured("wasabimount_gang_starts_withheld_total 1.0");
+    }
 }
