--- a/core/src/main/java/org/wasabimount/core/dispatch/StepPlacement.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/StepPlacement.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.NavigableSet;
+import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.TreeSet;
@@ -127,6 +128,7 @@
     private final Set<WorkerRoom> gained = new LinkedHashSet<>();
     private final Map<WaitingStep, PlaceRuns.Builder> placements = new LinkedHashMap<>();
     private int nextRoom;
+    private Consumer<ReservationEnd> reservationEnded = cause -> {};
     private long unusableCheckMillis;
     private long nowMillis;
 
@@ -156,6 +158,27 @@
         advice.setStepListener(this::adviceCompleted);
     }
 
+    /** Sets the listener for reservations, or their parts on one worker, that are given back before a start. */
+    void setReservationListener(Consumer<ReservationEnd> listener) {
+        reservationEnded = listener;
+    }
+
+    Optional<WaitingStep> waitingStep(StepId id) {
+        return Optional.ofNullable(steps.get(id));
+    }
+
+    Collection<WorkerRoom> rooms() {
+        return rooms.values();
+    }
+
+    GangReservations reservations() {
+        return reservations;
+    }
+
+    AdvicePlan advicePlan() {
+        return advicePlan;
+    }
+
     /** Sets the time of the events that follow, as monotonic time in milliseconds. */
     void at(long millis) {
         nowMillis = millis;
@@ -284,7 +307,7 @@
         sample();
     }
 
-    private PoolRooms poolOf(ReadyStep step) {
+    PoolRooms poolOf(ReadyStep step) {
         return pool(step.queue().getPool());
     }
 
@@ -380,7 +403,9 @@
     }
 
     private void releaseReservationsIn(WorkerRoom room) {
+        ReservationEnd cause = room.usable() ? ReservationEnd.WORKER_SHRUNK : ReservationEnd.WORKER_UNUSABLE;
         room.reservingGangs().forEach(gang -> {
+            reservationEnded.accept(cause);
             reservations.release(gang, room);
             woken.add(gang);
         });
@@ -474,7 +499,7 @@
     }
 
     /** Returns whether a worker suits a step, regardless of advice and free capacity. */
-    private Predicate<WorkerRoom> suitable(ReadyStep step) {
+    Predicate<WorkerRoom> suitable(ReadyStep step) {
         String label = step.step().getRequiredLabel();
         Set<IncarnationId> failedRecently = workers.failedRecently(step, nowMillis);
         return room -> room.worker().hasLabel(label) && !failedRecently.contains(room.id());
@@ -543,11 +568,15 @@
             if (ready.requiresAdvice() && mayAskForWorkers(step) && advicePlan.moreWorkersNeeded(step, candidates)) {
                 advicePlan.add(step);
             }
-            boolean reservable = reservations.contains(step) || mayReserve(ready);
+            boolean held = reservations.contains(step);
+            boolean reservable = held || mayReserve(ready);
             if (reservable) {
                 reservations.reserve(
                         step, candidates, (room, millis) -> startsInMillis(ready, room, millis), nowMillis);
             }
+            if (held && !reservations.contains(step)) {
+                reservationEnded.accept(ReservationEnd.OTHER);
+            }
         }
         // A worker may turn out to be unusable while its room is being reserved.
         if (missingTasks(step) == 0) {
@@ -697,7 +726,11 @@
         step.eligibleRooms().stream()
                 .filter(room -> room.usable() && ready.size().fitsIn(room.free()) && suitable.test(room))
                 .toList()
-                .forEach(room -> reservations.improve(step, room, startsInMillis(ready, room, 0), nowMillis));
+                .forEach(room -> {
+                    if (reservations.improve(step, room, startsInMillis(ready, room, 0), nowMillis)) {
+                        reservationEnded.accept(ReservationEnd.MOVED);
+                    }
+                });
     }
 
     private void startGang(WaitingStep step) {
@@ -714,6 +747,7 @@
 
     private void releaseReservation(WaitingStep step) {
         if (reservations.contains(step)) {
+            reservationEnded.accept(ReservationEnd.OTHER);
             reservations.release(step).forEach(this::update);
             considerNextGangs();
         }
--- a/daemon/src/main/java/org/wasabimount/daemon/metrics/NodeMetrics.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/metrics/NodeMetrics.java
@@ -7,7 +7,10 @@
 import org.wasabimount.core.dispatch.AdviceOutcome;
 import org.wasabimount.core.dispatch.CompletedAdviceCall;
 import org.wasabimount.core.dispatch.DispatchStatus;
+import org.wasabimount.core.dispatch.IdleReason;
+import org.wasabimount.core.dispatch.IdleStatus;
 import org.wasabimount.core.dispatch.OrderOutcome;
+import org.wasabimount.core.dispatch.ReservationEnd;
 import org.wasabimount.core.dispatch.WaitReason;
 import org.wasabimount.protocol.job.JobOperation;
 import org.wasabimount.protocol.job.JobPhase;
@@ -84,6 +87,33 @@
             .help("Ready steps with tasks that are not placed, by reason, 0 on nodes that do not lead")
             .labelNames("reason")
             .register(registry());
+    private final Gauge idleJobs = settableGauge()
+            .name("wasabimount_idle_jobs")
+            .help("Open jobs with a ready step and no run placed, by what they wait for, 0 on nodes that do not lead")
+            .labelNames("reason")
+            .register(registry());
+    private final Gauge longestIdle = settableGauge()
+            .name("wasabimount_longest_idle_seconds")
+            .help("For how long the longest idle job has had no run placed, 0 on nodes that do not lead")
+            .register(registry());
+    private final Gauge freeCores = settableGauge()
+            .name("wasabimount_free_cores_share")
+            .help("Share of the usable workers' cores that no run uses, 0 on nodes that do not lead")
+            .register(registry());
+    private final Gauge reservedCores = settableGauge()
+            .name("wasabimount_reserved_cores_share")
+            .help("Share of the usable workers' cores that is reserved, 0 on nodes that do not lead")
+            .register(registry());
+    private final Counter reservationEnds = counter()
+            .name("wasabimount_reservations_given_back")
+            .help(
+                    "Reservations, or parts of them on one worker, given back before a start while this node led, by cause")
+            .labelNames("cause")
+            .register(registry());
+    private final Counter gangsWithheld = counter()
+            .name("wasabimount_gang_starts_withheld")
+            .help("Gangs that were placed and not started while this node led, as a worker had no room for certain")
+            .register(registry());
     private final Histogram jobs = histogram()
             .name("wasabimount_job_seconds")
             .help("Time from a job's acceptance to its completion")
@@ -97,6 +127,7 @@
                 .map(WorkerEndCause::name)
                 .forEach(workerEnds::initLabelValues);
         Arrays.stream(AdviceOutcome.values()).map(AdviceOutcome::name).forEach(adviceCalls::initLabelValues);
+        Arrays.stream(ReservationEnd.values()).map(ReservationEnd::label).forEach(reservationEnds::initLabelValues);
         dispatchSampled(DispatchStatus.NONE);
     }
 
@@ -176,7 +207,7 @@
     }
 
     /**
-     * Records a sample of the leader's workers and waiting steps.
+     * Records a sample of the leader's workers, waiting steps and idle jobs.
      *
      * @param status the sample, {@link DispatchStatus#NONE} if this node does not lead
      */
@@ -186,6 +217,27 @@
         for (WaitReason reason : WaitReason.values()) {
             waitingSteps.labelValues(reason.label()).set(status.waitingSteps().getOrDefault(reason, 0L));
         }
+        IdleStatus idle = status.idle();
+        for (IdleReason reason : IdleReason.values()) {
+            idleJobs.labelValues(reason.label()).set(idle.jobs().getOrDefault(reason, 0L));
+        }
+        longestIdle.set(seconds(idle.longestMillis()));
+        freeCores.set(idle.freeShare());
+        reservedCores.set(idle.reservedShare());
+    }
+
+    /**
+     * Counts a reservation, or its part on one worker, that was given back before the tasks have started.
+     *
+     * @param cause why it was given back
+     */
+    public void reservationEnded(ReservationEnd cause) {
+        reservationEnds.labelValues(cause.label()).inc();
+    }
+
+    /** Counts a gang that was placed and is not started, because a worker's capacity is not known or has shrunk. */
+    public void gangWithheld() {
+        gangsWithheld.inc();
     }
 
     /**
