Tests that fail: gangs wait beside idle workers behind overdue runs, behind reservations and after workers came back

StalledJobs counts jobs that have not started, too; in simulations gangs can be slowed down by slow workers.

--- a/core/src/test/java/org/wasabimount/core/dispatch/DeploymentLoad.java
+++ b/core/src/test/java/org/wasabimount/core/dispatch/DeploymentLoad.java
@@ -85,6 +85,43 @@
                                 0,
                                 70))),
 
+        /** As {@link #PANEL}, but sizes vary from job to job, gangs have up to 120 tasks. */
+        PANEL_VARIED(
+                246,
+                32,
+                new Capacity(64_000, 131_072, 0),
+                List.of(
+                        new JobClass(
+                                queue("panel-reweight", 1, 1_000, 2.2, advice(559, 8.06, 2_500)),
+                                3.33,
+                                0.2,
+                                new Amount(20, 0.8, 1, 120),
+                                new Amount(18_000, 0.4, 1_000, 30_000),
+                                new Amount(18_000, 0.5, 1_000, 37_000),
+                                new Amount(5_000, 0.5, 200, 12_000),
+                                1,
+                                25),
+                        new JobClass(
+                                queue("diary-coding", 2, 3_000, 4, advice(104, 1.43, 2_500)),
+                                8.62,
+                                0.5,
+                                new Amount(25, 0.8, 1, 150),
+                                new Amount(6_900, 0.45, 500, 21_000),
+                                new Amount(10_000, 0.6, 500, 30_000),
+                                new Amount(2_200, 0.5, 200, 5_400),
+                                0,
+                                45),
+                        new JobClass(
+                                queue("page-check", 0, 250, 1.5, advice(14.3, 0.208, 2_500)),
+                                61.8,
+                                0,
+                                new Amount(3.2, 0.8, 1, 19),
+                                new Amount(9_900, 0.45, 500, 30_000),
+                                new Amount(18_000, 0.6, 500, 55_000),
+                                new Amount(1_000, 0.5, 50, 2_500),
+                                0.3,
+                                70))),
+
         /** weesteps-sched-large: sizes vary from job to job, gangs have up to 80 tasks. */
         LARGE(
                 260,
--- /dev/null
+++ b/core/src/test/java/org/wasabimount/core/dispatch/IdleRoomTest.java
@@ -0,0 +1,175 @@
+package org.wasabimount.core.dispatch;
+
+import static org.testng.Assert.assertEquals;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.IntStream;
+
+import org.testng.annotations.Test;
+import org.wasabimount.core.cell.Capacity;
+import org.wasabimount.protocol.job.AdviceCost;
+import org.wasabimount.protocol.job.JobSpec;
+import org.wasabimount.protocol.job.Queue;
+
+/**
+ * Tests that no job is without a run for more than 3 s while less than half of the cores are in use and the workers that
+ * may run it have room for it twice.
+ */
+public class IdleRoomTest {
+
+    private static final Capacity WORKER = new Capacity(64_000, 131_072, 0);
+    private static final Capacity WHOLE = new Capacity(60_000, 20_000, 0);
+
+    private final List<SimulatedWorker> workers = new ArrayList<>();
+    private SimulatedCell cell;
+    private Queue open;
+
+    /** Creates a cell with advice at the cost of a large deployment, and a queue with cheap advice beside it. */
+    private StalledJobs cell(int workerCount, int eligiblePercent, int callers) {
+        cell = new SimulatedCell(7);
+        cell.putQueues(
+                List.of(cell.queue().toBuilder().setAdvice(advice(559, 8.06)).build()));
+        open = cell.queue().toBuilder()
+                .setName("open")
+                .setPathPrefix("/o/")
+                .setAdvice(advice(20, 0.2))
+                .build();
+        cell.putQueues(List.of(cell.queue(), open));
+        cell.eligiblePercents.put("queue", eligiblePercent);
+        cell.eligiblePercents.put("open", 100);
+        workers.clear();
+        cell.addresses(workerCount).forEach(address -> workers.add(cell.worker("w" + address, address, WORKER)));
+        setCallers(callers);
+        return new StalledJobs(cell);
+    }
+
+    private static AdviceCost advice(double callMillis, double workerMillis) {
+        return AdviceCost.newBuilder()
+                .setCallMillis(callMillis)
+                .setWorkerMillis(workerMillis)
+                .setValidMillis(2_500)
+                .build();
+    }
+
+    private void setCallers(int callers) {
+        cell.dispatcher.callers(
+                IntStream.range(0, callers).mapToObj(number -> "vm" + number).toList());
+    }
+
+    private void submitToOpen(String id, int count, Capacity size, long estimateMillis, boolean gang) {
+        cell.workMillis(estimateMillis);
+        JobSpec spec =
+                cell.job(id, count, size, gang).toBuilder().setQueue("open").build();
+        cell.submit(spec, open);
+    }
+
+    private void assertNothingStalled(StalledJobs stalled) {
+        assertEquals(cell.violations, List.of());
+        assertEquals(stalled.stalled.toString(), "{}");
+    }
+
+    /** Has a gang run on some workers for minutes although its estimate is 1 s; the leader does not know its progress. */
+    private void occupyLongerThanEstimated(int count, int callers) {
+        cell.run(1_000);
+        cell.gangsSlowDown = true;
+        workers.forEach(worker -> worker.slowdownFactor = 200);
+        submitToOpen("overdue", count, WHOLE, 1_000, true);
+        cell.run(3_000);
+        workers.forEach(worker -> worker.slowdownFactor = 1);
+        cell.changeLeader();
+        setCallers(callers);
+        cell.run(3_000);
+    }
+
+    /** Guards against a gang that waits for overdue runs while workers that are known to be eligible are idle. */
+    @Test(groups = "known-red")
+    public void gangLeavesOverdueRunsForKnownIdleWorkers() {
+        StalledJobs stalled = cell(32, 100, 8);
+        occupyLongerThanEstimated(12, 8);
+        submitToOpen("others", 20, WHOLE, 8_000, false);
+        cell.run(500);
+        cell.workMillis(2_000);
+        cell.submit(cell.job("gang", 8, WHOLE, true));
+        stalled.run(25_000);
+        assertNothingStalled(stalled);
+    }
+
+    /** Guards against a gang that waits for overdue runs while workers that no call has named are idle. */
+    @Test(groups = "known-red")
+    public void gangLeavesOverdueRunsForWorkersNotNamedYet() {
+        StalledJobs stalled = cell(120, 100, 8);
+        occupyLongerThanEstimated(50, 8);
+        submitToOpen("others", 70, WHOLE, 8_000, false);
+        cell.run(500);
+        cell.workMillis(2_000);
+        cell.submit(cell.job("gang", 5, WHOLE, true));
+        stalled.run(25_000);
+        assertNothingStalled(stalled);
+    }
+
+    /** Guards against a gang whose known workers are all reserved for another one and that asks for no others. */
+    @Test(groups = "known-red")
+    public void gangAsksForIdleWorkersWhileKnownOnesAreReserved() {
+        StalledJobs stalled = cell(120, 100, 8);
+        workers.forEach(worker -> worker.label = "b");
+        workers.forEach(worker -> worker.rack = "r2");
+        workers.subList(0, 40).forEach(worker -> worker.label = "a");
+        workers.subList(0, 40).forEach(worker -> worker.rack = "r1");
+        cell.run(1_000);
+        cell.workMillis(60_000);
+        cell.submit(labelled(cell.job("lasting", 10, WHOLE, false)));
+        stalled.run(3_000);
+        cell.workMillis(2_000);
+        cell.submit(labelled(cell.job("first", 40, WHOLE, true)));
+        stalled.run(4_000);
+        JobSpec gang = cell.job("gang", 5, WHOLE, true);
+        cell.submit(gang.toBuilder()
+                .setSteps(0, gang.getSteps(0).toBuilder().setDataRack("r1"))
+                .build());
+        stalled.run(15_000);
+        assertNothingStalled(stalled);
+    }
+
+    private static JobSpec labelled(JobSpec job) {
+        return job.toBuilder()
+                .setSteps(0, job.getSteps(0).toBuilder().setRequiredLabel("a"))
+                .build();
+    }
+
+    /** Guards against workers that a step of ordinary tasks never uses again after they were given up and came back. */
+    @Test
+    public void tasksUseWorkersThatWereCutOffAndCameBack() {
+        StalledJobs stalled = cell(12, 100, 8);
+        cell.run(1_000);
+        cell.workMillis(6_000);
+        cell.submit(cell.job("tasks", 8, WHOLE, false));
+        cell.run(3_000);
+        workers.forEach(worker -> cell.disconnectedAddresses.add(worker.address));
+        cell.run(25_000);
+        cell.disconnectedAddresses.clear();
+        stalled.run(15_000);
+        assertNothingStalled(stalled);
+    }
+
+    /** Guards against workers that a waiting gang never uses again after they were given up as silent and came back. */
+    @Test(groups = "known-red")
+    public void gangUsesWorkersThatWereCutOffAndCameBack() {
+        StalledJobs stalled = cell(20, 100, 8);
+        cell.run(1_000);
+        submitToOpen("lasting", 6, WHOLE, 200_000, false);
+        cell.run(2_000);
+        List<SimulatedWorker> idle =
+                workers.stream().filter(worker -> worker.activeRuns.isEmpty()).toList();
+        submitToOpen("others", 14, WHOLE, 8_000, false);
+        cell.run(500);
+        cell.workMillis(2_000);
+        cell.submit(cell.job("gang", 6, WHOLE, true));
+        cell.run(2_000);
+        idle.forEach(worker -> cell.disconnectedAddresses.add(worker.address));
+        cell.run(25_000);
+        cell.disconnectedAddresses.clear();
+        stalled.run(15_000);
+        assertNothingStalled(stalled);
+    }
+}
--- a/core/src/test/java/org/wasabimount/core/dispatch/SimulatedCell.java
+++ b/core/src/test/java/org/wasabimount/core/dispatch/SimulatedCell.java
@@ -78,6 +78,9 @@
     /** Selects the tasks that crash every worker that starts them. */
     Predicate<TaskId> crashingTasks = task -> false;
 
+    /** Whether gangs, too, take longer on slow workers. */
+    boolean gangsSlowDown;
+
     /** Time from the start of such a task to the crash of its worker. */
     long crashDelayMillis = 50;
 
@@ -275,6 +278,19 @@
         });
     }
 
+    /** Crashes a worker without a task's doing; it returns under its id. */
+    void loseFor(SimulatedWorker worker, long millis) {
+        worker.kill();
+        List.copyOf(worker.activeRuns.entrySet()).stream()
+                .filter(run -> run.getValue().endsMillis != Long.MAX_VALUE)
+                .forEach(run -> runEnded(run.getKey(), EndKind.BROKEN));
+        after(millis, () -> {
+            if (byAddress.get(worker.address) == worker) {
+                worker(worker.id, worker.address, worker.capacity);
+            }
+        });
+    }
+
     JobSpec job(String id, int count, Capacity size, boolean gang) {
         return JobSpec.newBuilder()
                 .setId(id)
@@ -537,7 +553,7 @@
         return Math.floorMod((step + worker).hashCode(), 3) != 0;
     }
 
-    private boolean mayRun(String queueName, String step, String worker) {
+    boolean mayRun(String queueName, String step, String worker) {
         Integer percent = eligiblePercents.get(queueName);
         return percent == null
                 ? mayRun(step, worker)
@@ -584,7 +600,15 @@
                                 .step(runs.get(0).task().step())
                                 .getCount())
                 .forEach(runs -> {
-                    long endsMillis = nowMillis + workMillis(runs.get(0).task());
+                    // The tasks of a gang work together, so the slowest worker determines how long they take.
+                    double slowdownFactor = alive().stream()
+                            .filter(worker -> gangsSlowDown)
+                            .filter(worker -> runs.stream().anyMatch(worker.activeRuns::containsKey))
+                            .mapToDouble(worker -> worker.slowdownFactor)
+                            .max()
+                            .orElse(1);
+                    long endsMillis = nowMillis
+                            + (long) (slowdownFactor * workMillis(runs.get(0).task()));
                     alive().forEach(worker -> runs.stream()
                             .filter(worker.activeRuns::containsKey)
                             .forEach(run -> {
--- a/core/src/test/java/org/wasabimount/core/dispatch/SimulatedWorker.java
+++ b/core/src/test/java/org/wasabimount/core/dispatch/SimulatedWorker.java
@@ -51,6 +51,8 @@
     boolean failsAllTasks;
     boolean stalled;
     String domain = "glasgow";
+    String label = "a";
+    String rack = "r1";
 
     /** Factor by which tasks that start here take longer than on other workers. */
     double slowdownFactor = 1;
@@ -105,8 +107,8 @@
                         .setAddress(address)
                         .setDomain(domain)
                         .setPool("pool")
-                        .addLabels("a")
-                        .setRack("r1")
+                        .addLabels(label)
+                        .setRack(rack)
                         .setCapacity(capacity.toQuantity())
                         .setDraining(draining))
                 .setClockMillis(clockMillis())
