--- a/core/src/test/java/org/wasabimount/core/dispatch/IdleRoomTest.java
+++ b/core/src/test/java/org/wasabimount/core/dispatch/IdleRoomTest.java
@@ -172,4 +172,129 @@
         stalled.run(15_000);
         assertNothingStalled(stalled);
     }
+
+    /** Submits gangs of several widths, two to four tasks for a worker. */
+    private void submitGangs(int rounds) {
+        Capacity[] sizes = {
+            new Capacity(30_000, 20_000, 0), new Capacity(21_000, 18_000, 0), new Capacity(15_000, 16_000, 0)
+        };
+        int[] counts = {5, 20, 60, 120};
+        for (int round = 0; round < rounds; round++) {
+            for (int number = 0; number < counts.length; number++) {
+                cell.workMillis(3_000);
+                Capacity size = sizes[(round + number) % sizes.length];
+                cell.submit(cell.job("gang" + round + "-" + counts[number], counts[number], size, true));
+            }
+        }
+    }
+
+    /** Guards against gangs that lose their reservations again and again to workers that are unusable for a moment. */
+    @Test
+    public void gangsStartAlthoughWorkersAreUnusableForMoments() {
+        StalledJobs stalled = cell(246, 25, 32);
+        cell.run(2_000);
+        cell.delayedAnnouncementShare = 0.5;
+        cell.lostResponseShare = 0.04;
+        stalled.run(3_000);
+        submitGangs(1);
+        stalled.run(12_000);
+        assertNothingStalled(stalled);
+    }
+
+    /** Guards against gangs that wait for their first call behind those of others after a new leader has taken over. */
+    @Test
+    public void fewCallersServeWaitingGangsOfNewLeader() {
+        StalledJobs stalled = cell(100, 50, 4);
+        cell.run(2_000);
+        cell.leaderSuspended = true;
+        cell.run(1_000);
+        cell.workMillis(3_000);
+        for (int number = 0; number < 4; number++) {
+            cell.submit(cell.job("gang" + number, 4, new Capacity(15_000, 16_000, 0), true));
+        }
+        cell.leaderSuspended = false;
+        cell.changeLeader();
+        setCallers(4);
+        stalled.run(10_000);
+        assertNothingStalled(stalled);
+    }
+
+    /** Guards against tasks that wait for workers of their own beside idle ones after half of the workers were lost. */
+    @Test(groups = "known-red")
+    public void suspectsStartAfterHalfOfTheWorkersWereLostTwice() {
+        StalledJobs stalled = cell(60, 60, 32);
+        cell.run(1_500);
+        cell.workMillis(6_000);
+        Capacity size = new Capacity(15_000, 16_000, 0);
+        for (int number = 0; number < 4; number++) {
+            cell.submit(cell.job("gang" + number, 10, size, true));
+            cell.submit(cell.job("tasks" + number, 8, size, false));
+        }
+        stalled.run(4_000);
+        loseHalf();
+        stalled.run(8_000);
+        loseHalf();
+        stalled.run(25_000);
+        assertNothingStalled(stalled);
+    }
+
+    private void loseHalf() {
+        List<SimulatedWorker> alive = List.copyOf(cell.byAddress.values());
+        IntStream.range(0, alive.size())
+                .filter(number -> number % 2 == 0 && !alive.get(number).crashed)
+                .forEach(number -> cell.loseFor(alive.get(number), 2_000 + 100L * number));
+    }
+
+    /** Guards against urgent gangs that wait behind overdue runs although others are idle. */
+    @Test(groups = "known-red")
+    public void urgentGangLeavesOverdueRunsForIdleWorkers() {
+        StalledJobs stalled = cell(32, 100, 8);
+        cell.putQueues(List.of(cell.queue().toBuilder().setPriority(0).build(), open));
+        occupyLongerThanEstimated(12, 8);
+        submitToOpen("others", 20, WHOLE, 8_000, false);
+        cell.run(500);
+        cell.workMillis(1_000);
+        cell.submit(cell.job("gang", 8, WHOLE, true));
+        stalled.run(25_000);
+        assertNothingStalled(stalled);
+    }
+
+    /** Guards against ordinary tasks that no call serves although workers have become idle. */
+    @Test
+    public void tasksUseWorkersThatHaveBecomeIdle() {
+        StalledJobs stalled = cell(32, 100, 8);
+        occupyLongerThanEstimated(12, 8);
+        submitToOpen("others", 20, WHOLE, 8_000, false);
+        cell.run(500);
+        cell.workMillis(1_000);
+        cell.submit(cell.job("tasks", 8, WHOLE, false));
+        stalled.run(25_000);
+        assertNothingStalled(stalled);
+    }
+
+    /** Guards against a reservation on a worker that shrinks below what its lasting runs leave, next to idle workers. */
+    @Test
+    public void gangLeavesWorkerThatHasShrunk() {
+        StalledJobs stalled = cell(30, 100, 8);
+        cell.run(1_000);
+        Capacity half = new Capacity(30_000, 20_000, 0);
+        JobSpec lasting = cell.job("lasting", 4, half, false);
+        cell.submit(
+                lasting.toBuilder()
+                        .setQueue("open")
+                        .setSteps(0, lasting.getSteps(0).toBuilder().setLongRunning(true))
+                        .build(),
+                open);
+        cell.run(1_000);
+        List<SimulatedWorker> holders =
+                workers.stream().filter(worker -> !worker.activeRuns.isEmpty()).toList();
+        submitToOpen("others", 26, WHOLE, 5_000, false);
+        cell.run(500);
+        cell.workMillis(2_000);
+        cell.submit(cell.job("gang", 8, half, true));
+        cell.run(1_500);
+        holders.forEach(worker -> worker.resize(new Capacity(50_000, 131_072, 0)));
+        stalled.run(15_000);
+        assertNothingStalled(stalled);
+    }
 }
--- a/core/src/test/java/org/wasabimount/core/dispatch/StalledJobs.java
+++ b/core/src/test/java/org/wasabimount/core/dispatch/StalledJobs.java
@@ -41,7 +41,17 @@
         }
     }
 
+    /** Returns the longest time of any job, in milliseconds; 0 if none has stalled. */
+    long worstMillis() {
+        return stalled.values().stream().mapToLong(Long::longValue).max().orElse(0);
+    }
+
+    /** Without a leader nothing is counted. */
     void sample() {
+        if (cell.leaderSuspended) {
+            sinceMillis.clear();
+            return;
+        }
         List<SimulatedWorker> alive = cell.byAddress.values().stream()
                 .filter(worker -> !worker.crashed && !cell.disconnectedAddresses.contains(worker.address))
                 .toList();
@@ -65,6 +75,16 @@
         }
     }
 
+    /** Returns whether a run of a job may go on until its lease has expired, as its worker is cut off or has crashed. */
+    private static boolean mayRunOnLostWorker(Job job, List<SimulatedWorker> alive) {
+        return job.tasks()
+                .filter(task -> !task.done())
+                .flatMap(task -> task.incarnation().stream())
+                .anyMatch(incarnation -> alive.stream()
+                        .noneMatch(worker -> worker.id.equals(incarnation.worker())
+                                && worker.bornMillis == incarnation.bornMillis()));
+    }
+
     private boolean hasRoomTwice(Job job, List<SimulatedWorker> alive) {
         for (int number = 0; number < job.spec().getStepsCount(); number++) {
             Step step = job.step(number);
