Estimate runs by their pace, and expect overdue ones to last as long again

Users saw accepted gangs without a run for as long as the runs of others lasted, beside idle workers.

Cause: a run that has taken longer than declared counted as ending in 100 ms, for ever, unless this leader had seen its progress from zero. Room behind the runs of an earlier leader, behind resumed and behind stalled runs was therefore always about to be free: a gang that had reserved it never moved to another worker, which costs a call for advice (567 ms and more), and asked for no others.

The pace is now taken from any two lists; a run beyond its estimate is expected to take as long again as it is overdue, so the estimate grows with the disappointment. Among workers that could start a task at the same time, those whose room is free come first.

IdleSamplerTest: the pace of the runs that an earlier leader has started is known now, so the overdue runs of its test are runs that stand still; the assertions are unchanged.

--- a/core/src/main/java/org/wasabimount/core/dispatch/GangReservations.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/GangReservations.java
@@ -29,8 +29,8 @@
     private final Map<WaitingStep, Map<WorkerRoom, Integer>> targets = new LinkedHashMap<>();
     private final Map<String, Double> reservedCpuMillis = new HashMap<>();
 
-    /** The next task that could be given to a worker, and when it is estimated to start there. */
-    private record Offer(WorkerRoom room, int tasks, long startsInMillis) {}
+    /** The next task that could be given to a worker, when its room is estimated to be free and when it could start. */
+    private record Offer(WorkerRoom room, int tasks, long fitsInMillis, long startsInMillis) {}
 
     /**
      * Creates an instance without reservations.
@@ -86,8 +86,9 @@
         int missing = gang.ready().tasksAtOnce()
                 - reserved.values().stream().mapToInt(Integer::intValue).sum();
         Map<WorkerRoom, Integer> added = new LinkedHashMap<>();
-        PriorityQueue<Offer> earliestFirst = new PriorityQueue<>(
-                Comparator.comparingLong(Offer::startsInMillis).thenComparingInt(offer -> offer.room.number()));
+        PriorityQueue<Offer> earliestFirst = new PriorityQueue<>(Comparator.comparingLong(Offer::startsInMillis)
+                .thenComparingLong(Offer::fitsInMillis)
+                .thenComparingInt(offer -> offer.room.number()));
         candidates.forEach(room ->
                 offer(gang, room, reserved, added, startsInMillis, nowMillis).ifPresent(earliestFirst::add));
         for (int task = 0; task < missing; task++) {
@@ -128,7 +129,7 @@
         long fitsInMillis = possible ? room.millisUntilFits(gang, tasksThere, nowMillis) : Long.MAX_VALUE;
         return fitsInMillis == Long.MAX_VALUE
                 ? Optional.empty()
-                : Optional.of(new Offer(room, tasks, startsInMillis.applyAsLong(room, fitsInMillis)));
+                : Optional.of(new Offer(room, tasks, fitsInMillis, startsInMillis.applyAsLong(room, fitsInMillis)));
     }
 
     /** Returns the estimated time until all reserved room of a gang is free, in milliseconds. */
--- a/core/src/main/java/org/wasabimount/core/dispatch/TrackedRun.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/TrackedRun.java
@@ -68,13 +68,13 @@
     private int measuredPercent;
     private long measuredMillis;
 
-    /** The latest progress of a run that this leader started without saved progress, and when it was listed. */
-    private int listedPercent;
-
-    private int firstListedPercent = NOT_LISTED;
-    private boolean advanced;
+    /** The progress from which the run's pace is known: that of its start if this leader has seen it, else the first listed. */
+    private int firstPercent = NOT_LISTED;
 
+    private long firstPercentMillis;
+    private int listedPercent;
     private long listedMillis;
+    private boolean advanced;
 
     TrackedRun(RunId id, IncarnationId incarnation, Step step, State state) {
         this.id = id;
@@ -220,15 +220,14 @@
         if (!latestSaved.isEmpty()) {
             saved = latestSaved;
         }
-        if (firstListedPercent == NOT_LISTED) {
-            firstListedPercent = resumesFromSaved ? percent : 0;
-        }
-        advanced |= percent > firstListedPercent;
-        boolean startedFromZero = startedMillis > 0 && !resumesFromSaved && startAttempts > 0;
-        if (startedFromZero) {
-            listedPercent = percent;
-            listedMillis = nowMillis;
+        if (firstPercent == NOT_LISTED) {
+            boolean startKnown = startAttempts > 0 && startedMillis > 0 && !resumesFromSaved;
+            firstPercent = startKnown ? 0 : percent;
+            firstPercentMillis = startKnown ? startedMillis : nowMillis;
         }
+        advanced |= percent > (resumesFromSaved ? firstPercent : 0);
+        listedPercent = percent;
+        listedMillis = nowMillis;
         if (!baselineMeasured) {
             baselineMeasured = true;
             measuredMillis = nowMillis;
@@ -250,20 +249,28 @@
         return advanced;
     }
 
-    /** Returns whether the run lasts longer than estimated, so that its remaining time is not known. */
+    /**
+     * Returns the estimated remaining time of the run, in milliseconds: by its pace if that is known, otherwise by its
+     * declared time. A run that has taken longer than that is expected to take as long again as it is overdue, so that
+     * nothing waits for it as if it were about to end.
+     */
+    long remainingMillis(long nowMillis) {
+        long expectedMillis = expectedEndMillis(nowMillis) - nowMillis;
+        return Math.max(MIN_REMAINING_MILLIS, Math.abs(expectedMillis));
+    }
+
+    /** Returns whether the run has taken longer than estimated. */
     boolean overdue(long nowMillis) {
-        boolean started = startedMillis > 0 && nowMillis - startedMillis >= MIN_REMAINING_MILLIS;
-        return started && remainingMillis(nowMillis) <= MIN_REMAINING_MILLIS;
+        return expectedEndMillis(nowMillis) < nowMillis;
     }
 
-    /** Returns the estimated remaining time of the run, in milliseconds: by its progress if that is known. */
-    long remainingMillis(long nowMillis) {
-        boolean started = startedMillis > 0;
-        long elapsedMillis = started ? nowMillis - startedMillis : 0;
-        boolean progressKnown = listedPercent >= MIN_PERCENT_FOR_ESTIMATE && listedMillis > startedMillis;
-        long expectedMillis = progressKnown
-                ? (long) ((listedMillis - startedMillis) * PERCENT / listedPercent)
-                : step.getEstimateMillis();
-        return Math.max(MIN_REMAINING_MILLIS, expectedMillis - elapsedMillis);
+    private long expectedEndMillis(long nowMillis) {
+        int advancedPercent = listedPercent - firstPercent;
+        boolean paceKnown = firstPercent != NOT_LISTED && advancedPercent >= MIN_PERCENT_FOR_ESTIMATE;
+        if (paceKnown) {
+            double millisPerPercent = (double) (listedMillis - firstPercentMillis) / advancedPercent;
+            return listedMillis + (long) (millisPerPercent * (PERCENT - listedPercent));
+        }
+        return (startedMillis > 0 ? startedMillis : nowMillis) + step.getEstimateMillis();
     }
 }
--- a/core/src/test/java/org/wasabimount/core/dispatch/IdleRoomTest.java
+++ b/core/src/test/java/org/wasabimount/core/dispatch/IdleRoomTest.java
@@ -83,7 +83,7 @@
     }
 
     /** Guards against a gang that waits for overdue runs while workers that are known to be eligible are idle. */
-    @Test(groups = "known-red")
+    @Test
     public void gangLeavesOverdueRunsForKnownIdleWorkers() {
         StalledJobs stalled = cell(32, 100, 8);
         occupyLongerThanEstimated(12, 8);
@@ -96,7 +96,7 @@
     }
 
     /** Guards against a gang that waits for overdue runs while workers that no call has named are idle. */
-    @Test(groups = "known-red")
+    @Test
     public void gangLeavesOverdueRunsForWorkersNotNamedYet() {
         StalledJobs stalled = cell(120, 100, 8);
         occupyLongerThanEstimated(50, 8);
--- a/core/src/test/java/org/wasabimount/core/dispatch/IdleSamplerTest.java
+++ b/core/src/test/java/org/wasabimount/core/dispatch/IdleSamplerTest.java
@@ -126,13 +126,14 @@
     }
 
     /**
-     * Guards against an overdue run that can't be told from a worker that is really occupied (hypothesis 1): the progress of
-     * runs that an earlier leader has started is not known.
+     * Guards against an overdue run that can't be told from a worker that is really occupied (hypothesis 1): the pace of a
+     * run that stands still is not known.
      */
     @Test
     public void gangBehindRunOfEarlierLeaderWaitsForRoomUntilTheRunIsOverdue() {
         cell.workMillis(2_500);
         startWorkers();
+        cell.byAddress.values().forEach(worker -> worker.stalled = true);
         occupy(HALF);
         cell.changeLeader();
         listen();
