Start gangs wherever room and tickets are, and ask for tickets where room is free

Cause: a gang started only on exactly the workers that it had reserved, when the room on all of them was free and all tickets were valid at one moment. Without a reservation it could not start at all, and no call renewed its tickets; the reservations were limited to an eighth of the pool, or until 0.35 of it was free, and each waited for its slowest worker, behind slow runs and behind earlier reservations of the same worker. Three disjoint gangs started in one pass 55 ms after one job had ended, after 2.2 s in which nothing was placed. A gang whose eligible workers were all reserved asked for no others, because its known slots counted as enough whether they were occupied or not.

A gang now starts as soon as the free room with valid tickets, on the workers reserved for it or on others, holds all its tasks. Calls name the workers with free room first, with a quarter more slots than tasks, so that a worker that becomes unusable does not undo the others; if the free room of the known workers is not enough, they name others that have room. A reservation keeps room, but is no condition of a start. Workers whose capacity is not known for the time of a start are left out.

ReservationEndTest: a gang that finds room for all its tasks elsewhere now starts there at once, so the test of a moved reservation leaves room for a part of them only; its assertion is unchanged.

--- a/core/src/main/java/org/wasabimount/core/dispatch/AdvicePlan.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/AdvicePlan.java
@@ -34,8 +34,11 @@
      */
     private static final double GANG_SLOTS_PER_TASK = 2;
 
+    /** Number of slots with a ticket that a gang should have for each of its tasks, as workers become unusable meanwhile. */
+    private static final double TICKETS_PER_TASK = 1.25;
+
     /** Maximum number of rooms examined to find workers that no call has named yet. */
-    private static final int MAX_ROOMS_SEARCHED = 64;
+    private static final int MAX_ROOMS_SEARCHED = 256;
 
     private final AdviceManager advice;
     private final GangReservations reservations;
@@ -96,9 +99,11 @@
                 .toList();
     }
 
-    /** Returns whether a gang has too few eligible workers, counting those that open calls are expected to find. */
-    boolean moreWorkersNeeded(WaitingStep gang, Collection<WorkerRoom> eligible) {
-        return namesNeeded(gang, eligible) > 0;
+    /** Returns whether a call can bring a gang nearer to its start: by eligible workers, or by tickets for free room. */
+    boolean callHelps(WaitingStep gang, Collection<WorkerRoom> eligible, long nowMillis) {
+        return namesNeeded(gang, eligible) > 0
+                || !roomsWithoutTicket(gang, eligible, nowMillis).isEmpty()
+                || freeSlotsOf(gang, eligible) < requiredSlots(gang);
     }
 
     private int namesNeeded(WaitingStep gang, Collection<WorkerRoom> eligible) {
@@ -113,6 +118,50 @@
         return (int) Math.ceil(missing / slotsPerName);
     }
 
+    /** Returns the number of free slots for which a gang should have tickets, so that it can lose some workers. */
+    private static long requiredSlots(WaitingStep gang) {
+        return (long) Math.ceil(TICKETS_PER_TASK * gang.ready().tasksAtOnce());
+    }
+
+    private static long freeSlotsOf(WaitingStep gang, Collection<WorkerRoom> rooms) {
+        return rooms.stream().mapToLong(room -> room.freeSlots(gang)).sum();
+    }
+
+    /**
+     * Returns the workers with free room for which a gang needs tickets to start now; none if the free room on all
+     * eligible workers is not enough for it, or if open calls will bring enough tickets.
+     */
+    private List<WorkerRoom> roomsWithoutTicket(WaitingStep gang, Collection<WorkerRoom> eligible, long nowMillis) {
+        ReadyStep ready = gang.ready();
+        examined.add(ExaminedCounts.Part.ROUND, eligible.size());
+        List<WorkerRoom> free =
+                eligible.stream().filter(room -> room.freeSlots(gang) > 0).toList();
+        if (!ready.requiresAdvice() || freeSlotsOf(gang, free) < ready.tasksAtOnce()) {
+            return List.of();
+        }
+        AdviceManager.StepAdvice stepAdvice = advice.of(gang.id());
+        // The tickets must still be valid when those of the next call arrive.
+        long atMillis = nowMillis + callMillis(ready, free.size());
+        Predicate<WorkerRoom> covered =
+                room -> stepAdvice.queried(room.id()) || stepAdvice.hasTicket(room.id(), atMillis);
+        long missing = requiredSlots(gang)
+                - freeSlotsOf(gang, free.stream().filter(covered).toList());
+        List<WorkerRoom> named = new ArrayList<>();
+        for (WorkerRoom room : free.stream()
+                .filter(covered.negate())
+                .sorted(Comparator.<WorkerRoom>comparingLong(room -> room.freeSlots(gang))
+                        .reversed()
+                        .thenComparingInt(WorkerRoom::number))
+                .toList()) {
+            if (missing <= 0) {
+                break;
+            }
+            named.add(room);
+            missing -= room.freeSlots(gang);
+        }
+        return named;
+    }
+
     /** Requests the calls that are wanted, as far as VMs are available. */
     void requestCalls(
             Function<ReadyStep, Predicate<WorkerRoom>> suitable,
@@ -165,6 +214,14 @@
         ReadyStep ready = gang.ready();
         AdviceManager.StepAdvice stepAdvice = advice.of(gang.id());
         int maxWorkers = AdviceManager.maxWorkers(ready.queue());
+        List<WorkerRoom> eligible = gang.eligibleRooms().stream()
+                .filter(WorkerRoom::usable)
+                .filter(suitable)
+                .toList();
+        List<WorkerRoom> free = roomsWithoutTicket(gang, eligible, nowMillis);
+        if (!free.isEmpty()) {
+            return firstCall(free, maxWorkers);
+        }
         List<WorkerRoom> targets = withoutTicket(gang, ticketsNeededMillis(gang, nowMillis)).stream()
                 .filter(room -> !stepAdvice.queried(room.id()))
                 .toList();
@@ -172,17 +229,44 @@
                 && reservations.readyInMillis(gang, nowMillis)
                         <= callMillis(ready, targets.size()) + StepPlacement.CALL_LEAD_MILLIS;
         if (callDue) {
-            int calls = (targets.size() + maxWorkers - 1) / maxWorkers;
-            return targets.subList(0, (targets.size() + calls - 1) / calls);
+            return firstCall(targets, maxWorkers);
         }
-        List<WorkerRoom> eligible =
-                gang.eligibleRooms().stream().filter(WorkerRoom::usable).toList();
         int names = Math.min(maxWorkers, namesNeeded(gang, eligible));
         int leastNames = Math.min(JobPlan.ADVISED_WORKERS, maxWorkers);
         if (names > 0) {
             return unknownWorkers(gang, suitable, pool, Math.max(names, leastNames));
         }
-        return waitsForRoom(gang, nowMillis) ? unknownWorkersWithRoom(gang, suitable, pool, leastNames) : List.of();
+        long missing = requiredSlots(gang) - freeSlotsOf(gang, eligible);
+        return missing > 0 && !stepAdvice.callInProgress()
+                ? unknownWorkersForGang(gang, suitable, pool, missing, nowMillis)
+                : List.of();
+    }
+
+    /**
+     * Returns workers with free room that no call for a gang has named: as many as are expected to have the missing slots,
+     * or the first ones if the gang would wait longer than the call for the room that it has reserved.
+     */
+    private List<WorkerRoom> unknownWorkersForGang(
+            WaitingStep gang, Predicate<WorkerRoom> suitable, PoolRooms pool, long missing, long nowMillis) {
+        int maxWorkers = AdviceManager.maxWorkers(gang.ready().queue());
+        double eligibleShare = advice.of(gang.id()).eligibleShare();
+        List<WorkerRoom> unknown = unknownWorkersWithRoom(gang, suitable, pool, maxWorkers);
+        double expected = 0;
+        for (int count = 0; count < unknown.size(); count++) {
+            expected += eligibleShare * unknown.get(count).freeSlots(gang);
+            if (expected >= missing) {
+                return unknown.subList(0, count + 1);
+            }
+        }
+        return waitsForRoom(gang, nowMillis)
+                ? unknown.subList(0, Math.min(JobPlan.ADVISED_WORKERS, unknown.size()))
+                : List.of();
+    }
+
+    /** Returns the workers to name in the first of several calls that share the workers evenly. */
+    private static List<WorkerRoom> firstCall(List<WorkerRoom> rooms, int maxWorkers) {
+        int calls = (rooms.size() + maxWorkers - 1) / maxWorkers;
+        return rooms.subList(0, (rooms.size() + calls - 1) / calls);
     }
 
     /** Returns whether a gang waits for room longer than it takes to ask for other workers. */
@@ -204,7 +288,7 @@
     }
 
     /** Returns when the tickets of a gang must still be valid: when its room is complete. */
-    private long ticketsNeededMillis(WaitingStep gang, long nowMillis) {
+    long ticketsNeededMillis(WaitingStep gang, long nowMillis) {
         long readyInMillis = reservations.readyInMillis(gang, nowMillis);
         return readyInMillis == Long.MAX_VALUE ? nowMillis : nowMillis + readyInMillis;
     }
--- a/core/src/main/java/org/wasabimount/core/dispatch/Placer.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/Placer.java
@@ -6,6 +6,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Function;
 
 import org.wasabimount.core.cell.Capacity;
 import org.wasabimount.core.job.JobTask;
@@ -35,11 +36,28 @@
      */
     Map<JobTask, WorkerRoom> choose(
             ReadyStep step, Collection<WorkerRoom> candidates, Set<String> domains, long nowMillis) {
+        return choose(step, candidates, domains, room -> room.availableTo(step, nowMillis));
+    }
+
+    /**
+     * Chooses workers as {@link #choose(ReadyStep, Collection, Set, long)}.
+     *
+     * @param step the step
+     * @param candidates the workers that may run it now
+     * @param domains the failure domains in which tasks of the step are running; those of the chosen workers are added
+     * @param available the capacity of each worker that the step may use
+     * @return the worker for each task that fits
+     */
+    Map<JobTask, WorkerRoom> choose(
+            ReadyStep step,
+            Collection<WorkerRoom> candidates,
+            Set<String> domains,
+            Function<WorkerRoom, Capacity> available) {
         Capacity size = step.size();
         Map<JobTask, WorkerRoom> chosen = new LinkedHashMap<>();
         Map<WorkerRoom, Integer> counts = runCounts(step, candidates);
         Map<WorkerRoom, Capacity> free = new HashMap<>();
-        candidates.forEach(room -> free.put(room, room.availableTo(step, nowMillis)));
+        candidates.forEach(room -> free.put(room, available.apply(room)));
         // Long-running tasks serve independently and are better spread over failure domains, so they are not grouped.
         boolean placeTogether = !step.step().getLongRunning();
         Comparator<WorkerRoom> bestFit = Comparator.<WorkerRoom, Boolean>comparing(
--- a/core/src/main/java/org/wasabimount/core/dispatch/StepPlacement.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/StepPlacement.java
@@ -17,7 +17,6 @@
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
-import java.util.stream.IntStream;
 import java.util.stream.Stream;
 
 import org.wasabimount.core.cell.Capacity;
@@ -64,6 +63,9 @@
     /** Longest interval at which a reservation is reviewed, in milliseconds: estimates of run ends change meanwhile. */
     private static final long MAX_RESERVATION_REVIEW_MILLIS = 200;
 
+    /** Time after which a gang is considered that has been offered room, in milliseconds; other rooms follow meanwhile. */
+    private static final long OFFER_REVIEW_MILLIS = 50;
+
     /** Time before the expected return of a call at which the room may be complete, in milliseconds. */
     static final long CALL_LEAD_MILLIS = 50;
 
@@ -82,6 +84,9 @@
     /** Number of gangs that may have a reservation whatever they need. */
     private static final int FIRST_RESERVATIONS = 2;
 
+    /** Time within which the tasks of a gang are started after the decision, in milliseconds: a commit and the calls. */
+    private static final long GANG_START_MILLIS = 250;
+
     /** Share of a pool's workers that may be set aside for tasks that run alone. */
     private static final double MAX_ISOLATED_SHARE = 0.125;
 
@@ -435,6 +440,8 @@
                 if (reservations.contains(step)
                         && reservations.improve(step, room, startsInMillis(ready, room, 0L), nowMillis)) {
                     woken.add(step);
+                } else {
+                    reviewAt(step, nowMillis + OFFER_REVIEW_MILLIS);
                 }
             } else if (!ready.requiresAdvice() || advice.of(step.id()).hasTicket(room.id(), nowMillis)) {
                 choose(step, List.of(room));
@@ -563,17 +570,17 @@
         if (ready.mayUseReservedRoom(nowMillis) && startInReservedRoom(step)) {
             return;
         }
-        if (missingTasks(step) > 0) {
-            List<WorkerRoom> candidates = gangCandidates(step);
-            if (ready.requiresAdvice() && mayAskForWorkers(step) && advicePlan.moreWorkersNeeded(step, candidates)) {
-                advicePlan.add(step);
-            }
-            boolean held = reservations.contains(step);
-            boolean reservable = held || mayReserve(ready);
-            if (reservable) {
-                reservations.reserve(
-                        step, candidates, (room, millis) -> startsInMillis(ready, room, millis), nowMillis);
-            }
+        boolean held = reservations.contains(step);
+        boolean reservable = held || mayReserve(ready);
+        List<WorkerRoom> candidates = gangCandidates(step);
+        if ((!ready.isolated() || reservable) && startInFreeRoom(step, candidates)) {
+            return;
+        }
+        if (ready.requiresAdvice() && mayAskForWorkers(step) && advicePlan.callHelps(step, candidates, nowMillis)) {
+            advicePlan.add(step);
+        }
+        if (missingTasks(step) > 0 && reservable) {
+            reservations.reserve(step, candidates, (room, millis) -> startsInMillis(ready, room, millis), nowMillis);
             if (held && !reservations.contains(step)) {
                 reservationEnded.accept(ReservationEnd.OTHER);
             }
@@ -584,6 +591,36 @@
         }
     }
 
+    /**
+     * Starts a gang wherever there are room and tickets for all of its tasks now, on the workers that it has reserved or on
+     * others: a reservation on workers that are not ready must not keep a gang from starting.
+     */
+    private boolean startInFreeRoom(WaitingStep step, List<WorkerRoom> candidates) {
+        ReadyStep ready = step.ready();
+        boolean held = reservations.contains(step);
+        AdviceManager.StepAdvice stepAdvice = advice.of(step.id());
+        List<WorkerRoom> startable = candidates.stream()
+                .filter(room -> !ready.requiresAdvice() || stepAdvice.hasTicket(room.id(), nowMillis))
+                .filter(room -> room.worker().capacityKnown(nowMillis + GANG_START_MILLIS))
+                .filter(room -> room.freeSlots(step) > 0)
+                .toList();
+        if (startable.stream().mapToLong(room -> room.freeSlots(step)).sum() < ready.tasksAtOnce()) {
+            return false;
+        }
+        Map<JobTask, WorkerRoom> tasks =
+                placer.choose(ready, startable, domainsInUse(ready), room -> room.freeFor(step));
+        if (tasks.size() < ready.tasksAtOnce()) {
+            return false;
+        }
+        Set<WorkerRoom> released = reservations.release(step);
+        place(step, tasks);
+        released.forEach(this::update);
+        if (held) {
+            considerNextGangs();
+        }
+        return true;
+    }
+
     /** Starts an urgent gang at once if the free room is enough, with what is reserved for others. */
     private boolean startInReservedRoom(WaitingStep step) {
         Map<JobTask, WorkerRoom> tasks =
@@ -596,9 +633,14 @@
         return true;
     }
 
-    /** Returns whether a gang is among the first in scheduling order; the others must not occupy the callers yet. */
+    /**
+     * Returns whether calls may be made for a gang: if it is among the first in scheduling order, or if the pool is mostly
+     * free. Otherwise the others must not occupy the callers yet.
+     */
     private boolean mayAskForWorkers(WaitingStep step) {
+        PoolRooms pool = poolOf(step.ready());
         return reservations.contains(step)
+                || pool.freeCpuMillis() >= MIN_FREE_SHARE * pool.cpuMillis()
                 || gangs.stream().limit(MAX_ASKING_GANGS).anyMatch(gang -> gang == step);
     }
 
@@ -692,18 +734,14 @@
         return Math.max(fitsInMillis, callMillis) + awayFromDataMillis;
     }
 
-    /** Starts a gang whose reserved room is complete, or prepares its start. */
+    /** Prepares the start of a gang with a reservation. */
     private void advance(WaitingStep step) {
         ReadyStep ready = step.ready();
         if (reservations.readyInMillis(step, nowMillis) > 0) {
             moveToFreeRoom(step);
         }
         long readyInMillis = reservations.readyInMillis(step, nowMillis);
-        List<WorkerRoom> ticketless = advicePlan.withoutTicket(step, nowMillis + readyInMillis);
-        if (readyInMillis == 0 && ticketless.isEmpty()) {
-            startGang(step);
-            return;
-        }
+        List<WorkerRoom> ticketless = advicePlan.withoutTicket(step, advicePlan.ticketsNeededMillis(step, nowMillis));
         long callMillis = advicePlan.callMillis(ready, ticketless.size());
         boolean callDue = !ticketless.isEmpty() && readyInMillis <= callMillis + CALL_LEAD_MILLIS;
         if (callDue || ready.requiresAdvice() && advicePlan.waitsForRoom(step, nowMillis)) {
@@ -733,18 +771,6 @@
                 });
     }
 
-    private void startGang(WaitingStep step) {
-        Map<JobTask, WorkerRoom> tasks = new LinkedHashMap<>();
-        List<WorkerRoom> slots = reservations.targets(step).entrySet().stream()
-                .flatMap(target -> Stream.generate(target::getKey).limit(target.getValue()))
-                .toList();
-        List<JobTask> waitingTasks = step.ready().waiting();
-        IntStream.range(0, slots.size()).forEach(slot -> tasks.put(waitingTasks.get(slot), slots.get(slot)));
-        reservations.release(step);
-        place(step, tasks);
-        considerNextGangs();
-    }
-
     private void releaseReservation(WaitingStep step) {
         if (reservations.contains(step)) {
             reservationEnded.accept(ReservationEnd.OTHER);
--- a/core/src/main/java/org/wasabimount/core/dispatch/WorkerRoom.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/WorkerRoom.java
@@ -72,6 +72,27 @@
         return usable && step.mayUseReservedRoom(nowMillis) && !isolated() ? worker.freeCapacity() : free;
     }
 
+    /**
+     * Returns the capacity that a step which reserves room may use now: what is free, and what is reserved for the step.
+     * Tasks that run alone may use a worker only if nothing else runs there or is reserved.
+     */
+    Capacity freeFor(WaitingStep step) {
+        Capacity held = reservations.getOrDefault(step, Capacity.NONE);
+        if (step.ready().isolated()) {
+            boolean othersReserve = reservations.size() > (reservations.containsKey(step) ? 1 : 0);
+            boolean alone = usable && worker.runs().isEmpty() && !othersReserve;
+            return alone ? worker.freeCapacity() : Capacity.NONE;
+        }
+        return usable && !worker.isolated() ? free.plus(held) : Capacity.NONE;
+    }
+
+    /** Returns how many tasks of a step that reserves room could start now. */
+    long freeSlots(WaitingStep step) {
+        long slots = step.ready().size().timesIn(freeFor(step));
+        int limit = step.ready().step().getMaxPerWorker();
+        return limit == 0 ? slots : Math.min(limit, slots);
+    }
+
     /** Takes over the worker's state. */
     void refresh(long nowMillis) {
         usable = worker.usable(nowMillis);
