Let steps use workers again that were given up as silent and came back

Users saw a gang, and ordinary tasks, wait beside idle workers for as long as the test looked (14.5 s).

Cause: a worker that was silent for more than 15 s was given up, and with it its place among the workers that a step may run on. When it announced itself again under the same incarnation it got a new room, but the steps that knew it as eligible were not told: the advice counted it as named, so no call asked for it, and it was not among the candidates. A new room is now given to the steps whose advice allows it.

--- a/core/src/main/java/org/wasabimount/core/dispatch/StepPlacement.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/StepPlacement.java
@@ -372,8 +372,21 @@
             rooms.remove(id);
             removeRoom(room);
         }
-        update(rooms.computeIfAbsent(
-                id, absent -> new WorkerRoom(workers.trackedWorker(id).orElseThrow(), nextRoom++, order)));
+        update(rooms.computeIfAbsent(id, this::newRoom));
+    }
+
+    /** Creates the room of a worker, which steps may know already: it may have been given up as silent meanwhile. */
+    private WorkerRoom newRoom(IncarnationId id) {
+        WorkerRoom room = new WorkerRoom(workers.trackedWorker(id).orElseThrow(), nextRoom++, order);
+        examined.add(ExaminedCounts.Part.ROUND, steps.size());
+        steps.values().stream()
+                .filter(step -> step.listed() && step.ready().requiresAdvice())
+                .filter(step -> advice.eligible(step.id(), id))
+                .forEach(step -> {
+                    step.eligibleRooms().add(room);
+                    room.eligibleSteps().add(step);
+                });
+        return room;
     }
 
     private void removeRoom(WorkerRoom room) {
--- a/core/src/test/java/org/wasabimount/core/dispatch/IdleRoomTest.java
+++ b/core/src/test/java/org/wasabimount/core/dispatch/IdleRoomTest.java
@@ -153,7 +153,7 @@
     }
 
     /** Guards against workers that a waiting gang never uses again after they were given up as silent and came back. */
-    @Test(groups = "known-red")
+    @Test
     public void gangUsesWorkersThatWereCutOffAndCameBack() {
         StalledJobs stalled = cell(20, 100, 8);
         cell.run(1_000);
