--- a/core/src/test/java/org/wasabimount/core/dispatch/IdleRoomTest.java
+++ b/core/src/test/java/org/wasabimount/core/dispatch/IdleRoomTest.java
@@ -83,7 +83,7 @@
     }
 
     /** Guards against a gang that waits for overdue runs while workers that are known to be eligible are idle. */
-    @Test(groups = "known-red")
+    @Test
     public void gangLeavesOverdueRunsForKnownIdleWorkers() {
         StalledJobs stalled = cell(32, 100, 8);
         occupyLongerThanEstimated(12, 8);
@@ -96,7 +96,7 @@
     }
 
     /** Guards against a gang that waits for overdue runs while workers that no call has named are idle. */
-    @Test(groups = "known-red")
+    @Test
     public void gangLeavesOverdueRunsForWorkersNotNamedYet() {
         StalledJobs stalled = cell(120, 100, 8);
         occupyLongerThanEstimated(50, 8);
@@ -109,7 +109,7 @@
     }
 
     /** Guards against a gang whose known workers are all reserved for another one and that asks for no others. */
-    @Test(groups = "known-red")
+    @Test
     public void gangAsksForIdleWorkersWhileKnownOnesAreReserved() {
         StalledJobs stalled = cell(120, 100, 8);
         workers.forEach(worker -> worker.label = "b");
@@ -153,7 +153,7 @@
     }
 
     /** Guards against workers that a waiting gang never uses again after they were given up as silent and came back. */
-    @Test(groups = "known-red")
+    @Test
     public void gangUsesWorkersThatWereCutOffAndCameBack() {
         StalledJobs stalled = cell(20, 100, 8);
         cell.run(1_000);
@@ -246,7 +246,7 @@
     }
 
     /** Guards against urgent gangs that wait behind overdue runs although others are idle. */
-    @Test(groups = "known-red")
+    @Test
     public void urgentGangLeavesOverdueRunsForIdleWorkers() {
         StalledJobs stalled = cell(32, 100, 8);
         cell.putQueues(List.of(cell.queue().toBuilder().setPriority(0).build(), open));
--- a/core/src/test/java/org/wasabimount/core/dispatch/TroubledLoadTest.java
+++ b/core/src/test/java/org/wasabimount/core/dispatch/TroubledLoadTest.java
@@ -57,7 +57,7 @@
     }
 
     /** Guards against gangs that stall while workers are cut off, lost or slow and the leader changes. */
-    @Test(groups = "known-red", dataProvider = "mixesWithStalls")
+    @Test(dataProvider = "mixesWithStalls")
     public void noGangStallsBesideIdleWorkers(
             long seed, DeploymentLoad.Deployment deployment, Set<TroubledLoad.Trouble> troubles) {
         assertNothingStalls(seed, deployment, troubles);
