A run that has done its work and waits for its gang is not about to end

Users saw gangs wait for room that was always about to be free.

Cause: a task of a gang stays listed at 100 percent until the slowest task has done its work. The time at which all work was done counts now, not that of the last list that says so.

TrackedRunTest.runThatHasDoneItsWorkIsExpectedToLastAsLongAgain failed before.

--- a/core/src/main/java/org/wasabimount/core/dispatch/TrackedRun.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/TrackedRun.java
@@ -226,8 +226,11 @@
             firstPercentMillis = startKnown ? startedMillis : nowMillis;
         }
         advanced |= percent > (resumesFromSaved ? firstPercent : 0);
-        listedPercent = percent;
-        listedMillis = nowMillis;
+        // A task of a gang that has done its work is listed with all of it until the slowest one has done its own.
+        if (listedPercent < PERCENT) {
+            listedPercent = percent;
+            listedMillis = nowMillis;
+        }
         if (!baselineMeasured) {
             baselineMeasured = true;
             measuredMillis = nowMillis;
