Crashes of many workers at once make no suspects

Cause: every crash counted towards the suspicion that makes a task run alone and one at a time, although those of workers without a common job that crash at the same moment were already recorded as having another cause. Only crashes of single workers, and silent workers, count now; after three crashes of any kind the task's starts are limited as before, and it runs alone.

IdleRoomTest.tasksRunTogetherAfterTwoThirdsOfTheWorkersWereLostTwice failed before.

--- a/core/src/main/java/org/wasabimount/core/dispatch/OpenStep.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/OpenStep.java
@@ -115,7 +115,7 @@
 
     private void refresh(JobTask task) {
         unplaced.set(task.id().index(), task.awaitsPlacement());
-        boolean suspect = !task.done() && !step.getLongRunning() && task.suspicions() >= CrashLimit.ISOLATION;
+        boolean suspect = !task.done() && !step.getLongRunning() && CrashLimit.suspected(task);
         suspects.set(task.id().index(), suspect);
         waiting = null;
     }
--- a/core/src/main/java/org/wasabimount/core/job/CrashLimit.java
+++ b/core/src/main/java/org/wasabimount/core/job/CrashLimit.java
@@ -12,8 +12,8 @@
  */
 public final class CrashLimit {
 
-    /** Number of suspicions from which on a task runs only beside tasks of its own job. */
-    public static final int ISOLATION = 2;
+    /** Number of workers that may have crashed because of a task from which on it runs only beside tasks of its own job. */
+    private static final int ISOLATION = 2;
 
     /** Number of crashes after which further starts are limited, from the platform's contract. */
     static final int CRASHES = 3;
@@ -39,6 +39,16 @@
         return task.suspicions() >= CRASHES;
     }
 
+    /**
+     * Returns whether workers are suspected to crash because of a task, so that it must not run beside tasks of other jobs.
+     *
+     * @param task the task
+     * @return true if workers have crashed under it that did not crash together with others, or if its starts are limited
+     */
+    public static boolean suspected(JobTask task) {
+        return task.singleSuspicions() >= ISOLATION || startsLimited(task);
+    }
+
     /**
      * Returns whether a task may run only beside tasks of its own job.
      *
@@ -53,9 +63,8 @@
             return false;
         }
         return step.getGang()
-                ? job.tasks(task.id().occurrence(), task.id().step()).stream()
-                        .anyMatch(member -> member.suspicions() >= ISOLATION)
-                : task.suspicions() >= ISOLATION;
+                ? job.tasks(task.id().occurrence(), task.id().step()).stream().anyMatch(CrashLimit::suspected)
+                : suspected(task);
     }
 
     /**
--- a/core/src/main/java/org/wasabimount/core/job/JobTask.java
+++ b/core/src/main/java/org/wasabimount/core/job/JobTask.java
@@ -145,6 +145,14 @@
         return singleCrashes;
     }
 
+    /**
+     * Returns how many workers may have crashed because of the task: those that crashed alone, or are silent. When workers
+     * without a common job crash together, that has another cause.
+     */
+    int singleSuspicions() {
+        return singleCrashes + silentWorkers;
+    }
+
     /** Records that a worker fell silent with a run of the task. */
     void workerSilent() {
         silentWorkers++;
--- a/core/src/test/java/org/wasabimount/core/dispatch/IdleRoomTest.java
+++ b/core/src/test/java/org/wasabimount/core/dispatch/IdleRoomTest.java
@@ -9,6 +9,7 @@
 import org.testng.annotations.Test;
 import org.wasabimount.core.cell.Capacity;
 import org.wasabimount.protocol.job.AdviceCost;
+import org.wasabimount.protocol.job.JobPhase;
 import org.wasabimount.protocol.job.JobSpec;
 import org.wasabimount.protocol.job.Queue;
 
@@ -238,6 +239,39 @@
         assertNothingStalled(stalled);
     }
 
+    /** Guards against innocent tasks that run one after the other because many workers crashed at the same moment, twice. */
+    @Test
+    public void tasksRunTogetherAfterTwoThirdsOfTheWorkersWereLostTwice() {
+        cell(60, 60, 32);
+        cell.run(1_500);
+        cell.workMillis(6_000);
+        Capacity size = new Capacity(15_000, 16_000, 0);
+        for (int number = 0; number < 8; number++) {
+            cell.submit(cell.job("tasks" + number, 8, size, false));
+        }
+        cell.run(4_000);
+        loseThird(0);
+        loseThird(1);
+        cell.run(8_000);
+        loseThird(1);
+        loseThird(2);
+        // A lease, a call for advice and the longest run.
+        cell.run(SimulatedCell.LEASE_MILLIS + 3_000 + 9_000);
+        assertEquals(
+                IntStream.range(0, 8)
+                        .filter(number -> cell.phase("tasks" + number) != JobPhase.COMPLETED)
+                        .count(),
+                0);
+        assertEquals(cell.violations, List.of());
+    }
+
+    private void loseThird(int third) {
+        List<SimulatedWorker> known = List.copyOf(cell.byAddress.values());
+        IntStream.range(0, known.size())
+                .filter(number -> number % 3 == third && !known.get(number).crashed)
+                .forEach(number -> cell.loseFor(known.get(number), 2_000));
+    }
+
     private void loseHalf() {
         List<SimulatedWorker> alive = List.copyOf(cell.byAddress.values());
         IntStream.range(0, alive.size())
