--- a/core/src/test/java/org/wasabimount/core/log/LeadershipTransferTest.java
+++ b/core/src/test/java/org/wasabimount/core/log/LeadershipTransferTest.java
@@ -1,5 +1,6 @@
 package org.wasabimount.core.log;
 
+import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertNotEquals;
 
 import org.testng.annotations.Test;
@@ -27,4 +28,27 @@
         assertNotEquals(cluster.leaderOr(leader), leader);
         cluster.endFaultsAndCheck();
     }
+
+    /** Guards against a transfer to a voter that has just crashed, after which there is no leader for two timeouts. */
+    @Test(groups = "known-red")
+    public void leadershipIsTransferredToVoterThatResponds() {
+        for (int crashedFromLeader = 1; crashedFromLeader < VOTERS; crashedFromLeader++) {
+            FakeCluster cluster = new FakeCluster(VOTERS);
+            cluster.settle();
+            int leader = cluster.leaderOr(0);
+            int crashed = (leader + crashedFromLeader) % VOTERS;
+            cluster.crash(crashed);
+            runFor(cluster, 10);
+            cluster.transfer();
+            runFor(cluster, 5);
+            assertEquals(cluster.leaderOr(leader), VOTERS - leader - crashed, "crashed " + crashed);
+            cluster.endFaultsAndCheck();
+        }
+    }
+
+    private static void runFor(FakeCluster cluster, int steps) {
+        for (int step = 0; step < steps; step++) {
+            cluster.run(STEP_MILLIS, 1, Integer.MAX_VALUE);
+        }
+    }
 }
