Promote a learner by the time that it lags, not only by entries

What callers saw: a group that stays without its third voter, so that the next failure stops it, until the load ends. Cause: a learner had to lack at most 100 entries. What it lacks is at least the entries of one round trip and two syncs, which under load, with distant or slow disks, is more than that at every moment. Why it works: a learner that lags less than an election timeout can take part in commits at once, however many entries that is. The leader knows it from the last index that it recorded with each heartbeat. A silent voter is now not replaced by a learner that has acknowledged nothing, either, as was already so for a missing voter.

--- a/core/src/main/java/org/wasabimount/core/log/HeartbeatRounds.java
+++ b/core/src/main/java/org/wasabimount/core/log/HeartbeatRounds.java
@@ -5,7 +5,7 @@
 import java.util.TreeMap;
 
 /**
- * The send times of a leader's recent heartbeat rounds.
+ * The send times of a leader's recent heartbeat rounds, and the last index of its log at these times.
  *
  * <p>A leader's lease starts when the round that a majority has acknowledged was sent.
  */
@@ -13,14 +13,16 @@
 
     private static final int MAX_ROUNDS = 256;
 
-    private final TreeMap<Long, Long> sentMillis = new TreeMap<>();
+    private final TreeMap<Long, Round> rounds = new TreeMap<>();
     private long current;
 
-    void begin(long nowMillis) {
+    private record Round(long sentMillis, long lastIndex) {}
+
+    void begin(long nowMillis, long lastIndex) {
         current++;
-        sentMillis.put(current, nowMillis);
-        if (sentMillis.size() > MAX_ROUNDS) {
-            sentMillis.pollFirstEntry();
+        rounds.put(current, new Round(nowMillis, lastIndex));
+        if (rounds.size() > MAX_ROUNDS) {
+            rounds.pollFirstEntry();
         }
     }
 
@@ -31,11 +33,19 @@
 
     /** Returns the send time of a round or, if it is not retained, that of the last retained round before it. */
     OptionalLong sentMillis(long round) {
-        Map.Entry<Long, Long> sent = sentMillis.floorEntry(round);
-        return sent == null ? OptionalLong.empty() : OptionalLong.of(sent.getValue());
+        Map.Entry<Long, Round> sent = rounds.floorEntry(round);
+        return sent == null
+                ? OptionalLong.empty()
+                : OptionalLong.of(sent.getValue().sentMillis());
+    }
+
+    /** Returns the last index of the log when a round was sent, or empty if the round is not retained. */
+    OptionalLong lastIndex(long round) {
+        Round sent = rounds.get(round);
+        return sent == null ? OptionalLong.empty() : OptionalLong.of(sent.lastIndex());
     }
 
     void clear() {
-        sentMillis.clear();
+        rounds.clear();
     }
 }
--- a/core/src/main/java/org/wasabimount/core/log/MembershipPlan.java
+++ b/core/src/main/java/org/wasabimount/core/log/MembershipPlan.java
@@ -37,9 +37,8 @@
         if (!current.getLearnersList().contains(id)) {
             return Optional.of(withLearner(current, replica));
         }
-        boolean caughtUp = leader.matchIndex(id) + MAX_LAG_ENTRIES >= leader.lastIndex() && leader.matchIndex(id) > 0;
         Optional<String> formerIdentity = formerIdentity(current, replica);
-        if (!caughtUp || !mayVote) {
+        if (!caughtUp(leader, id) || !mayVote) {
             return Optional.empty();
         }
         if (formerIdentity.isPresent()) {
@@ -76,8 +75,14 @@
         if (voterMissing || silent.isEmpty() || !isLearner) {
             return next(leader, replica, voterMissing);
         }
-        boolean caughtUp = leader.matchIndex(replica.toString()) + MAX_LAG_ENTRIES >= leader.lastIndex();
-        return caughtUp ? Optional.of(withoutVoter(current, silent.get())) : Optional.empty();
+        return caughtUp(leader, replica.toString())
+                ? Optional.of(withoutVoter(current, silent.get()))
+                : Optional.empty();
+    }
+
+    private static boolean caughtUp(Replica leader, String replica) {
+        boolean lacksFewEntries = leader.matchIndex(replica) + MAX_LAG_ENTRIES >= leader.lastIndex();
+        return leader.matchIndex(replica) > 0 && (lacksFewEntries || leader.lagsLessThanElectionTimeout(replica));
     }
 
     /** Returns the voter on a replica's VM, usually the identity that the VM had before it lost its disk. */
--- a/core/src/main/java/org/wasabimount/core/log/Replica.java
+++ b/core/src/main/java/org/wasabimount/core/log/Replica.java
@@ -201,6 +201,19 @@
         return progress == null ? 0 : progress.matchIndex;
     }
 
+    /**
+     * Returns whether another replica lags behind this leader by less than an election timeout, however many entries are
+     * appended in that time.
+     *
+     * @param replica the other replica's identity
+     * @return true if it has synced what the log held when the oldest heartbeat of the last election timeout was sent
+     */
+    boolean lagsLessThanElectionTimeout(String replica) {
+        long heartbeats = settings.electionTimeoutMillis() / settings.heartbeatMillis() - 1;
+        OptionalLong lastIndex = rounds.lastIndex(rounds.current() - heartbeats);
+        return lastIndex.isPresent() && matchIndex(replica) >= lastIndex.getAsLong();
+    }
+
     /**
      * Returns whether this replica may act on its applied state without asking the other replicas: it is the leader and
      * not transferring leadership, its lease excludes another leader, and the first entry of its term has been returned
@@ -668,7 +681,7 @@
         if (transferringLeadership && !successorAsked && nowMillis >= transferEndMillis) {
             endTransfer();
         }
-        rounds.begin(nowMillis);
+        rounds.begin(nowMillis, log.lastIndex());
         heartbeatDueMillis = nowMillis + settings.heartbeatMillis();
         extendLease();
         for (Map.Entry<String, PeerProgress> peer : peers.entrySet()) {
