--- a/core/src/test/java/org/wasabimount/core/routing/RequestRouterTest.java
+++ b/core/src/test/java/org/wasabimount/core/routing/RequestRouterTest.java
@@ -75,6 +75,21 @@
         assertTrue(refused.refusal().retryAfterMillis() > 0);
     }
 
+    /** Guards against a request that gets no response at its deadline, as one that may wait longer is queued before it. */
+    @Test(groups = "known-red")
+    public void requestIsRefusedAtItsDeadlineBehindOneWithLaterDeadline() {
+        announce("near", "d1", false, 0);
+        for (int slot = 0; slot < 2; slot++) {
+            singleDispatch(route("a", 60_000, 0));
+        }
+        assertEquals(route("a", 60_000, 0), List.of());
+        assertEquals(route("a", 1_000, 0), List.of());
+        router.tick(1_000);
+        List<RoutingAction> actions = router.takeActions();
+        assertEquals(actions.size(), 1);
+        assertEquals(((RoutingAction.GiveUp) actions.get(0)).refusal().code(), ResultCode.DEADLINE_PASSED);
+    }
+
     @Test
     public void floodOfOneOrganisationDoesNotDelayAnother() {
         announce("near", "d1", false, 0);
