Known red: a reservation that waits for a task without an end is kept for ever

SchedulerTest.reservationThatWaitsForEndlessTaskEnds fails on this commit: expected [BOUND] but found [PENDING]. reservationOutlastsTasksThatRunLong passes: a bound on reservations must keep it green.

--- a/core/src/test/java/org/wasabimount/core/placement/SchedulerTest.java
+++ b/core/src/test/java/org/wasabimount/core/placement/SchedulerTest.java
@@ -3,14 +3,19 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
 import java.util.Set;
 
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 import org.wasabimount.core.cell.Capacity;
 import org.wasabimount.core.cell.CellState;
+import org.wasabimount.core.cell.Task;
 import org.wasabimount.core.cell.TaskState;
+import org.wasabimount.core.cell.WorkKind;
 import org.wasabimount.core.cell.Worker;
 import org.wasabimount.protocol.cell.CellCommand;
 import org.wasabimount.protocol.cell.LoseWorker;
@@ -138,6 +143,51 @@
         assertEquals(state.task("org/batches/later/0").orElseThrow().state(), TaskState.BOUND);
     }
 
+    /** Guards against idle workers that stay reserved for a job which waits for a task that doesn't end. */
+    @Test(groups = "known-red")
+    public void reservationThatWaitsForEndlessTaskEnds() {
+        worker("w0", "domain-0", WORKER);
+        worker("w1", "domain-0", WORKER);
+        declare(ResourceKind.JOB, "endless", new Capacity(2_000, 1_000, 0), 1);
+        round();
+        declare(ResourceKind.JOB, "wide", new Capacity(4_000, 1_000, 0), 2);
+        round();
+        nowMillis += Scheduler.RESERVE_AFTER_MILLIS;
+        round();
+        declare(ResourceKind.JOB, "narrow", new Capacity(1_000, 1_000, 0), 2);
+        declare(ResourceKind.BATCH, "codes", new Capacity(1_000, 1_000, 0), 1);
+        for (int step = 0; step < 400; step++) {
+            nowMillis += LONGEST_RETRY_MILLIS;
+            round();
+        }
+        assertEquals(state.task("org/jobs/narrow/0").orElseThrow().state(), TaskState.BOUND);
+        assertEquals(state.task("org/batches/codes/0").orElseThrow().state(), TaskState.BOUND);
+    }
+
+    /** Guards against a job that never starts beside a stream of tasks, as its reservation ends before they do. */
+    @Test
+    public void reservationOutlastsTasksThatRunLong() {
+        worker("w0", "domain-0", WORKER);
+        worker("w1", "domain-0", WORKER);
+        declare(ResourceKind.BATCH, "codes", new Capacity(1_000, 1_000, 0), 1_000);
+        round();
+        declare(ResourceKind.JOB, "wide", new Capacity(4_000, 1_000, 0), 2);
+        Map<String, Long> startedMillis = new HashMap<>();
+        for (int step = 0; step < 1_000; step++) {
+            nowMillis += LONGEST_RETRY_MILLIS;
+            List<Task> running = state.workers().stream()
+                    .flatMap(worker -> worker.tasks().stream())
+                    .filter(task -> task.owner().kind() == WorkKind.BATCH)
+                    .toList();
+            for (Task task : running) {
+                boolean ended = nowMillis - startedMillis.computeIfAbsent(task.id(), started -> nowMillis) >= 90_000;
+                report(task.id(), ended ? TaskPhase.SUCCEEDED : TaskPhase.RUNNING);
+            }
+            round();
+        }
+        assertEquals(state.task("org/jobs/wide/0").orElseThrow().state(), TaskState.BOUND);
+    }
+
     @Test
     public void trustsWorkerAgainAfterTimeWithoutFailure() {
         worker("w0", "domain-0", WORKER);
