--- a/core/src/test/java/org/wasabimount/core/routing/RequestRouterTest.java
+++ b/core/src/test/java/org/wasabimount/core/routing/RequestRouterTest.java
@@ -90,6 +90,23 @@
         assertEquals(((RoutingAction.GiveUp) actions.get(0)).refusal().code(), ResultCode.DEADLINE_PASSED);
     }
 
+    /** Guards against a request that waits until its deadline for a server that gets no requests until later. */
+    @Test(groups = "known-red")
+    public void refusesRequestWhoseDeadlinePassesWhileAllServersAreEjected() {
+        announce("near", "d1", false, 0);
+        for (int failure = 0; failure < 3; failure++) {
+            RoutingAction.Dispatch dispatch = singleDispatch(route("a", 60_000, 0));
+            router.attemptFinished(dispatch.attempt(), AttemptResult.SERVER_ERROR, 0);
+            router.takeActions();
+        }
+        List<RoutingAction> actions = route("a", 500, 0);
+        assertEquals(actions.size(), 1);
+        assertEquals(((RoutingAction.GiveUp) actions.get(0)).refusal().code(), ResultCode.DEADLINE_UNREACHABLE);
+        assertEquals(route("a", 1_500, 0), List.of());
+        router.tick(1_000);
+        singleDispatch(router.takeActions());
+    }
+
     @Test
     public void floodOfOneOrganisationDoesNotDelayAnother() {
         announce("near", "d1", false, 0);
