Don't count a slot for a request where there is none

What callers saw: requests that wait until their deadline and end with 1308, while all servers of a service are ejected (for up to 30 s) or while this entry VM holds none of their slots; refused at once, they could have tried again elsewhere. Cause: the expected wait was estimated as if at least one slot became free after a service time, so that admission let them into a queue from which nothing could be sent. Why it works: the estimate adds the time until the first ejected server gets requests again, and is infinite without a slot; what can't be sent in time is refused with 1302, and a request that can wait for the server's return is still queued.

--- a/core/src/main/java/org/wasabimount/core/routing/BackendServer.java
+++ b/core/src/main/java/org/wasabimount/core/routing/BackendServer.java
@@ -94,6 +94,11 @@
         return ejected && nowMillis < ejectedUntilMillis;
     }
 
+    /** Returns when the last ejection ends; the server then gets one request at a time. */
+    long ejectedUntilMillis() {
+        return ejectedUntilMillis;
+    }
+
     /** Returns the moving average of the latency of successful attempts, or 0 if there was none. */
     double latencyMillis() {
         return latencyMillis;
--- a/core/src/main/java/org/wasabimount/core/routing/RequestRouter.java
+++ b/core/src/main/java/org/wasabimount/core/routing/RequestRouter.java
@@ -268,7 +268,9 @@
         budget(request).recordFirstAttempt(limits.retryBudgetPercent());
         double expectedWaitMillis = pool.expectedWaitMillis(
                 request.organisation(), this::weight, nowMillis, limits.announcementTermMillis());
-        long retryAfterMillis = Math.max(MIN_RETRY_AFTER_MILLIS, (long) expectedWaitMillis);
+        long retryAfterMillis = Double.isInfinite(expectedWaitMillis)
+                ? NO_SERVER_RETRY_AFTER_MILLIS
+                : Math.max(MIN_RETRY_AFTER_MILLIS, (long) expectedWaitMillis);
         if (pool.queue().size(request.organisation()) >= limits.queueLimit()) {
             giveUp(
                     request,
--- a/core/src/main/java/org/wasabimount/core/routing/ServicePool.java
+++ b/core/src/main/java/org/wasabimount/core/routing/ServicePool.java
@@ -89,24 +89,35 @@
     /**
      * Estimates how long a new request of an organisation would wait for a slot, assuming that the slots are shared by
      * weight among all organisations with waiting requests.
+     *
+     * @return the time in milliseconds; infinite if no slot of a present server is allotted to this entry VM
      */
     double expectedWaitMillis(
             OrganisationId organisation, ToIntFunction<OrganisationId> weights, long nowMillis, long term) {
         int slots = 0;
+        long readmissionMillis = Long.MAX_VALUE;
         for (BackendServer server : servers) {
             if (server.present(nowMillis, term)) {
                 if (server.freeSlots(nowMillis) > 0 && queue.isEmpty()) {
                     return 0;
                 }
-                slots += server.ejected(nowMillis) ? 0 : server.slotShare();
+                if (!server.ejected(nowMillis)) {
+                    slots += server.slotShare();
+                } else if (server.slotShare() > 0) {
+                    readmissionMillis = Math.min(readmissionMillis, server.ejectedUntilMillis());
+                }
             }
         }
+        if (slots == 0 && readmissionMillis == Long.MAX_VALUE) {
+            return Double.POSITIVE_INFINITY;
+        }
+        long ejectedMillis = slots == 0 ? readmissionMillis - nowMillis : 0;
         int ownWeight = weights.applyAsInt(organisation);
         int totalWeight = ownWeight;
         for (OrganisationId active : queue.active()) {
             totalWeight += active.equals(organisation) ? 0 : weights.applyAsInt(active);
         }
         double ownShareOfSlots = Math.max(1, slots) * (double) ownWeight / totalWeight;
-        return (queue.size(organisation) + 1) * serviceTimeMillis / ownShareOfSlots;
+        return ejectedMillis + (queue.size(organisation) + 1) * serviceTimeMillis / ownShareOfSlots;
     }
 }
--- a/core/src/test/java/org/wasabimount/core/routing/RequestRouterTest.java
+++ b/core/src/test/java/org/wasabimount/core/routing/RequestRouterTest.java
@@ -91,7 +91,7 @@
     }
 
     /** Guards against a request that waits until its deadline for a server that gets no requests until later. */
-    @Test(groups = "known-red")
+    @Test
     public void refusesRequestWhoseDeadlinePassesWhileAllServersAreEjected() {
         announce("near", "d1", false, 0);
         for (int failure = 0; failure < 3; failure++) {
@@ -107,6 +107,24 @@
         singleDispatch(router.takeActions());
     }
 
+    /** Guards against a request that waits until its deadline for a slot that other entry VMs hold. */
+    @Test
+    public void refusesRequestAtOnceIfThisVmHoldsNoSlot() {
+        int refused = 0;
+        for (int number = 0; number < 10; number++) {
+            createRouter();
+            announce("server-" + number, "d1", false, 0, 1);
+            List<RoutingAction> actions = route("a", 5_000, 0);
+            assertEquals(actions.size(), 1);
+            if (actions.get(0) instanceof RoutingAction.GiveUp refusal) {
+                assertEquals(refusal.refusal().code(), ResultCode.DEADLINE_UNREACHABLE);
+                assertEquals(refusal.refusal().retryAfterMillis(), 1_000);
+                refused++;
+            }
+        }
+        assertTrue(refused > 0 && refused < 10, refused + " of 10 servers give their only slot to the other VM");
+    }
+
     @Test
     public void floodOfOneOrganisationDoesNotDelayAnother() {
         announce("near", "d1", false, 0);
@@ -202,6 +220,10 @@
     }
 
     private void announce(String server, String domain, boolean leaving, long nowMillis) {
+        announce(server, domain, leaving, nowMillis, 4);
+    }
+
+    private void announce(String server, String domain, boolean leaving, long nowMillis, int slots) {
         sequence++;
         router.announce(
                 BackendAnnouncement.newBuilder()
@@ -211,7 +233,7 @@
                         .setService("echo")
                         .setAddress("127.0.0.1:1")
                         .setDomain(domain)
-                        .setSlots(4)
+                        .setSlots(slots)
                         .setLeaving(leaving)
                         .setSequence(sequence)
                         .build(),
