Consider waiting gangs less often while nothing can change for them

The gangs that start wherever room is are considered when any worker that they may use has room; a gang with a call in progress waits for its return now, offers of room are collected for 150 ms (50 ms for urgent gangs), and workers that no call has named are searched for four times a second at most (twenty times for urgent ones).

--- a/core/src/main/java/org/wasabimount/core/dispatch/AdvicePlan.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/AdvicePlan.java
@@ -103,7 +103,7 @@
     boolean callHelps(WaitingStep gang, Collection<WorkerRoom> eligible, long nowMillis) {
         return namesNeeded(gang, eligible) > 0
                 || !roomsWithoutTicket(gang, eligible, nowMillis).isEmpty()
-                || freeSlotsOf(gang, eligible) < requiredSlots(gang);
+                || gang.searchDue(nowMillis) && freeSlotsOf(gang, eligible) < requiredSlots(gang);
     }
 
     private int namesNeeded(WaitingStep gang, Collection<WorkerRoom> eligible) {
@@ -237,9 +237,11 @@
             return unknownWorkers(gang, suitable, pool, Math.max(names, leastNames));
         }
         long missing = requiredSlots(gang) - freeSlotsOf(gang, eligible);
-        return missing > 0 && !stepAdvice.callInProgress()
-                ? unknownWorkersForGang(gang, suitable, pool, missing, nowMillis)
-                : List.of();
+        if (missing <= 0 || stepAdvice.callInProgress() || !gang.searchDue(nowMillis)) {
+            return List.of();
+        }
+        gang.searched(nowMillis);
+        return unknownWorkersForGang(gang, suitable, pool, missing, nowMillis);
     }
 
     /**
--- a/core/src/main/java/org/wasabimount/core/dispatch/StepPlacement.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/StepPlacement.java
@@ -64,7 +64,10 @@
     private static final long MAX_RESERVATION_REVIEW_MILLIS = 200;
 
     /** Time after which a gang is considered that has been offered room, in milliseconds; other rooms follow meanwhile. */
-    private static final long OFFER_REVIEW_MILLIS = 50;
+    private static final long OFFER_REVIEW_MILLIS = 150;
+
+    /** As {@link #OFFER_REVIEW_MILLIS}, for gangs of the most urgent priority. */
+    private static final long URGENT_OFFER_REVIEW_MILLIS = 50;
 
     /** Time before the expected return of a call at which the room may be complete, in milliseconds. */
     static final long CALL_LEAD_MILLIS = 50;
@@ -453,8 +456,8 @@
                 if (reservations.contains(step)
                         && reservations.improve(step, room, startsInMillis(ready, room, 0L), nowMillis)) {
                     woken.add(step);
-                } else {
-                    reviewAt(step, nowMillis + OFFER_REVIEW_MILLIS);
+                } else if (!advice.callInProgress(step.id())) {
+                    reviewAt(step, nowMillis + (ready.urgent() ? URGENT_OFFER_REVIEW_MILLIS : OFFER_REVIEW_MILLIS));
                 }
             } else if (!ready.requiresAdvice() || advice.of(step.id()).hasTicket(room.id(), nowMillis)) {
                 choose(step, List.of(room));
@@ -760,13 +763,17 @@
         if (callDue || ready.requiresAdvice() && advicePlan.waitsForRoom(step, nowMillis)) {
             advicePlan.add(step);
         }
+        // The return of a call has the gang considered.
+        boolean nearerOnlyByCall = advice.callInProgress(step.id()) && readyInMillis == 0;
         long untilCallMillis = ticketless.isEmpty() ? readyInMillis : readyInMillis - callMillis;
         reviewAt(
                 step,
                 nowMillis
-                        + Math.max(
-                                MIN_RESERVATION_REVIEW_MILLIS,
-                                Math.min(MAX_RESERVATION_REVIEW_MILLIS, untilCallMillis / 2)));
+                        + (nearerOnlyByCall
+                                ? MAX_RESERVATION_REVIEW_MILLIS
+                                : Math.max(
+                                        MIN_RESERVATION_REVIEW_MILLIS,
+                                        Math.min(MAX_RESERVATION_REVIEW_MILLIS, untilCallMillis / 2))));
     }
 
     /** Moves tasks of a gang to workers that have room now, such as those that a call has just found eligible. */
--- a/core/src/main/java/org/wasabimount/core/dispatch/WaitingStep.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/WaitingStep.java
@@ -9,12 +9,19 @@
 /** A ready step with waiting tasks, and where they may be placed as far as is known. */
 final class WaitingStep {
 
+    /** Minimum time between two searches for further workers with room, in milliseconds; a part of a call. */
+    private static final long SEARCH_INTERVAL_MILLIS = 250;
+
+    /** As {@link #SEARCH_INTERVAL_MILLIS}, for steps of the most urgent priority; a part of their objective. */
+    private static final long URGENT_SEARCH_INTERVAL_MILLIS = 50;
+
     private final Set<WorkerRoom> eligibleRooms = new LinkedHashSet<>();
     private ReadyStep ready;
     private boolean listed;
     private long reviewMillis;
     private long isolatedSinceMillis = Long.MAX_VALUE;
     private boolean shared;
+    private long searchDueMillis = Long.MIN_VALUE;
 
     WaitingStep(ReadyStep ready) {
         this.ready = ready;
@@ -79,6 +86,15 @@
         reviewMillis = millis;
     }
 
+    /** Returns whether further workers with room may be searched for; a search examines many. */
+    boolean searchDue(long nowMillis) {
+        return nowMillis >= searchDueMillis;
+    }
+
+    void searched(long nowMillis) {
+        searchDueMillis = nowMillis + (ready.urgent() ? URGENT_SEARCH_INTERVAL_MILLIS : SEARCH_INTERVAL_MILLIS);
+    }
+
     @Override
     public String toString() {
         return id().toString();
