Reservations of later gangs do not keep an earlier one from its room

Cause: the room that a gang may use now was what is free after all reservations, plus its own. A later gang may reserve room behind a run on the same worker, which made the free room negative and took it from the earlier gang. For a gang that holds a reservation only those before its own count now; for others all of them, as before.

--- a/core/src/main/java/org/wasabimount/core/dispatch/WorkerRoom.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/WorkerRoom.java
@@ -73,17 +73,20 @@
     }
 
     /**
-     * Returns the capacity that a step which reserves room may use now: what is free, and what is reserved for the step.
-     * Tasks that run alone may use a worker only if nothing else runs there or is reserved.
+     * Returns the capacity that a step which reserves room may use now: what is free, and what is reserved for the step. Later
+     * reservations do not count against an earlier one: they may wait for runs that it does not wait for. Tasks that run alone
+     * may use a worker only if nothing else runs there or is reserved.
      */
     Capacity freeFor(WaitingStep step) {
-        Capacity held = reservations.getOrDefault(step, Capacity.NONE);
+        boolean holds = reservations.containsKey(step);
+        if (!usable || worker.isolated()) {
+            return Capacity.NONE;
+        }
         if (step.ready().isolated()) {
-            boolean othersReserve = reservations.size() > (reservations.containsKey(step) ? 1 : 0);
-            boolean alone = usable && worker.runs().isEmpty() && !othersReserve;
+            boolean alone = worker.runs().isEmpty() && reservations.size() == (holds ? 1 : 0);
             return alone ? worker.freeCapacity() : Capacity.NONE;
         }
-        return usable && !worker.isolated() ? free.plus(held) : Capacity.NONE;
+        return holds ? worker.freeCapacity().minus(reservedUpTo(step)).plus(reservations.get(step)) : free;
     }
 
     /** Returns how many tasks of a step that reserves room could start now. */
