--- a/core/src/test/java/org/wasabimount/core/dispatch/IdleRoomTest.java
+++ b/core/src/test/java/org/wasabimount/core/dispatch/IdleRoomTest.java
@@ -133,9 +133,36 @@
         assertNothingStalled(stalled);
     }
 
+    /** Guards against a gang that may not reserve, because others hold all reservations, and therefore never starts. */
+    @Test
+    public void gangStartsInFreeRoomWhileOthersHoldAllReservations() {
+        StalledJobs stalled = cell(40, 100, 8);
+        cell.putQueues(List.of(cell.queue().toBuilder().setPriority(1).build(), open));
+        workers.subList(10, 20).forEach(worker -> worker.label = "b");
+        workers.subList(20, 40).forEach(worker -> worker.label = "c");
+        cell.run(1_000);
+        cell.workMillis(60_000);
+        cell.submit(labelled(cell.job("lasting1", 2, WHOLE, false), "a"));
+        cell.submit(labelled(cell.job("lasting2", 2, WHOLE, false), "b"));
+        cell.submit(labelled(cell.job("lasting3", 4, WHOLE, false), "c"));
+        stalled.run(3_000);
+        cell.workMillis(2_000);
+        cell.submit(labelled(cell.job("first", 10, WHOLE, true), "a"));
+        cell.submit(labelled(cell.job("second", 10, WHOLE, true), "b"));
+        stalled.run(4_000);
+        cell.submit(labelled(cell.job("gang", 4, WHOLE, true), "c"));
+        stalled.run(15_000);
+        assertNothingStalled(stalled);
+        assertEquals(cell.phase("gang"), JobPhase.COMPLETED);
+    }
+
     private static JobSpec labelled(JobSpec job) {
+        return labelled(job, "a");
+    }
+
+    private static JobSpec labelled(JobSpec job, String label) {
         return job.toBuilder()
-                .setSteps(0, job.getSteps(0).toBuilder().setRequiredLabel("a"))
+                .setSteps(0, job.getSteps(0).toBuilder().setRequiredLabel(label))
                 .build();
     }
 
