--- a/core/src/test/java/org/wasabimount/core/dispatch/StalledJobs.java
+++ b/core/src/test/java/org/wasabimount/core/dispatch/StalledJobs.java
@@ -99,7 +99,8 @@
             long room = alive.stream()
                     .filter(worker -> step.getRequiredLabel().isEmpty()
                             || step.getRequiredLabel().equals(worker.label))
-                    .filter(worker -> cell.mayRun(job.queue().getName(), id, worker.id))
+                    .filter(worker ->
+                            !job.queue().hasAdvice() || cell.mayRun(job.queue().getName(), id, worker.id))
                     .mapToLong(worker -> size.timesIn(worker.capacity.minus(worker.used())))
                     .sum();
             if (room >= needed) {
