Tests: a gang with a task placed on a working worker counts as stalled

Found by the review: StalledJobs.startable left out a gang while any of its tasks was placed, also on a worker that works, where a start may have been withheld or lost. Only workers that are cut off or have crashed excuse a gang now, as the comment says. Stricter; all tests that use it pass.

--- a/core/src/test/java/org/wasabimount/core/dispatch/StalledJobs.java
+++ b/core/src/test/java/org/wasabimount/core/dispatch/StalledJobs.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
 
 import org.wasabimount.core.cell.Capacity;
 import org.wasabimount.core.job.Job;
@@ -79,18 +80,22 @@
      * Returns whether tasks of a step may be started: for a gang, if none of its runs may go on on a worker that is cut off or
      * has crashed, as a second run beside it is forbidden until its lease has expired.
      */
-    private static boolean startable(Step step, List<JobTask> tasks) {
+    private static boolean startable(Step step, List<JobTask> tasks, List<SimulatedWorker> alive) {
         List<JobTask> unfinished = tasks.stream().filter(task -> !task.done()).toList();
+        Predicate<JobTask> notOnLostWorker = task -> task.incarnation().stream()
+                .allMatch(incarnation -> alive.stream()
+                        .anyMatch(worker -> worker.id.equals(incarnation.worker())
+                                && worker.bornMillis == incarnation.bornMillis()));
         return step.getGang()
-                ? !unfinished.isEmpty() && unfinished.stream().allMatch(JobTask::awaitsPlacement)
-                : unfinished.stream().anyMatch(JobTask::awaitsPlacement);
+                ? !unfinished.isEmpty() && unfinished.stream().allMatch(notOnLostWorker)
+                : unfinished.stream().anyMatch(notOnLostWorker);
     }
 
     private boolean hasRoomTwice(Job job, List<SimulatedWorker> alive) {
         for (int number = 0; number < job.spec().getStepsCount(); number++) {
             Step step = job.step(number);
             List<JobTask> tasks = job.tasks(0, number);
-            if (!job.unblocked(0, number) || !startable(step, tasks)) {
+            if (!job.unblocked(0, number) || !startable(step, tasks, alive)) {
                 continue;
             }
             Capacity size = Capacity.of(step.getSize());
