First calls of gangs before repeated ones, searches only while VMs are spare

A gang without an answered call comes first among those that want one, and further workers with room are searched for only while half of the VMs are available, or if the gang waits for its reserved room longer than the call takes.

--- a/core/src/main/java/org/wasabimount/core/dispatch/AdviceManager.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/AdviceManager.java
@@ -191,6 +191,11 @@
         return idleCallers(nowMillis).size() > reservedCallers(costMillis);
     }
 
+    /** Returns the share of the VMs that are available for a call. */
+    double idleShare(long nowMillis) {
+        return callers.isEmpty() ? 0 : (double) idleCallers(nowMillis).size() / callers.size();
+    }
+
     private List<String> idleCallers(long nowMillis) {
         return callers.entrySet().stream()
                 .filter(caller -> caller.getValue().call == 0 && nowMillis >= caller.getValue().backoffUntilMillis)
--- a/core/src/main/java/org/wasabimount/core/dispatch/AdvicePlan.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/AdvicePlan.java
@@ -37,6 +37,12 @@
     /** Number of slots with a ticket that a gang should have for each of its tasks, as workers become unusable meanwhile. */
     private static final double TICKETS_PER_TASK = 1.25;
 
+    /**
+     * Share of the VMs that must be available for a call that names further workers for a gang, which may have enough of them
+     * already: they must not keep others from calls without which nothing starts.
+     */
+    private static final double MIN_IDLE_CALLERS_FOR_SEARCH = 0.5;
+
     /** Maximum number of rooms examined to find workers that no call has named yet. */
     private static final int MAX_ROOMS_SEARCHED = 256;
 
@@ -181,7 +187,8 @@
             Consumer<DispatchAction> actions) {
         List<WaitingStep> postponed = new ArrayList<>();
         while (!steps.isEmpty() && advice.callerIdle(leastMillis, nowMillis)) {
-            WaitingStep step = steps.pollFirst();
+            WaitingStep step = next(steps);
+            steps.remove(step);
             ReadyStep ready = step.ready();
             PoolRooms pool = poolOf.apply(ready);
             if (pool.usable().isEmpty()) {
@@ -209,6 +216,19 @@
         steps.addAll(postponed);
     }
 
+    /**
+     * Returns the step whose call is made next: the first in scheduling order, but calls that are repeated must not keep a gang
+     * from its first one, without which it can't start.
+     */
+    private WaitingStep next(NavigableSet<WaitingStep> steps) {
+        return steps.stream()
+                .filter(step -> step.ready().reservesRoom())
+                .filter(step -> !advice.of(step.id()).answered()
+                        && !advice.of(step.id()).callInProgress())
+                .findFirst()
+                .orElseGet(steps::first);
+    }
+
     private List<WorkerRoom> gangCall(
             WaitingStep gang, Predicate<WorkerRoom> suitable, PoolRooms pool, long nowMillis) {
         ReadyStep ready = gang.ready();
@@ -237,7 +257,9 @@
             return unknownWorkers(gang, suitable, pool, Math.max(names, leastNames));
         }
         long missing = requiredSlots(gang) - freeSlotsOf(gang, eligible);
-        if (missing <= 0 || stepAdvice.callInProgress() || !gang.searchDue(nowMillis)) {
+        boolean callersSpare =
+                advice.idleShare(nowMillis) >= MIN_IDLE_CALLERS_FOR_SEARCH || waitsForRoom(gang, nowMillis);
+        if (missing <= 0 || stepAdvice.callInProgress() || !gang.searchDue(nowMillis) || !callersSpare) {
             return List.of();
         }
         gang.searched(nowMillis);
