--- a/core/src/test/java/org/wasabimount/core/dispatch/ReservationOrderTest.java
+++ b/core/src/test/java/org/wasabimount/core/dispatch/ReservationOrderTest.java
@@ -4,11 +4,13 @@
 import static org.testng.Assert.assertTrue;
 
 import java.util.List;
+import java.util.Random;
 import java.util.stream.IntStream;
 
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 import org.wasabimount.core.cell.Capacity;
+import org.wasabimount.protocol.job.AdviceCost;
 import org.wasabimount.protocol.job.JobSpec;
 
 /** Tests that gangs start when there is room for them, whatever is reserved or runs on other workers. */
@@ -71,4 +73,39 @@
         assertEquals(cell.violations, List.of());
         assertEquals(stalled.stalled.toString(), "{}");
     }
+
+    /** Guards against colocated gangs that never start on their reserved workers, because other racks have more room. */
+    @Test(groups = "known-red")
+    public void colocatedGangsStartOnTheirReservedWorkers() {
+        cell = new SimulatedCell(5);
+        Random random = new Random(5);
+        cell.putQueues(List.of(cell.queue().toBuilder()
+                .setPriority(1)
+                .setAdvice(AdviceCost.newBuilder()
+                        .setCallMillis(559)
+                        .setWorkerMillis(8.06)
+                        .setValidMillis(2_500))
+                .build()));
+        cell.eligiblePercents.put("queue", 60);
+        List<SimulatedWorker> workers = cell.addresses(33).stream()
+                .map(address -> cell.worker("w" + address, address, new Capacity(64_000, 131_072, 0)))
+                .toList();
+        IntStream.range(0, 33).forEach(number -> workers.get(number).rack = "r" + number % 3);
+        cell.dispatcher.callers(
+                IntStream.range(0, 5).mapToObj(number -> "vm" + number).toList());
+        cell.run(2_500);
+        StalledJobs stalled = new StalledJobs(cell);
+        for (int number = 0; number < 11; number++) {
+            cell.workMillis(1_500 + random.nextInt(6_000));
+            Capacity size = new Capacity(4_000 + random.nextInt(26_000), 4_000 + random.nextInt(20_000), 0);
+            JobSpec job = cell.job("j" + number, 1 + random.nextInt(33), size, random.nextInt(4) > 0);
+            cell.submit(job.toBuilder()
+                    .setSteps(0, job.getSteps(0).toBuilder().setColocated(true))
+                    .build());
+            stalled.run(500);
+        }
+        stalled.run(30_000);
+        assertEquals(cell.violations, List.of());
+        assertEquals(stalled.stalled.toString(), "{}");
+    }
 }
