--- a/core/src/main/java/org/wasabimount/core/dispatch/IdleSampler.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/IdleSampler.java
@@ -143,6 +143,9 @@
         if (ready.isolated()) {
             return IdleReason.ISOLATION;
         }
+        if (freeSlots(step, eligible) >= ready.tasksAtOnce()) {
+            return reasonBesideFreeRoom(step, eligible);
+        }
         long slots = eligible.stream().mapToLong(room -> slots(ready, room)).sum();
         if (slots < ready.tasksAtOnce()) {
             return reasonOfTooFewWorkers(step);
@@ -152,6 +155,22 @@
         return besideLasting < ready.tasksAtOnce() ? IdleReason.NO_ROOM : IdleReason.NO_RESERVATION;
     }
 
+    private static long freeSlots(WaitingStep step, List<WorkerRoom> rooms) {
+        return rooms.stream().mapToLong(room -> room.freeSlots(step)).sum();
+    }
+
+    /** Returns what a gang waits for although the free room holds all of its tasks. */
+    private IdleReason reasonBesideFreeRoom(WaitingStep step, List<WorkerRoom> eligible) {
+        AdviceManager.StepAdvice stepAdvice = advice.of(step.id());
+        List<WorkerRoom> ticketed = eligible.stream()
+                .filter(room -> !step.ready().requiresAdvice() || stepAdvice.hasTicket(room.id(), nowMillis))
+                .toList();
+        if (freeSlots(step, ticketed) >= step.ready().tasksAtOnce()) {
+            return IdleReason.START_UNDER_WAY;
+        }
+        return awaitsCaller(step) ? IdleReason.NO_CALLER : IdleReason.NO_TICKET;
+    }
+
     private static long slots(ReadyStep ready, WorkerRoom room) {
         long slots = ready.size().timesIn(room.worker().capacity());
         int limit = ready.step().getMaxPerWorker();
--- a/core/src/test/java/org/wasabimount/core/dispatch/IdleSamplerTest.java
+++ b/core/src/test/java/org/wasabimount/core/dispatch/IdleSamplerTest.java
@@ -126,7 +126,7 @@
     }
 
     /**
-     * Guards against an overdue run that can't be told from a worker that is really occupied (hypothesis 1): the pace of a
+     * Guards against an overdue run that can't be told from a worker that is really occupied: the pace of a
      * run that stands still is not known.
      */
     @Test
@@ -155,7 +155,7 @@
         assertTrue(report.readyInMillis() > 0, report.toString());
     }
 
-    /** Guards against a gang behind another one that looks as if its workers were occupied (hypothesis 3). */
+    /** Guards against a gang behind another one that looks as if its workers were occupied. */
     @Test
     public void gangWhoseWorkersAreReservedForAnotherHasNoReservation() {
         cell.workMillis(2_500);
@@ -168,7 +168,7 @@
         assertEquals(lastSample().jobs(), Map.of(IdleReason.NO_ROOM, 1L, IdleReason.NO_RESERVATION, 1L));
     }
 
-    /** Guards against reserved room that is reported as occupied (hypothesis 3). */
+    /** Guards against reserved room that is reported as occupied. */
     @Test
     public void jobBesideReservedRoomWaitsForReservedRoom() {
         lessUrgent();
@@ -182,7 +182,7 @@
         assertEquals(lastSample().jobs(), Map.of(IdleReason.NO_ROOM, 1L, IdleReason.ROOM_RESERVED, 1L));
     }
 
-    /** Guards against expired tickets that can't be told from missing room (hypothesis 2). */
+    /** Guards against expired tickets that can't be told from missing room. */
     @Test
     public void gangWithRoomAndExpiredTicketsWaitsForTickets() {
         cell.withAdvice();
