--- a/core/src/main/java/org/wasabimount/core/dispatch/WorkAhead.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/WorkAhead.java
@@ -21,9 +21,6 @@
     /** Length of an interval for all other jobs, in milliseconds. */
     private static final long INTERVAL_MILLIS = 250;
 
-    /** How long urgent work counts as ahead of other jobs after its latest start, in milliseconds. */
-    private static final long LATE_URGENT_MILLIS = 10_000;
-
     private final Intervals urgent = new Intervals(URGENT_INTERVAL_MILLIS);
     private final Intervals others = new Intervals(INTERVAL_MILLIS);
     private final Map<JobPlan, Long> recorded = new HashMap<>();
@@ -93,8 +90,8 @@
 
     /**
      * Returns the work that is scheduled before a new job, in thousandths of a core times milliseconds: the urgent work if
-     * the job is not urgent, and the work of its own kind that has to start earlier and is not late yet. Urgent work counts for
-     * some time after it has become late: under overload much of it has still been placed before the job.
+     * the job is not urgent, and the work of its own kind that has to start earlier. Work that is late is scheduled after
+     * the job, whether it is urgent or not.
      *
      * @param queue the queue of the new job
      * @param nowMillis the current monotonic time, in milliseconds
@@ -103,7 +100,7 @@
      */
     double before(Queue queue, long nowMillis, long latestStartMillis) {
         long work = sum(intervals(urgent(queue)).between(nowMillis, latestStartMillis));
-        return urgent(queue) ? work : work + sum(urgent.from(nowMillis - LATE_URGENT_MILLIS));
+        return urgent(queue) ? work : work + sum(urgent.from(nowMillis));
     }
 
     private long sum(NavigableMap<Long, Long> intervals) {
