--- a/review/harness/Cell.java
+++ b/review/harness/Cell.java
@@ -153,9 +153,9 @@
         return -1;
     }
 
-    /** Returns the number of a control process that does not lead. */
+    /** Returns the number of the last control process that does not lead; workers send their heartbeats to the first one. */
     int follower() {
-        return (leader() + 1) % CONTROLS;
+        return leader() == CONTROLS - 1 ? CONTROLS - 2 : CONTROLS - 1;
     }
 
     Http.Response call(String method, String address, String host, String path, String body) {
--- a/review/harness/Runs.java
+++ b/review/harness/Runs.java
@@ -7,6 +7,9 @@
     /** How a run ended that its worker took with it. */
     static final String LOST = "lost with its worker";
 
+    /** Number of characters of a spec that are kept. */
+    private static final int MAX_SPEC_CHARACTERS = 100;
+
     /** One run of a task on one life of a worker. */
     static final class Run {
         final String task;
@@ -19,7 +22,7 @@
         private Run(String task, int number, String spec, String worker, long startMillis) {
             this.task = task;
             this.number = number;
-            this.spec = spec;
+            this.spec = spec.substring(0, Math.min(MAX_SPEC_CHARACTERS, spec.length()));
             this.worker = worker;
             this.startMillis = startMillis;
         }
