Log: compact by the size of the commands, not only by their count

New test GroupThreadTest.logOfLargeCommandsIsCompacted failed before: 52,434,132 bytes on disk after 200 commands of 256 KiB, limit 16 MiB.

New gauge wasabimount_log_applied_bytes.

--- a/core/src/main/java/org/wasabimount/core/log/EntryLog.java
+++ b/core/src/main/java/org/wasabimount/core/log/EntryLog.java
@@ -71,6 +71,20 @@
         return result;
     }
 
+    /** Returns the index before the longest run of entries up to an index that is within a count and a size in bytes. */
+    long indexBefore(long toIndex, long maxEntries, long maxBytes) {
+        long index = toIndex;
+        long bytes = 0;
+        while (index > baseIndex && toIndex - index < maxEntries) {
+            bytes += entry(index).getSerializedSize();
+            if (bytes > maxBytes) {
+                break;
+            }
+            index--;
+        }
+        return index;
+    }
+
     void append(LogEntry entry) {
         entries.add(entry);
     }
--- a/core/src/main/java/org/wasabimount/core/log/Replica.java
+++ b/core/src/main/java/org/wasabimount/core/log/Replica.java
@@ -329,11 +329,12 @@
      * Discards entries that a snapshot covers, except for the most recent ones, which slow followers may still need.
      *
      * @param taken a synced snapshot of the state at an applied index
-     * @param keptEntries the number of entries before the snapshot's index that are retained
+     * @param maxKeptEntries the maximum number of entries up to the snapshot's index that are retained
+     * @param maxKeptBytes the maximum size of those entries, in bytes
      */
-    public void compact(LogSnapshot taken, long keptEntries) {
+    public void compact(LogSnapshot taken, long maxKeptEntries, long maxKeptBytes) {
         snapshot = taken;
-        long base = Math.max(log.baseIndex(), taken.getIndex() - keptEntries);
+        long base = log.indexBefore(taken.getIndex(), maxKeptEntries, maxKeptBytes);
         log.compactTo(base);
         memberships.compactTo(base);
     }
--- a/core/src/test/java/org/wasabimount/core/log/FakeNode.java
+++ b/core/src/test/java/org/wasabimount/core/log/FakeNode.java
@@ -180,7 +180,7 @@
                 .build();
         diskSnapshot = taken;
         diskEntries = new ArrayList<>(replica.entriesAfter(appliedIndex));
-        replica.compact(taken, 2);
+        replica.compact(taken, 2, Long.MAX_VALUE);
     }
 
     private void write(ReplicaOutput output) {
--- a/daemon/src/main/java/org/wasabimount/daemon/log/GroupThread.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/log/GroupThread.java
@@ -37,7 +37,12 @@
     private static final long MAX_IDLE_MILLIS = 1_000;
 
     private static final int SNAPSHOT_INTERVAL_ENTRIES = 8_192;
+
+    /** Size of the applied commands after which a snapshot is taken; a small part of a control node's heap. */
+    private static final long SNAPSHOT_INTERVAL_BYTES = 8 << 20;
+
     private static final int RETAINED_ENTRIES = 1_024;
+    private static final long RETAINED_BYTES = 2 << 20;
 
     /** Interval between attempts to write a log that could not be written, in milliseconds; less than an election. */
     private static final long WRITE_RETRY_MILLIS = 200;
@@ -60,6 +65,10 @@
     private HardState hardState;
     private LogSnapshot lastSnapshot;
     private long appliedIndex;
+
+    /** Size of the commands applied since the last snapshot, in bytes. */
+    private volatile long appliedBytes;
+
     private volatile String leader = "";
     private volatile boolean leading;
     private volatile boolean caughtUp;
@@ -284,6 +293,15 @@
         return writeFailureCount;
     }
 
+    /**
+     * Returns the size of the commands that were applied since the last snapshot. May be called from any thread.
+     *
+     * @return the size in bytes
+     */
+    public long appliedBytes() {
+        return appliedBytes;
+    }
+
     private void handle(Runnable task, boolean endOfBatch) {
         try {
             task.run();
@@ -375,6 +393,7 @@
             lastSnapshot = installed;
             stateMachine.restore(installed.getState());
             appliedIndex = installed.getIndex();
+            appliedBytes = 0;
         } else {
             store.append(output.hardState(), output.appendedEntries());
         }
@@ -388,6 +407,7 @@
                 reply = stateMachine.apply(entry.getData());
             }
             appliedIndex = entry.getIndex();
+            appliedBytes += entry.getSerializedSize();
             completeProposals(entry, reply);
         }
     }
@@ -428,9 +448,9 @@
     }
 
     private void compactIfDue() {
-        boolean due = appliedIndex - lastSnapshot.getIndex() >= SNAPSHOT_INTERVAL_ENTRIES
-                && clock.millis() >= snapshotDueMillis;
-        if (!due) {
+        boolean grown = appliedIndex - lastSnapshot.getIndex() >= SNAPSHOT_INTERVAL_ENTRIES
+                || appliedBytes >= SNAPSHOT_INTERVAL_BYTES;
+        if (!grown || clock.millis() < snapshotDueMillis) {
             return;
         }
         LogSnapshot newSnapshot = LogSnapshot.newBuilder()
@@ -447,8 +467,9 @@
             LOG.log(System.Logger.Level.WARNING, "LOG group " + group + " keeps its log: no snapshot was written", e);
             return;
         }
-        replica.compact(newSnapshot, RETAINED_ENTRIES);
+        replica.compact(newSnapshot, RETAINED_ENTRIES, RETAINED_BYTES);
         lastSnapshot = newSnapshot;
+        appliedBytes = 0;
     }
 
     private static Reply refusal(ResultCode code) {
--- a/daemon/src/main/java/org/wasabimount/daemon/node/JobNode.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/node/JobNode.java
@@ -139,6 +139,10 @@
                     "wasabimount_log_write_failures",
                     "Writes to the log that failed since the node started",
                     thread::writeFailureCount);
+            metrics.gauge(
+                    "wasabimount_log_applied_bytes",
+                    "Bytes of the commands applied since the last snapshot",
+                    thread::appliedBytes);
             metrics.gauge("wasabimount_syncs", "Batches synced to the log", thread::syncCount);
             metrics.gauge("wasabimount_commit_index", "Last index of the log on a majority", thread::commitIndex);
         });
--- a/daemon/src/test/java/org/wasabimount/daemon/log/GroupThreadTest.java
+++ b/daemon/src/test/java/org/wasabimount/daemon/log/GroupThreadTest.java
@@ -3,11 +3,16 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import java.io.File;
 import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
@@ -35,6 +40,12 @@
     private static final long MAX_INTERVAL_MILLIS = 20;
     private static final long TIMEOUT_SECONDS = 30;
 
+    /** A configuration of the largest size that the platform sends. */
+    private static final int LARGE_COMMAND_BYTES = 262_144;
+
+    /** A tenth of the heap of a control node. */
+    private static final long MAX_LOG_BYTES = 16 << 20;
+
     private final List<LogMessage> messages = Collections.synchronizedList(new ArrayList<>());
     private final AtomicInteger batches = new AtomicInteger();
     private final AtomicReference<IOException> failure = new AtomicReference<>();
@@ -99,18 +110,22 @@
     }
 
     private void start(String... voters) throws IOException {
-        messages.clear();
-        batches.set(0);
-        failure.set(null);
         store.full = false;
         store.refusesSnapshots = false;
         store.failures.set(0);
+        start(store, voters);
+    }
+
+    private void start(LogStore logStore, String... voters) throws IOException {
+        messages.clear();
+        batches.set(0);
+        failure.set(null);
         thread = new GroupThread(
                 ReplicaSettings.of("group", SELF, ELECTION_TIMEOUT_MILLIS, 1),
                 LogSnapshot.newBuilder()
                         .setMembership(Membership.newBuilder().addAllVoters(List.of(voters)))
                         .build(),
-                store,
+                logStore,
                 new Counter(),
                 messages::add,
                 failure::set,
@@ -275,4 +290,42 @@
         assertEquals(replies.get(), commands);
         assertTrue(store.failures.get() >= 1, "no snapshot was attempted");
     }
+
+    /** Guards against a log of hundreds of large configurations that no replica can read at its restart. */
+    @Test
+    public void logOfLargeCommandsIsCompacted() throws Exception {
+        Path folder = Files.createTempDirectory("wasabimount-group");
+        try {
+            start(new FileLogStore(folder), SELF);
+            awaitLeadership();
+            ByteString command = ByteString.copyFrom(new byte[LARGE_COMMAND_BYTES]);
+            for (int number = 0; number < 200; number++) {
+                CompletableFuture<Reply> reply = new CompletableFuture<>();
+                thread.submit(() -> thread.propose(command).thenAccept(reply::complete));
+                assertEquals(reply.get(TIMEOUT_SECONDS, TimeUnit.SECONDS).getResultCode(), 0);
+            }
+            // A compaction that the last command has caused precedes the next task.
+            CompletableFuture<Void> compacted = new CompletableFuture<>();
+            thread.submit(() -> compacted.complete(null));
+            compacted.get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+            assertTrue(size(folder) <= MAX_LOG_BYTES, size(folder) + " bytes on disk");
+        } finally {
+            delete(folder);
+        }
+    }
+
+    private static long size(Path folder) throws IOException {
+        try (var files = Files.walk(folder)) {
+            return files.map(Path::toFile)
+                    .filter(File::isFile)
+                    .mapToLong(File::length)
+                    .sum();
+        }
+    }
+
+    private static void delete(Path folder) throws IOException {
+        try (var files = Files.walk(folder)) {
+            files.sorted(Comparator.reverseOrder()).map(Path::toFile).forEach(File::delete);
+        }
+    }
 }
