Log: read and write record files in pieces of 128 KiB

Cause: Files.readAllBytes and a write of a whole record each make the Java runtime allocate a direct buffer of the full size, and keep it for the thread.

Evidence: FileLogStoreTest.recoversLargeLogWithSmallDirectBuffers and replacesLogByLargeSnapshotWithSmallDirectBuffers failed before: 16,777,344 and 4,194,321 bytes of direct buffers, limit 1 MiB.

Why it works: RecordFile reads through one heap buffer of 128 KiB, passes each record on when it is read instead of keeping all, and writes in pieces of the same size. Checks of torn and corrupt records are the same. The test of records after a failed write collects them through the new visitor; what it asserts is unchanged.

--- a/daemon/src/main/java/org/wasabimount/daemon/log/FileLogStore.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/log/FileLogStore.java
@@ -53,17 +53,20 @@
         LogSnapshot snapshot = initialState;
         if (generation > 0) {
             Path snapshotPath = path(SNAPSHOT_SUFFIX);
-            List<byte[]> records = RecordFile.open(snapshotPath).closeAndTakeRecovered();
-            if (records.size() != 1) {
+            List<LogSnapshot> snapshots = new ArrayList<>();
+            RecordFile.open(snapshotPath, record -> snapshots.add(LogSnapshot.parseFrom(record)))
+                    .close();
+            if (snapshots.size() != 1) {
                 throw new CorruptLogException("file " + snapshotPath.getFileName() + " holds no readable snapshot");
             }
-            snapshot = LogSnapshot.parseFrom(records.get(0));
+            snapshot = snapshots.get(0);
         } else {
             generation = 1;
             writeFiles(initialState, HardState.getDefaultInstance(), List.of());
         }
-        file = RecordFile.open(path(LOG_SUFFIX));
-        return replay(snapshot, file.takeRecovered());
+        Replay replay = new Replay();
+        file = RecordFile.open(path(LOG_SUFFIX), replay);
+        return new PersistedLog(replay.hardState, snapshot, replay.entries);
     }
 
     @Override
@@ -78,7 +81,7 @@
         generation = old + 1;
         try {
             writeFiles(snapshot, hardState, retainedEntries);
-            file = RecordFile.open(path(LOG_SUFFIX));
+            file = RecordFile.open(path(LOG_SUFFIX), record -> {});
         } catch (IOException e) {
             discardNewLog(e);
             generation = old;
@@ -112,7 +115,7 @@
     private void writeSynced(Path target, byte[] payload) throws IOException {
         Path temporary = target.resolveSibling(target.getFileName() + TEMPORARY_SUFFIX);
         Files.deleteIfExists(temporary);
-        try (RecordFile record = RecordFile.open(temporary)) {
+        try (RecordFile record = RecordFile.open(temporary, earlier -> {})) {
             record.append(payload);
         }
         Files.move(temporary, target, StandardCopyOption.ATOMIC_MOVE);
@@ -128,33 +131,6 @@
         return batch.build();
     }
 
-    private static PersistedLog replay(LogSnapshot snapshot, List<byte[]> batches) throws IOException {
-        HardState hardState = HardState.getDefaultInstance();
-        List<LogEntry> entries = new ArrayList<>();
-        for (byte[] batch : batches) {
-            for (LogRecord record : LogBatch.parseFrom(batch).getRecordsList()) {
-                if (record.hasHardState()) {
-                    hardState = record.getHardState();
-                } else {
-                    putEntry(entries, record.getEntry());
-                }
-            }
-        }
-        return new PersistedLog(hardState, snapshot, entries);
-    }
-
-    /** Adds an entry, which replaces any entry at its index and all later ones. */
-    private static void putEntry(List<LogEntry> entries, LogEntry entry) throws CorruptLogException {
-        while (!entries.isEmpty() && entries.get(entries.size() - 1).getIndex() >= entry.getIndex()) {
-            entries.remove(entries.size() - 1);
-        }
-        boolean gap = !entries.isEmpty() && entries.get(entries.size() - 1).getIndex() + 1 != entry.getIndex();
-        if (gap) {
-            throw new CorruptLogException("the log has a gap before index " + entry.getIndex());
-        }
-        entries.add(entry);
-    }
-
     private long highestGeneration() throws IOException {
         try (Stream<Path> files = Files.list(folder)) {
             return files.map(path -> path.getFileName().toString())
@@ -168,4 +144,34 @@
     private Path path(String suffix) {
         return folder.resolve(generation + suffix);
     }
+
+    /** Restores the term, the vote and the entries from the batches of a log file. */
+    private static final class Replay implements RecordFile.Visitor {
+
+        private final List<LogEntry> entries = new ArrayList<>();
+        private HardState hardState = HardState.getDefaultInstance();
+
+        @Override
+        public void visit(byte[] batch) throws IOException {
+            for (LogRecord record : LogBatch.parseFrom(batch).getRecordsList()) {
+                if (record.hasHardState()) {
+                    hardState = record.getHardState();
+                } else {
+                    put(record.getEntry());
+                }
+            }
+        }
+
+        /** Adds an entry, which replaces any entry at its index and all later ones. */
+        private void put(LogEntry entry) throws CorruptLogException {
+            while (!entries.isEmpty() && entries.get(entries.size() - 1).getIndex() >= entry.getIndex()) {
+                entries.remove(entries.size() - 1);
+            }
+            boolean gap = !entries.isEmpty() && entries.get(entries.size() - 1).getIndex() + 1 != entry.getIndex();
+            if (gap) {
+                throw new CorruptLogException("the log has a gap before index " + entry.getIndex());
+            }
+            entries.add(entry);
+        }
+    }
 }
--- a/daemon/src/main/java/org/wasabimount/daemon/log/RecordFile.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/log/RecordFile.java
@@ -1,13 +1,11 @@
 package org.wasabimount.daemon.log;
 
+import java.io.EOFException;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.zip.CRC32C;
 
 /**
@@ -21,8 +19,10 @@
     private static final int HEADER_BYTES = 8;
     private static final int MAX_RECORD_BYTES = 1 << 28;
 
+    /** Size of one read or write; the Java runtime allocates a direct buffer of that size and keeps it for the thread. */
+    private static final int CHUNK_BYTES = 128 << 10;
+
     private final FileChannel channel;
-    private List<byte[]> recovered = new ArrayList<>();
 
     /** The end of the last synced record. */
     private long end;
@@ -30,35 +30,53 @@
     /** Whether a write has failed, so that a part of a record may follow the last synced one. */
     private boolean incomplete;
 
+    /** Receives the records of a file in the order in which they were appended. */
+    @FunctionalInterface
+    interface Visitor {
+        void visit(byte[] payload) throws IOException;
+    }
+
     RecordFile(FileChannel channel) {
         this.channel = channel;
     }
 
-    /** Opens a file, reads all records and truncates an incomplete last record. */
-    static RecordFile open(Path path) throws IOException {
-        byte[] content = Files.exists(path) ? Files.readAllBytes(path) : new byte[0];
+    /** Opens a file, passes each of its records to a visitor and truncates an incomplete last record. */
+    static RecordFile open(Path path, Visitor visitor) throws IOException {
         FileChannel channel =
                 FileChannel.open(path, StandardOpenOption.CREATE, StandardOpenOption.READ, StandardOpenOption.WRITE);
         RecordFile file = new RecordFile(channel);
-        file.end = file.readAll(path, content);
-        if (file.end < content.length) {
-            channel.truncate(file.end);
-            channel.force(true);
+        try {
+            file.recover(path, visitor);
+        } catch (IOException | RuntimeException | Error e) {
+            channel.close();
+            throw e;
         }
-        channel.position(file.end);
         return file;
     }
 
-    /** Returns the records read when the file was opened, and releases them. */
-    List<byte[]> takeRecovered() {
-        List<byte[]> taken = recovered;
-        recovered = List.of();
-        return taken;
+    private void recover(Path path, Visitor visitor) throws IOException {
+        Reader reader = new Reader(channel);
+        byte[] payload = reader.record(0);
+        while (payload != null) {
+            visitor.visit(payload);
+            end += HEADER_BYTES + payload.length;
+            payload = reader.record(end);
+        }
+        if (end < reader.size) {
+            failIfRecordFollows(path, reader);
+            channel.truncate(end);
+            channel.force(true);
+        }
+        channel.position(end);
     }
 
-    List<byte[]> closeAndTakeRecovered() throws IOException {
-        close();
-        return takeRecovered();
+    private void failIfRecordFollows(Path path, Reader reader) throws IOException {
+        for (long offset = end + 1; offset + HEADER_BYTES < reader.size; offset++) {
+            if (reader.record(offset) != null) {
+                throw new CorruptLogException("file " + path.getFileName() + " is corrupt at byte " + end
+                        + ": a readable record follows at byte " + offset);
+            }
+        }
     }
 
     /** Writes and syncs one record; after a failure the same or another record may be appended. */
@@ -69,8 +87,9 @@
         }
         incomplete = true;
         ByteBuffer buffer = frame(payload);
-        long length = buffer.remaining();
-        while (buffer.hasRemaining()) {
+        int length = buffer.limit();
+        while (buffer.position() < length) {
+            buffer.limit(Math.min(length, buffer.position() + CHUNK_BYTES));
             channel.write(buffer);
         }
         channel.force(false);
@@ -85,55 +104,72 @@
 
     static ByteBuffer frame(byte[] payload) {
         ByteBuffer buffer = ByteBuffer.allocate(HEADER_BYTES + payload.length);
-        buffer.putInt(payload.length)
-                .putInt(checksum(payload, 0, payload.length))
-                .put(payload);
+        buffer.putInt(payload.length).putInt(checksum(payload)).put(payload);
         return buffer.flip();
     }
 
-    private int readAll(Path path, byte[] content) throws IOException {
-        int offset = 0;
-        while (offset < content.length) {
-            int length = validLength(content, offset);
-            if (length < 0) {
-                failIfRecordFollows(path, content, offset);
-                return offset;
+    /** Returns a checksum of the payload and its length; without the length, zeros would be a valid empty record. */
+    private static int checksum(byte[] payload) {
+        CRC32C crc = new CRC32C();
+        crc.update(ByteBuffer.allocate(Integer.BYTES).putInt(payload.length).flip());
+        crc.update(payload);
+        return (int) crc.getValue();
+    }
+
+    /** Reads records at any offset of a file, through a buffer of {@link #CHUNK_BYTES}. */
+    private static final class Reader {
+
+        private final FileChannel channel;
+        private final long size;
+        private final ByteBuffer buffer = ByteBuffer.allocate(CHUNK_BYTES).limit(0);
+        private final ByteBuffer header = ByteBuffer.allocate(HEADER_BYTES);
+
+        /** Offset in the file of the buffer's first byte. */
+        private long bufferOffset;
+
+        Reader(FileChannel channel) throws IOException {
+            this.channel = channel;
+            this.size = channel.size();
+        }
+
+        /** Returns the payload of the valid record at an offset, null if there is none. */
+        byte[] record(long offset) throws IOException {
+            if (size - offset < HEADER_BYTES) {
+                return null;
+            }
+            read(offset, header.array());
+            int length = header.getInt(0);
+            boolean plausible = length >= 0 && length <= MAX_RECORD_BYTES && length <= size - offset - HEADER_BYTES;
+            if (!plausible) {
+                return null;
             }
             byte[] payload = new byte[length];
-            System.arraycopy(content, offset + HEADER_BYTES, payload, 0, length);
-            recovered.add(payload);
-            offset += HEADER_BYTES + length;
+            read(offset + HEADER_BYTES, payload);
+            return checksum(payload) == header.getInt(Integer.BYTES) ? payload : null;
         }
-        return offset;
-    }
 
-    private static void failIfRecordFollows(Path path, byte[] content, int badOffset) throws IOException {
-        for (int offset = badOffset + 1; offset + HEADER_BYTES < content.length; offset++) {
-            if (validLength(content, offset) >= 0) {
-                throw new CorruptLogException("file " + path.getFileName() + " is corrupt at byte " + badOffset
-                        + ": a readable record follows at byte " + offset);
+        private void read(long offset, byte[] target) throws IOException {
+            int count = 0;
+            while (count < target.length) {
+                long position = offset + count;
+                if (position < bufferOffset || position >= bufferOffset + buffer.limit()) {
+                    fill(position);
+                }
+                buffer.position((int) (position - bufferOffset));
+                int available = Math.min(target.length - count, buffer.remaining());
+                buffer.get(target, count, available);
+                count += available;
             }
         }
-    }
 
-    /** Returns the payload length of the valid record at an offset, or -1 if there is none. */
-    private static int validLength(byte[] content, int offset) {
-        if (content.length - offset < HEADER_BYTES) {
-            return -1;
+        private void fill(long position) throws IOException {
+            buffer.clear();
+            int count = channel.read(buffer, position);
+            buffer.flip();
+            bufferOffset = position;
+            if (count <= 0) {
+                throw new EOFException("a log file has shrunk while it was read");
+            }
         }
-        ByteBuffer header = ByteBuffer.wrap(content, offset, HEADER_BYTES);
-        int length = header.getInt();
-        int expected = header.getInt();
-        boolean plausible =
-                length >= 0 && length <= MAX_RECORD_BYTES && length <= content.length - offset - HEADER_BYTES;
-        return plausible && checksum(content, offset + HEADER_BYTES, length) == expected ? length : -1;
-    }
-
-    /** Returns a checksum of the payload and its length; without the length, zeros would be a valid empty record. */
-    private static int checksum(byte[] bytes, int offset, int length) {
-        CRC32C crc = new CRC32C();
-        crc.update(ByteBuffer.allocate(Integer.BYTES).putInt(length).flip());
-        crc.update(bytes, offset, length);
-        return (int) crc.getValue();
     }
 }
--- a/daemon/src/test/java/org/wasabimount/daemon/log/FileLogStoreTest.java
+++ b/daemon/src/test/java/org/wasabimount/daemon/log/FileLogStoreTest.java
@@ -2,13 +2,19 @@
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertThrows;
+import static org.testng.Assert.assertTrue;
 
 import java.io.IOException;
+import java.lang.management.BufferPoolMXBean;
+import java.lang.management.ManagementFactory;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -29,6 +35,11 @@
             .setMembership(Membership.newBuilder().addVoters("vm/0"))
             .build();
 
+    private static final int LARGE_ENTRY_BYTES = 4 << 20;
+
+    /** The buffers of one read and one write. */
+    private static final long MAX_DIRECT_BYTES = 1 << 20;
+
     private Path folder;
 
     @BeforeMethod
@@ -168,11 +179,9 @@
             channel.empty();
             file.append(new byte[] {3});
         }
-        assertEquals(
-                RecordFile.open(path).closeAndTakeRecovered().stream()
-                        .map(record -> (int) record[0])
-                        .toList(),
-                List.of(1, 3));
+        List<Integer> records = new ArrayList<>();
+        RecordFile.open(path, record -> records.add((int) record[0])).close();
+        assertEquals(records, List.of(1, 3));
     }
 
     /** Guards against a log that can't be appended to after its replacement has failed. */
@@ -192,6 +201,68 @@
         assertEquals(new FileLogStore(folder).recover(INITIAL_STATE).entries(), List.of(entry(4, 5)));
     }
 
+    /** Guards against a log that can't be opened because a direct buffer of its size exceeds their limit. */
+    @Test
+    public void recoversLargeLogWithSmallDirectBuffers() throws Exception {
+        FileLogStore store = new FileLogStore(folder);
+        store.recover(INITIAL_STATE);
+        long grownBytes = directBytesTakenBy(() -> {
+            for (int index = 1; index <= 4; index++) {
+                store.append(Optional.empty(), List.of(largeEntry(index)));
+            }
+            assertEquals(
+                    new FileLogStore(folder).recover(INITIAL_STATE).entries().size(), 4);
+        });
+        assertTrue(grownBytes <= MAX_DIRECT_BYTES, grownBytes + " bytes of direct buffers");
+    }
+
+    /** Guards against the same for a snapshot, which is one record. */
+    @Test
+    public void replacesLogByLargeSnapshotWithSmallDirectBuffers() throws Exception {
+        FileLogStore store = write(3);
+        LogSnapshot snapshot = LogSnapshot.newBuilder()
+                .setIndex(3)
+                .setTerm(3)
+                .setState(ByteString.copyFrom(new byte[LARGE_ENTRY_BYTES]))
+                .build();
+        long grownBytes = directBytesTakenBy(() -> {
+            store.replace(snapshot, HardState.getDefaultInstance(), List.of());
+            assertEquals(new FileLogStore(folder).recover(INITIAL_STATE).snapshot(), snapshot);
+        });
+        assertTrue(grownBytes <= MAX_DIRECT_BYTES, grownBytes + " bytes of direct buffers");
+    }
+
+    /** An access to the store. */
+    private interface Access {
+        void run() throws IOException;
+    }
+
+    /** Returns by how much an access on a thread of its own lets the direct buffers grow; threads keep theirs. */
+    private static long directBytesTakenBy(Access access) throws Exception {
+        BufferPoolMXBean pool = ManagementFactory.getPlatformMXBeans(BufferPoolMXBean.class).stream()
+                .filter(candidate -> candidate.getName().equals("direct"))
+                .findFirst()
+                .orElseThrow();
+        CompletableFuture<Long> grownBytes = new CompletableFuture<>();
+        new Thread(() -> {
+                    long before = pool.getTotalCapacity();
+                    try {
+                        access.run();
+                        grownBytes.complete(pool.getTotalCapacity() - before);
+                    } catch (IOException | AssertionError e) {
+                        grownBytes.completeExceptionally(e);
+                    }
+                })
+                .start();
+        return grownBytes.get(30, TimeUnit.SECONDS);
+    }
+
+    private static LogEntry largeEntry(long index) {
+        return entry(index, 1).toBuilder()
+                .setData(ByteString.copyFrom(new byte[LARGE_ENTRY_BYTES]))
+                .build();
+    }
+
     @Test
     public void rejectsUnformattedFolder() {
         assertThrows(IOException.class, () -> new DataFolder(folder).identity(new VmId("vm")));
