End a process that has lost a thread to an error

Cause: the error ended the main thread only, the other threads kept the process alive. The same holds for an error on the group's thread, which caught exceptions but no errors, and for the node's timers, whose executor drops a task that fails.

Why it works: an uncaught exception on any thread ends the process with status 70 and a log line, even if the line can't be written; the group's thread reports errors like exceptions (status 74).

--- a/daemon/src/main/java/org/wasabimount/daemon/Daemon.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/Daemon.java
@@ -178,9 +178,7 @@
     private void fail(IOException cause) {
         if (!failed) {
             failed = true;
-            LOG.log(System.Logger.Level.ERROR, "DAEMON stops: its replicated log can't be written", cause);
-            LogSetup.flush();
-            Runtime.getRuntime().halt(Wasabimount.EXIT_LOG_FAILED);
+            ProcessEnd.halt(Wasabimount.EXIT_LOG_FAILED, "DAEMON stops: its replicated log can't be written", cause);
         }
     }
 
--- a/daemon/src/main/java/org/wasabimount/daemon/DaemonMain.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/DaemonMain.java
@@ -94,6 +94,7 @@
 
     private static int serve(DaemonSettings settings, PrintStream err) throws InterruptedException {
         LogSetup.apply(settings.logging());
+        ProcessEnd.haltOnUncaughtException();
         try {
             Daemon daemon = Wasabimount.start(settings);
             Runtime.getRuntime().addShutdownHook(new Thread(() -> drain(daemon), "shutdown"));
--- a/daemon/src/main/java/org/wasabimount/daemon/Wasabimount.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/Wasabimount.java
@@ -31,6 +31,9 @@
     /** The exit status if the replicated log could not be written or recovered. */
     public static final int EXIT_LOG_FAILED = 74;
 
+    /** The exit status if a thread has ended with an unexpected error. */
+    public static final int EXIT_THREAD_FAILED = 70;
+
     /** The exit status if the daemon could not start. */
     public static final int EXIT_START_FAILED = 71;
 
--- a/daemon/src/main/java/org/wasabimount/daemon/log/GroupThread.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/log/GroupThread.java
@@ -319,8 +319,7 @@
             }
         } catch (IOException e) {
             fatal.accept(e);
-        } catch (RuntimeException e) {
-            LOG.log(System.Logger.Level.ERROR, "LOG group " + group + " failed", e);
+        } catch (RuntimeException | Error e) {
             fatal.accept(new IOException("group " + group + " failed", e));
         }
     }
--- a/daemon/src/main/java/org/wasabimount/daemon/node/JobNode.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/node/JobNode.java
@@ -21,7 +21,7 @@
 import org.wasabimount.core.log.MembershipPlan;
 import org.wasabimount.core.log.ReplicaIdentity;
 import org.wasabimount.core.log.ReplicaSettings;
-import org.wasabimount.daemon.LogSetup;
+import org.wasabimount.daemon.ProcessEnd;
 import org.wasabimount.daemon.Wasabimount;
 import org.wasabimount.daemon.job.AdviceCalls;
 import org.wasabimount.daemon.job.JobGroup;
@@ -439,9 +439,7 @@
     }
 
     private void haltOnLogFailure(IOException cause) {
-        LOG.log(System.Logger.Level.ERROR, "NODE stops: its group cannot continue", cause);
-        LogSetup.flush();
-        Runtime.getRuntime().halt(Wasabimount.EXIT_LOG_FAILED);
+        ProcessEnd.halt(Wasabimount.EXIT_LOG_FAILED, "NODE stops: its group cannot continue", cause);
     }
 
     private void schedule(Runnable task, long periodMillis) {
@@ -452,7 +450,8 @@
         return () -> {
             try {
                 task.run();
-            } catch (RuntimeException e) {
+            } catch (RuntimeException | Error e) {
+                // The executor would drop the task, and the node would no longer send its presence.
                 LOG.log(System.Logger.Level.ERROR, "NODE timer task failed", e);
             }
         };
--- a/daemon/src/test/java/org/wasabimount/daemon/log/GroupThreadTest.java
+++ b/daemon/src/test/java/org/wasabimount/daemon/log/GroupThreadTest.java
@@ -1,6 +1,7 @@
 package org.wasabimount.daemon.log;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotNull;
 import static org.testng.Assert.assertTrue;
 
 import java.io.File;
@@ -50,6 +51,7 @@
     private final AtomicInteger batches = new AtomicInteger();
     private final AtomicReference<IOException> failure = new AtomicReference<>();
     private final FailingStore store = new FailingStore();
+    private final Counter counter = new Counter();
     private GroupThread thread;
 
     /** A store on a disk that can refuse all writes. */
@@ -91,9 +93,13 @@
     private static final class Counter implements StateMachine {
 
         private int count;
+        private volatile boolean exhaustsHeap;
 
         @Override
         public Reply apply(ByteString command) {
+            if (exhaustsHeap) {
+                throw new OutOfMemoryError("thrown by the test");
+            }
             count++;
             return Reply.newBuilder().setDetail(Integer.toString(count)).build();
         }
@@ -120,13 +126,14 @@
         messages.clear();
         batches.set(0);
         failure.set(null);
+        counter.exhaustsHeap = false;
         thread = new GroupThread(
                 ReplicaSettings.of("group", SELF, ELECTION_TIMEOUT_MILLIS, 1),
                 LogSnapshot.newBuilder()
                         .setMembership(Membership.newBuilder().addAllVoters(List.of(voters)))
                         .build(),
                 logStore,
-                new Counter(),
+                counter,
                 messages::add,
                 failure::set,
                 Clock.monotonic());
@@ -314,6 +321,21 @@
         }
     }
 
+    /** Guards against a process that stays up after its group's thread has ended, and answers nothing. */
+    @Test
+    public void errorOnGroupThreadIsReportedAsFatal() throws Exception {
+        start(SELF);
+        awaitLeadership();
+        counter.exhaustsHeap = true;
+        thread.submit(() -> thread.propose(ByteString.copyFromUtf8("command")));
+        for (int tries = 0; failure.get() == null && tries < TIMEOUT_SECONDS * 100; tries++) {
+            pause(10);
+        }
+        assertNotNull(failure.get(), "the error was not reported");
+        assertEquals(failure.getAndSet(null).getCause().getClass(), OutOfMemoryError.class);
+        counter.exhaustsHeap = false;
+    }
+
     private static long size(Path folder) throws IOException {
         try (var files = Files.walk(folder)) {
             return files.map(Path::toFile)
