A leave ends only the life that drains and does not answer

Cause: POST /v1/instances/ID/leave names no life. A node that was frozen passed the leave of the life before on 4 s late; Dispatcher.workerLeft ended whichever life had the id, gave up its runs and placed them again while they were at work.

Why it works: a leave is sent by a life that has announced to drain and ends at once, so both must hold for the life that it is to end: its draining is recorded, and it does not answer the next call. A call that is answered after the leave shows that it was not meant for this life. A leave without an announced draining is acknowledged and ignored; such a worker's tasks wait for the end of its lease, as after a crash.

--- a/core/src/main/java/org/wasabimount/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/Dispatcher.java
@@ -241,15 +241,18 @@
     }
 
     /**
-     * Handles the notice of a worker that it has left: its incarnation ends with all its runs.
+     * Handles the notice of a worker that it has left: its incarnation ends with all its runs, as soon as the worker does
+     * not answer.
+     *
+     * <p>A notice names no incarnation and may arrive when a later one is at work, so it is ignored unless the current
+     * incarnation has announced that it drains.
      *
      * @param worker the worker's id
      */
     public void workerLeft(String worker) {
         table.worker(worker)
                 .flatMap(entry -> workers.trackedWorker(entry.id()))
-                .ifPresent(
-                        trackedWorker -> workers.endIncarnation(trackedWorker, WorkerEndCause.LEFT, "the worker left"));
+                .ifPresent(trackedWorker -> workers.leaveReceived(trackedWorker, nowMillis));
     }
 
     /**
--- a/core/src/main/java/org/wasabimount/core/dispatch/TrackedWorker.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/TrackedWorker.java
@@ -3,6 +3,7 @@
 import java.util.Collection;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.OptionalLong;
 
 import org.wasabimount.core.cell.Capacity;
 import org.wasabimount.core.job.RunId;
@@ -19,6 +20,7 @@
     private int suspectRuns;
     private int isolatedRuns;
     private boolean draining;
+    private OptionalLong leaveReceivedMillis = OptionalLong.empty();
     private boolean runsListed;
     private boolean renewalPending;
     private int unansweredCalls;
@@ -188,6 +190,23 @@
         return draining || entry.incarnation().getDraining();
     }
 
+    /** Records a notice that the worker leaves; it may be meant for an earlier incarnation. */
+    void leaveReceived(long nowMillis) {
+        leaveReceivedMillis = OptionalLong.of(nowMillis);
+    }
+
+    /** Forgets a notice that the worker leaves if the worker has answered a call that was sent after it. */
+    void answered(long requestedMillis) {
+        if (leaveReceivedMillis.isPresent() && requestedMillis > leaveReceivedMillis.getAsLong()) {
+            leaveReceivedMillis = OptionalLong.empty();
+        }
+    }
+
+    /** Returns whether the worker has left: it has announced that, and does not answer any more. */
+    boolean left() {
+        return leaveReceivedMillis.isPresent() && draining() && unansweredCalls > 0;
+    }
+
     /** Returns whether tasks may be placed here. */
     boolean usable(long nowMillis) {
         return runsListed
--- a/core/src/main/java/org/wasabimount/core/dispatch/WorkerManager.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/WorkerManager.java
@@ -619,6 +619,7 @@
         if (result.outcome() != OrderOutcome.DONE) {
             recordFirstUnansweredCall(trackedWorker, "hold", result.outcome(), nowMillis);
             trackedWorker.leaseRenewalCompleted(false, nowMillis + RETRY_MILLIS, nowMillis);
+            endIfLeft(trackedWorker);
             return;
         }
         if (trackedWorker.unansweredCalls() > 0) {
@@ -634,11 +635,31 @@
             recordedCapacityRead(trackedWorker, result.clockMillis(), requestedMillis);
         }
         trackedWorker.leaseRenewalCompleted(true, nowMillis, nowMillis);
+        trackedWorker.answered(requestedMillis);
         trackedWorker.runsListed(true);
         recordEnds(trackedWorker, result.ended(), nowMillis);
         reconcileRuns(trackedWorker, result, requestedMillis, nowMillis);
     }
 
+    /** Handles the notice that a worker leaves; the worker itself has to confirm it by its silence. */
+    void leaveReceived(TrackedWorker trackedWorker, long nowMillis) {
+        if (!trackedWorker.draining()) {
+            LOG.log(
+                    System.Logger.Level.INFO,
+                    "WORKER leave ignored worker={0} reason=it has not announced that it drains",
+                    trackedWorker.entry().id());
+            return;
+        }
+        trackedWorker.leaveReceived(nowMillis);
+        endIfLeft(trackedWorker);
+    }
+
+    private void endIfLeft(TrackedWorker trackedWorker) {
+        if (trackedWorker.left()) {
+            endIncarnation(trackedWorker, WorkerEndCause.LEFT, "the worker left");
+        }
+    }
+
     /** Records the first unanswered call: nothing is placed on the worker until it lists its runs again. */
     private void recordFirstUnansweredCall(
             TrackedWorker trackedWorker, String call, OrderOutcome result, long nowMillis) {
--- a/core/src/test/java/org/wasabimount/core/dispatch/SimulatedCell.java
+++ b/core/src/test/java/org/wasabimount/core/dispatch/SimulatedCell.java
@@ -253,6 +253,12 @@
         }
     }
 
+    /** Delivers a notice that a worker has left. */
+    void leave(String worker) {
+        dispatcher.at(nowMillis);
+        dispatcher.workerLeft(worker);
+    }
+
     /** Crashes a worker under a task; it returns later as another incarnation. */
     void crash(SimulatedWorker worker) {
         if (worker.crashed) {
