An operation is not sent after its deadline

A node that is frozen between two attempts of an operation sends it when it wakes, long after its caller was refused elsewhere or has given up.

Cause: OperationGateway checked the deadline when it scheduled a retry, not when the retry ran.

Why it works: a retry that runs after the deadline ends the call with the refusal that it would have had.

--- a/daemon/src/main/java/org/wasabimount/daemon/peer/OperationGateway.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/peer/OperationGateway.java
@@ -290,14 +290,27 @@
 
         private void retryLater(ResultCode reason) {
             if (clock.millis() + RETRY_DELAY_MILLIS >= deadlineMillis) {
-                result.complete(
-                        mayHaveRun
-                                ? refusal(ResultCode.COMMIT_UNKNOWN, "the leader was lost before it replied")
-                                : refusal(ResultCode.NO_LEADER, "no leader of group " + group + " can be reached"));
+                refuse();
             } else {
                 retryListener.accept(reason);
-                timers.schedule(this::attempt, RETRY_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+                timers.schedule(this::retry, RETRY_DELAY_MILLIS, TimeUnit.MILLISECONDS);
             }
         }
+
+        private void retry() {
+            // The process may have been suspended since the retry was scheduled; the caller has given up by then.
+            if (clock.millis() >= deadlineMillis) {
+                refuse();
+            } else {
+                attempt();
+            }
+        }
+
+        private void refuse() {
+            result.complete(
+                    mayHaveRun
+                            ? refusal(ResultCode.COMMIT_UNKNOWN, "the leader was lost before it replied")
+                            : refusal(ResultCode.NO_LEADER, "no leader of group " + group + " can be reached"));
+        }
     }
 }
--- a/daemon/src/test/java/org/wasabimount/daemon/peer/OperationGatewayTest.java
+++ b/daemon/src/test/java/org/wasabimount/daemon/peer/OperationGatewayTest.java
@@ -46,6 +46,8 @@
     private OperationGateway gateway;
     private CountDownLatch requestReceived;
     private volatile VmId leader;
+    private volatile boolean reachable;
+    private volatile long frozenMillis;
 
     @BeforeMethod
     public void connect() throws IOException {
@@ -54,14 +56,16 @@
         retries.clear();
         network = network(SELF);
         leader = LOST;
+        reachable = true;
+        frozenMillis = 0;
         gateway = new OperationGateway(
                 network,
                 operation -> Optional.empty(),
                 group -> leader.name() + "/0",
                 group -> List.of(LOST, NEXT),
-                vm -> true,
+                vm -> reachable,
                 timers,
-                Clock.monotonic());
+                () -> Clock.monotonic().millis() + frozenMillis);
         gateway.setRetryListener(retries::add);
         InetSocketAddress ownAddress = freeAddress();
         network.listen(ownAddress, envelope -> gateway.receive(envelope.getReply()));
@@ -140,6 +144,21 @@
         assertTrue(!reply.isDone());
     }
 
+    /** Guards against a node that was frozen and sends an operation whose caller has given up long ago. */
+    @Test
+    public void operationIsNotSentAfterItsDeadline() throws Exception {
+        leader = NEXT;
+        reachable = false;
+        CompletableFuture<Reply> reply = gateway.execute(OPERATION, OPERATION_TIMEOUT_MILLIS);
+        frozenMillis = OPERATION_TIMEOUT_MILLIS;
+        reachable = true;
+        assertEquals(
+                reply.get(TIMEOUT_SECONDS, TimeUnit.SECONDS).getResultCode(),
+                ResultCode.NO_LEADER.number(),
+                "the operation was executed");
+        assertEquals(requestReceived.getCount(), 1);
+    }
+
     /** Guards against a timer that wakes the node 1.5 s after each operation that was replied to long before. */
     @Test
     public void repliedOperationsLeaveNoTimers() throws Exception {
