A job that is submitted after its cancellation is not started

Cause: a cancellation of a job that is not known left no trace, so a submission that was sent before it and arrived after it was accepted.

The submission is answered as if it had come first: accepted, and cancelled.

--- a/core/src/main/java/org/wasabimount/core/job/JobCheck.java
+++ b/core/src/main/java/org/wasabimount/core/job/JobCheck.java
@@ -32,7 +32,7 @@
      * @return the reason for refusing the job, empty if it is valid
      */
     public static Optional<Refusal> check(JobSpec spec) {
-        if (!Names.valid(spec.getId())) {
+        if (!validId(spec.getId())) {
             return refuse(ResultCode.INVALID_VALUE, "\"" + spec.getId() + "\" is not a valid job id");
         }
         if (spec.getPayload().length() > MAX_PAYLOAD_CHARACTERS) {
@@ -56,6 +56,16 @@
                 .findFirst();
     }
 
+    /**
+     * Returns whether a job may have an id.
+     *
+     * @param id the id
+     * @return true if it is a valid name
+     */
+    public static boolean validId(String id) {
+        return Names.valid(id);
+    }
+
     private static Optional<Refusal> problem(int number, Step step) {
         String name = "step " + number + " ";
         if (step.getCount() <= 0) {
--- a/core/src/main/java/org/wasabimount/core/job/JobTable.java
+++ b/core/src/main/java/org/wasabimount/core/job/JobTable.java
@@ -49,6 +49,7 @@
     private final Map<String, Job> jobs = new LinkedHashMap<>();
     private final Map<IncarnationId, Set<TaskId>> placed = new HashMap<>();
     private final SilentWorkers silentWorkers = new SilentWorkers();
+    private final EarlyCancellations earlyCancellations = new EarlyCancellations();
     private Observer observer = new Observer() {};
     private RuntimeException observerFailure;
 
@@ -170,6 +171,16 @@
         return Optional.ofNullable(jobs.get(id));
     }
 
+    /**
+     * Returns whether a job was cancelled that is not known; it is cancelled as soon as it is accepted.
+     *
+     * @param id the job's id
+     * @return true if its cancellation was recorded lately
+     */
+    public boolean cancelledEarly(String id) {
+        return earlyCancellations.contains(id);
+    }
+
     /**
      * Returns every job that has not been removed.
      *
@@ -255,7 +266,9 @@
                         .setClockMillis(worker.clockMillis())
                         .setOffset(worker.offset())));
         jobs.values().forEach(job -> snapshot.addJobs(job.toState()));
-        return snapshot.addAllSilentWorkers(silentWorkers.toMessages()).build();
+        return snapshot.addAllSilentWorkers(silentWorkers.toMessages())
+                .addAllEarlyCancellations(earlyCancellations.toMessages())
+                .build();
     }
 
     /**
@@ -279,6 +292,7 @@
                             .ifPresent(incarnation ->
                                     table.mutablePlacedOn(incarnation).add(task.id())));
         });
+        table.earlyCancellations.restore(snapshot.getEarlyCancellationsList());
         table.silentWorkers.restore(snapshot.getSilentWorkersList());
         table.silentWorkers.runs().forEach(run -> table.task(run.task()).ifPresent(JobTask::workerSilent));
         return table;
@@ -310,6 +324,9 @@
             Job job = new Job(command.getSpec(), command.getQueue(), nowMillis);
             jobs.put(job.id(), job);
             tell(changes -> changes.accepted(job));
+            if (earlyCancellations.remove(job.id())) {
+                endJob(job, JobPhase.CANCELLED, nowMillis);
+            }
         }
         return ResultCode.OK;
     }
@@ -317,6 +334,7 @@
     private ResultCode cancel(String id, long nowMillis) {
         Job job = jobs.get(id);
         if (job == null) {
+            earlyCancellations.add(id, nowMillis);
             return ResultCode.NOT_FOUND;
         }
         endJob(job, JobPhase.CANCELLED, nowMillis);
--- a/core/src/test/java/org/wasabimount/core/job/JobTableTest.java
+++ b/core/src/test/java/org/wasabimount/core/job/JobTableTest.java
@@ -337,4 +337,41 @@
                         .setPool("pool")
                         .setTimeoutMillis(3_000));
     }
+
+    /** Guards against a submission that a suspended node passes on late and that runs although its job was cancelled. */
+    @Test
+    public void jobThatIsSubmittedAfterItsCancelIsCancelled() {
+        assertEquals(cancel("job1"), ResultCode.NOT_FOUND);
+        assertTrue(table.job("job1").isEmpty());
+        accept("job1", 1, false);
+        assertEquals(table.job("job1").orElseThrow().phase(), JobPhase.CANCELLED);
+        assertEquals(place(new TaskId("job1", 0, 0, 0), 1, "w1", 10), ResultCode.VERSION_CONFLICT);
+    }
+
+    @Test
+    public void cancelBeforeSubmissionIsKeptInSnapshot() {
+        cancel("job1");
+        table = JobTable.restore(table.snapshot());
+        accept("job1", 1, false);
+        assertEquals(table.job("job1").orElseThrow().phase(), JobPhase.CANCELLED);
+    }
+
+    /** Guards against memory that grows with every cancellation of a job that does not exist. */
+    @Test
+    public void cancelsOfUnknownJobsAreBounded() {
+        for (int number = 0; number < 10_000; number++) {
+            cancel("job" + number);
+        }
+        assertTrue(
+                table.snapshot().getSerializedSize() < 200_000,
+                "bytes: " + table.snapshot().getSerializedSize());
+        accept("job9999", 1, false);
+        accept("job0", 1, false);
+        assertEquals(table.job("job9999").orElseThrow().phase(), JobPhase.CANCELLED);
+        assertEquals(table.job("job0").orElseThrow().phase(), JobPhase.QUEUED);
+    }
+
+    private ResultCode cancel(String job) {
+        return apply(JobCommand.newBuilder().setCancel(CancelJob.newBuilder().setJob(job)));
+    }
 }
--- a/daemon/src/main/java/org/wasabimount/daemon/job/JobLeader.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/job/JobLeader.java
@@ -195,13 +195,19 @@
                 request,
                 query.getJob(),
                 job.map(Job::phase).map(JobPhase::name).orElse("unknown"));
-        if (job.isEmpty()) {
-            return CompletableFuture.completedFuture(
-                    reply(queueAt(query.getAt()).isPresent() ? noJob(query) : noQueue(query.getAt())));
+        if (job.isEmpty() && queueAt(query.getAt()).isEmpty()) {
+            return refuse(noQueue(query.getAt()));
         }
-        return propose(JobCommand.newBuilder()
+        if (job.isEmpty() && (!JobCheck.validId(query.getJob()) || table().cancelledEarly(query.getJob()))) {
+            return refuse(noJob(query));
+        }
+        // Also recorded for a job that is not known: its submission may arrive later, through a node that was
+        // suspended.
+        CompletableFuture<Reply> cancellation = propose(JobCommand.newBuilder()
                 .setCancel(CancelJob.newBuilder().setJob(query.getJob()))
                 .build());
+        return cancellation.thenApply(
+                reply -> reply.getResultCode() == ResultCode.NOT_FOUND.number() ? reply(noJob(query)) : reply);
     }
 
     private Reply countWaiting(QueueAddress at) {
--- a/protocol/src/main/java/org/wasabimount/protocol/job/JobSnapshot.java
+++ b/protocol/src/main/java/org/wasabimount/protocol/job/JobSnapshot.java
@@ -18,6 +18,7 @@
     workers_ = emptyProtobufList();
     jobs_ = emptyProtobufList();
     silentWorkers_ = emptyProtobufList();
+    earlyCancellations_ = emptyProtobufList();
   }
   private int bitField0_;
   public static final int QUEUES_FIELD_NUMBER = 1;
@@ -349,6 +350,100 @@
     silentWorkers_.remove(index);
   }
 
+  public static final int EARLY_CANCELLATIONS_FIELD_NUMBER = 5;
+  private com.google.protobuf.Internal.ProtobufList<org.wasabimount.protocol.job.EarlyCancellation> earlyCancellations_;
+  /**
+   * <code>repeated .wasabimount.job.EarlyCancellation early_cancellations = 5;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.wasabimount.protocol.job.EarlyCancellation> getEarlyCancellationsList() {
+    return earlyCancellations_;
+  }
+  /**
+   * <code>repeated .wasabimount.job.EarlyCancellation early_cancellations = 5;</code>
+   */
+  public java.util.List<? extends org.wasabimount.protocol.job.EarlyCancellationOrBuilder> 
+      getEarlyCancellationsOrBuilderList() {
+    return earlyCancellations_;
+  }
+  /**
+   * <code>repeated .wasabimount.job.EarlyCancellation early_cancellations = 5;</code>
+   */
+  @java.lang.Override
+  public int getEarlyCancellationsCount() {
+    return earlyCancellations_.size();
+  }
+  /**
+   * <code>repeated .wasabimount.job.EarlyCancellation early_cancellations = 5;</code>
+   */
+  @java.lang.Override
+  public org.wasabimount.protocol.job.EarlyCancellation getEarlyCancellations(int index) {
+    return earlyCancellations_.get(index);
+  }
+  /**
+   * <code>repeated .wasabimount.job.EarlyCancellation early_cancellations = 5;</code>
+   */
+  public org.wasabimount.protocol.job.EarlyCancellationOrBuilder getEarlyCancellationsOrBuilder(
+      int index) {
+    return earlyCancellations_.get(index);
+  }
+  private void ensureEarlyCancellationsIsMutable() {
+    com.google.protobuf.Internal.ProtobufList<org.wasabimount.protocol.job.EarlyCancellation> tmp = earlyCancellations_;
+    if (!tmp.isModifiable()) {
+      earlyCancellations_ =
+          com.google.protobuf.GeneratedMessageLite.mutableCopy(tmp);
+     }
+  }
+
+  /**
+   * <code>repeated .wasabimount.job.EarlyCancellation early_cancellations = 5;</code>
+   */
+  private void setEarlyCancellations(
+      int index, org.wasabimount.protocol.job.EarlyCancellation value) {
+    java.util.Objects.requireNonNull(value);
+    ensureEarlyCancellationsIsMutable();
+    earlyCancellations_.set(index, value);
+  }
+  /**
+   * <code>repeated .wasabimount.job.EarlyCancellation early_cancellations = 5;</code>
+   */
+  private void addEarlyCancellations(org.wasabimount.protocol.job.EarlyCancellation value) {
+    java.util.Objects.requireNonNull(value);
+    ensureEarlyCancellationsIsMutable();
+    earlyCancellations_.add(value);
+  }
+  /**
+   * <code>repeated .wasabimount.job.EarlyCancellation early_cancellations = 5;</code>
+   */
+  private void addEarlyCancellations(
+      int index, org.wasabimount.protocol.job.EarlyCancellation value) {
+    java.util.Objects.requireNonNull(value);
+    ensureEarlyCancellationsIsMutable();
+    earlyCancellations_.add(index, value);
+  }
+  /**
+   * <code>repeated .wasabimount.job.EarlyCancellation early_cancellations = 5;</code>
+   */
+  private void addAllEarlyCancellations(
+      java.lang.Iterable<? extends org.wasabimount.protocol.job.EarlyCancellation> values) {
+    ensureEarlyCancellationsIsMutable();
+    com.google.protobuf.AbstractMessageLite.addAll(
+        values, earlyCancellations_);
+  }
+  /**
+   * <code>repeated .wasabimount.job.EarlyCancellation early_cancellations = 5;</code>
+   */
+  private void clearEarlyCancellations() {
+    earlyCancellations_ = emptyProtobufList();
+  }
+  /**
+   * <code>repeated .wasabimount.job.EarlyCancellation early_cancellations = 5;</code>
+   */
+  private void removeEarlyCancellations(int index) {
+    ensureEarlyCancellationsIsMutable();
+    earlyCancellations_.remove(index);
+  }
+
   public static org.wasabimount.protocol.job.JobSnapshot parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -799,6 +894,108 @@
       return this;
     }
 
+    /**
+     * <code>repeated .wasabimount.job.EarlyCancellation early_cancellations = 5;</code>
+     */
+    @java.lang.Override
+    public java.util.List<org.wasabimount.protocol.job.EarlyCancellation> getEarlyCancellationsList() {
+      return java.util.Collections.unmodifiableList(
+          instance.getEarlyCancellationsList());
+    }
+    /**
+     * <code>repeated .wasabimount.job.EarlyCancellation early_cancellations = 5;</code>
+     */
+    @java.lang.Override
+    public int getEarlyCancellationsCount() {
+      return instance.getEarlyCancellationsCount();
+    }/**
+     * <code>repeated .wasabimount.job.EarlyCancellation early_cancellations = 5;</code>
+     */
+    @java.lang.Override
+    public org.wasabimount.protocol.job.EarlyCancellation getEarlyCancellations(int index) {
+      return instance.getEarlyCancellations(index);
+    }
+    /**
+     * <code>repeated .wasabimount.job.EarlyCancellation early_cancellations = 5;</code>
+     */
+    public Builder setEarlyCancellations(
+        int index, org.wasabimount.protocol.job.EarlyCancellation value) {
+      copyOnWrite();
+      instance.setEarlyCancellations(index, value);
+      return this;
+    }
+    /**
+     * <code>repeated .wasabimount.job.EarlyCancellation early_cancellations = 5;</code>
+     */
+    public Builder setEarlyCancellations(
+        int index, org.wasabimount.protocol.job.EarlyCancellation.Builder builderForValue) {
+      copyOnWrite();
+      instance.setEarlyCancellations(index,
+          builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>repeated .wasabimount.job.EarlyCancellation early_cancellations = 5;</code>
+     */
+    public Builder addEarlyCancellations(org.wasabimount.protocol.job.EarlyCancellation value) {
+      copyOnWrite();
+      instance.addEarlyCancellations(value);
+      return this;
+    }
+    /**
+     * <code>repeated .wasabimount.job.EarlyCancellation early_cancellations = 5;</code>
+     */
+    public Builder addEarlyCancellations(
+        int index, org.wasabimount.protocol.job.EarlyCancellation value) {
+      copyOnWrite();
+      instance.addEarlyCancellations(index, value);
+      return this;
+    }
+    /**
+     * <code>repeated .wasabimount.job.EarlyCancellation early_cancellations = 5;</code>
+     */
+    public Builder addEarlyCancellations(
+        org.wasabimount.protocol.job.EarlyCancellation.Builder builderForValue) {
+      copyOnWrite();
+      instance.addEarlyCancellations(builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>repeated .wasabimount.job.EarlyCancellation early_cancellations = 5;</code>
+     */
+    public Builder addEarlyCancellations(
+        int index, org.wasabimount.protocol.job.EarlyCancellation.Builder builderForValue) {
+      copyOnWrite();
+      instance.addEarlyCancellations(index,
+          builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>repeated .wasabimount.job.EarlyCancellation early_cancellations = 5;</code>
+     */
+    public Builder addAllEarlyCancellations(
+        java.lang.Iterable<? extends org.wasabimount.protocol.job.EarlyCancellation> values) {
+      copyOnWrite();
+      instance.addAllEarlyCancellations(values);
+      return this;
+    }
+    /**
+     * <code>repeated .wasabimount.job.EarlyCancellation early_cancellations = 5;</code>
+     */
+    public Builder clearEarlyCancellations() {
+      copyOnWrite();
+      instance.clearEarlyCancellations();
+      return this;
+    }
+    /**
+     * <code>repeated .wasabimount.job.EarlyCancellation early_cancellations = 5;</code>
+     */
+    public Builder removeEarlyCancellations(int index) {
+      copyOnWrite();
+      instance.removeEarlyCancellations(index);
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:wasabimount.job.JobSnapshot)
   }
   @java.lang.Override
@@ -823,10 +1020,12 @@
             org.wasabimount.protocol.job.JobState.class,
             "silentWorkers_",
             org.wasabimount.protocol.job.SilentWorker.class,
+            "earlyCancellations_",
+            org.wasabimount.protocol.job.EarlyCancellation.class,
           };
           java.lang.String info =
-              "\u0000\u0004\u0000\u0001\u0001\u0004\u0004\u0000\u0003\u0000\u0001\u1009\u0000\u0002" +
-              "\u001b\u0003\u001b\u0004\u001b";
+              "\u0000\u0005\u0000\u0001\u0001\u0005\u0005\u0000\u0004\u0000\u0001\u1009\u0000\u0002" +
+              "\u001b\u0003\u001b\u0004\u001b\u0005\u001b";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/protocol/src/main/java/org/wasabimount/protocol/job/JobSnapshotOrBuilder.java
+++ b/protocol/src/main/java/org/wasabimount/protocol/job/JobSnapshotOrBuilder.java
@@ -62,4 +62,18 @@
    * <code>repeated .wasabimount.job.SilentWorker silent_workers = 4;</code>
    */
   int getSilentWorkersCount();
+
+  /**
+   * <code>repeated .wasabimount.job.EarlyCancellation early_cancellations = 5;</code>
+   */
+  java.util.List<org.wasabimount.protocol.job.EarlyCancellation> 
+      getEarlyCancellationsList();
+  /**
+   * <code>repeated .wasabimount.job.EarlyCancellation early_cancellations = 5;</code>
+   */
+  org.wasabimount.protocol.job.EarlyCancellation getEarlyCancellations(int index);
+  /**
+   * <code>repeated .wasabimount.job.EarlyCancellation early_cancellations = 5;</code>
+   */
+  int getEarlyCancellationsCount();
 }
