A new worker is recorded once it has answered at its address

Cause: JobTable.seeWorker takes an announcement as proof that whoever had the address, or the id with an earlier birth, has ended. Anyone may announce any address, id or birth. That the service was unknown, the reviewer's guess, was not the cause: a known one does the same.

Why it works: the leader asks the announced address, naming the id as each order does, and records the incarnation only if it answers with the announced birth. Two processes can't listen at one address, so then the others have ended indeed. An announcement that is not confirmed is acknowledged and leaves no trace in the log, whatever it says; at most 128 are asked at a time. Known incarnations announce themselves as before.

A response that can't be handled counts as none; before, the worker was never called again. UnexpectedErrorTest makes the clock fail where an announcement is recorded, now also in the response to the new call; the fakes of it and of FullRingTest answer that call.

--- a/core/src/main/java/org/wasabimount/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/Dispatcher.java
@@ -202,7 +202,45 @@
     }
 
     /**
-     * Receives a worker's announcement.
+     * Returns the call by which a worker has to confirm its announcement before {@link #announcementReceived}, because
+     * anyone may announce any worker at any address: a new incarnation ends the one before and those at its address.
+     *
+     * @param announcement the announcement
+     * @return the call to the announced address, empty if the incarnation is known
+     */
+    public Optional<DispatchAction.RenewLease> confirmationCall(Announce announcement) {
+        return workers.trackedWorker(IncarnationId.of(announcement.getLife())).isPresent()
+                ? Optional.empty()
+                : Optional.of(workers.confirmationCall(announcement));
+    }
+
+    /**
+     * Receives the response to a {@link #confirmationCall}.
+     *
+     * @param announcement the announcement
+     * @param result the response
+     * @return the command to propose, empty if the announced incarnation does not respond at its address, or if there is
+     *     nothing to record
+     */
+    public Optional<JobCommand> announcementAnswered(Announce announcement, LeaseRenewalResult result) {
+        WorkerLife life = announcement.getLife();
+        boolean confirmed = result.outcome() == OrderOutcome.DONE
+                && (result.bornMillis() == life.getBornMillis() || result.bornMillis() == 0);
+        if (!confirmed) {
+            LOG.log(
+                    System.Logger.Level.INFO,
+                    "WORKER not confirmed worker={0} address={1} answer={2} born={3}",
+                    IncarnationId.of(life),
+                    life.getAddress(),
+                    result.outcome(),
+                    Long.toString(result.bornMillis()));
+            return Optional.empty();
+        }
+        return announcementReceived(announcement);
+    }
+
+    /**
+     * Receives an announcement that a worker has confirmed, or that is about a known incarnation.
      *
      * @param announcement the announcement
      * @return the command to propose so that later leaders know of a new or changed worker, empty if there is nothing
--- a/core/src/main/java/org/wasabimount/core/dispatch/WorkerManager.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/WorkerManager.java
@@ -186,6 +186,11 @@
         }
     }
 
+    /** Returns a call that grants no lease and acknowledges nothing, to which only the announced worker responds. */
+    DispatchAction.RenewLease confirmationCall(Announce announcement) {
+        return new DispatchAction.RenewLease(WorkerEntry.of(announcement), 0, fence, 0, 0);
+    }
+
     /** Takes over an announcement of a known worker; returns false if a later one has arrived before. */
     boolean announcementReceived(TrackedWorker trackedWorker, Announce announcement, long nowMillis) {
         wake(trackedWorker);
--- a/core/src/main/java/org/wasabimount/core/job/WorkerEntry.java
+++ b/core/src/main/java/org/wasabimount/core/job/WorkerEntry.java
@@ -1,6 +1,7 @@
 package org.wasabimount.core.job;
 
 import org.wasabimount.core.cell.Capacity;
+import org.wasabimount.protocol.job.Announce;
 import org.wasabimount.protocol.job.WorkerLife;
 
 /** The replicated state of a worker's current incarnation. */
@@ -22,6 +23,16 @@
         this.offset = offset;
     }
 
+    /**
+     * Returns the entry of a worker that has announced itself.
+     *
+     * @param announcement the announcement
+     * @return an entry that is not in any table
+     */
+    public static WorkerEntry of(Announce announcement) {
+        return new WorkerEntry(announcement.getLife(), announcement.getSequence(), announcement.getClockMillis(), 0);
+    }
+
     /**
      * Returns the data that the worker announced about this incarnation.
      *
--- a/core/src/test/java/org/wasabimount/core/dispatch/SimulatedCell.java
+++ b/core/src/test/java/org/wasabimount/core/dispatch/SimulatedCell.java
@@ -244,15 +244,28 @@
         });
     }
 
-    private void deliver(Announce announcement) {
-        if (!leaderSuspended) {
-            dispatcher.at(nowMillis);
-            dispatcher
-                    .announcementReceived(announcement)
-                    .ifPresent(workerUpdate -> execute(new DispatchAction.Propose(workerUpdate)));
+    /** Delivers an announcement, whoever has sent it. */
+    void deliver(Announce announcement) {
+        if (leaderSuspended) {
+            return;
+        }
+        dispatcher.at(nowMillis);
+        Dispatcher receiver = dispatcher;
+        Optional<DispatchAction.RenewLease> call = dispatcher.confirmationCall(announcement);
+        if (call.isEmpty()) {
+            record(dispatcher.announcementReceived(announcement));
+        } else {
+            renewLease(
+                    call.get(),
+                    receiver,
+                    (result, requestedMillis) -> record(receiver.announcementAnswered(announcement, result)));
         }
     }
 
+    private void record(Optional<JobCommand> workerUpdate) {
+        workerUpdate.ifPresent(command -> execute(new DispatchAction.Propose(command)));
+    }
+
     /** Delivers a notice that a worker has left. */
     void leave(String worker) {
         dispatcher.at(nowMillis);
@@ -405,7 +418,11 @@
                             sender.stopCompleted(stop.run(), stop.worker().id(), result, clock),
                     sender);
         } else if (action instanceof DispatchAction.RenewLease renewLease) {
-            renewLease(renewLease, sender);
+            renewLease(
+                    renewLease,
+                    sender,
+                    (result, requestedMillis) ->
+                            sender.leaseRenewalCompleted(renewLease.worker().id(), result, requestedMillis));
         } else if (action instanceof DispatchAction.RequestAdvice requestAdvice) {
             callAdvice(requestAdvice, sender);
         }
@@ -460,7 +477,11 @@
         }
     }
 
-    private void renewLease(DispatchAction.RenewLease renewLease, Dispatcher sender) {
+    private interface RenewalHandler {
+        void accept(LeaseRenewalResult result, long requestedMillis);
+    }
+
+    private void renewLease(DispatchAction.RenewLease renewLease, Dispatcher sender, RenewalHandler resultHandler) {
         leaseRenewals++;
         long requestedMillis = nowMillis;
         String address = renewLease.worker().incarnation().getAddress();
@@ -471,29 +492,25 @@
                         CALL_TIMEOUT_MILLIS,
                         () -> deliver(
                                 sender,
-                                () -> sender.leaseRenewalCompleted(
-                                        renewLease.worker().id(),
-                                        LeaseRenewalResult.withoutList(OrderOutcome.NO_ANSWER),
-                                        requestedMillis)));
+                                () -> resultHandler.accept(
+                                        LeaseRenewalResult.withoutList(OrderOutcome.NO_ANSWER), requestedMillis)));
                 return;
             }
             if (!worker.id.equals(renewLease.worker().incarnation().getWorker())) {
                 deliver(
                         sender,
-                        () -> sender.leaseRenewalCompleted(
-                                renewLease.worker().id(),
-                                LeaseRenewalResult.withoutList(OrderOutcome.OTHER_LIFE),
-                                requestedMillis));
+                        () -> resultHandler.accept(
+                                LeaseRenewalResult.withoutList(OrderOutcome.OTHER_LIFE), requestedMillis));
                 return;
             }
             LeaseRenewalResult initialResult = worker.renewLease(renewLease);
             completeRenewal(
-                    renewLease, sender, worker, initialResult, requestedMillis, nowMillis + renewLease.waitMillis());
+                    resultHandler, sender, worker, initialResult, requestedMillis, nowMillis + renewLease.waitMillis());
         });
     }
 
     private void completeRenewal(
-            DispatchAction.RenewLease renewLease,
+            RenewalHandler resultHandler,
             Dispatcher sender,
             SimulatedWorker worker,
             LeaseRenewalResult currentResult,
@@ -507,21 +524,17 @@
                     CALL_TIMEOUT_MILLIS,
                     () -> deliver(
                             sender,
-                            () -> sender.leaseRenewalCompleted(
-                                    renewLease.worker().id(),
-                                    LeaseRenewalResult.withoutList(OrderOutcome.NO_ANSWER),
-                                    requestedMillis)));
+                            () -> resultHandler.accept(
+                                    LeaseRenewalResult.withoutList(OrderOutcome.NO_ANSWER), requestedMillis)));
         } else if (responseDue) {
             after(
                     NETWORK_DELAY_MILLIS,
-                    () -> deliver(
-                            sender,
-                            () -> sender.leaseRenewalCompleted(
-                                    renewLease.worker().id(), currentResult, requestedMillis)));
+                    () -> deliver(sender, () -> resultHandler.accept(currentResult, requestedMillis)));
         } else {
             after(
                     stepMillis,
-                    () -> completeRenewal(renewLease, sender, worker, worker.listRuns(), requestedMillis, untilMillis));
+                    () -> completeRenewal(
+                            resultHandler, sender, worker, worker.listRuns(), requestedMillis, untilMillis));
         }
     }
 
--- a/daemon/src/main/java/org/wasabimount/daemon/job/JobLeader.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/job/JobLeader.java
@@ -57,6 +57,12 @@
     /** Time before a dispatcher that has failed starts again, in milliseconds; a few rounds of calls to workers. */
     private static final long RESTART_DELAY_MILLIS = 500;
 
+    /** Maximum number of workers that are being asked to confirm their announcement; bounds what false ones cost. */
+    private static final int MAX_OPEN_CONFIRMATIONS = 128;
+
+    /** Time after which a worker that was not asked announces itself again, in milliseconds: one announcement interval. */
+    private static final long CONFIRMATION_RETRY_MILLIS = 1_500;
+
     private final GroupThread group;
     private final JobStateMachine stateMachine;
     private final DispatchSettings settings;
@@ -73,6 +79,7 @@
     private final Set<String> excludedJobs = new HashSet<>();
     private Dispatcher dispatcher;
     private int openProposals;
+    private int openConfirmations;
     private long restartMillis = Long.MIN_VALUE;
     private long term;
 
@@ -248,7 +255,44 @@
     }
 
     private CompletableFuture<Reply> announce(Announce announcement) {
-        Optional<JobCommand> recordCommand = dispatcher.announcementReceived(announcement);
+        Optional<DispatchAction.RenewLease> call = dispatcher.confirmationCall(announcement);
+        if (call.isEmpty()) {
+            return record(dispatcher.announcementReceived(announcement));
+        }
+        if (openConfirmations >= MAX_OPEN_CONFIRMATIONS) {
+            return refuse(new Refusal(
+                    ResultCode.QUEUE_FULL, "too many new workers announce themselves", CONFIRMATION_RETRY_MILLIS));
+        }
+        openConfirmations++;
+        Dispatcher current = dispatcher;
+        CompletableFuture<Reply> reply = new CompletableFuture<>();
+        renewLease(call.get()).thenAccept(result -> {
+            metrics.orderCompleted("confirm", result.outcome());
+            submitOrDefer(() -> announcementAnswered(current, announcement, result, reply));
+        });
+        return reply;
+    }
+
+    private void announcementAnswered(
+            Dispatcher current, Announce announcement, LeaseRenewalResult result, CompletableFuture<Reply> reply) {
+        openConfirmations--;
+        if (dispatcher != current) {
+            reply.complete(group.notLeader());
+            return;
+        }
+        try {
+            dispatcher.at(clock.millis());
+            record(dispatcher.announcementAnswered(announcement, result)).thenAccept(reply::complete);
+        } catch (RuntimeException e) {
+            LOG.log(
+                    System.Logger.Level.ERROR,
+                    "JOB announcement of " + announcement.getLife().getWorker() + " failed",
+                    e);
+            reply.complete(reply(Refusal.of(ResultCode.INTERNAL, "the operation failed unexpectedly")));
+        }
+    }
+
+    private CompletableFuture<Reply> record(Optional<JobCommand> recordCommand) {
         if (recordCommand.isEmpty()) {
             return CompletableFuture.completedFuture(Reply.getDefaultInstance());
         }
@@ -374,7 +418,7 @@
             long requestedMillis = clock.millis();
             // A lease renewed by a deposed leader would last beyond the time that its successor waits for.
             CompletableFuture<LeaseRenewalResult> renewalResult = mayDecide()
-                    ? workers.renewLease(renewal)
+                    ? renewLease(renewal)
                     : CompletableFuture.completedFuture(LeaseRenewalResult.withoutList(OrderOutcome.NOT_SENT));
             renewalResult.thenAccept(response -> {
                 metrics.orderCompleted("hold", response.outcome());
@@ -385,6 +429,17 @@
         }
     }
 
+    /** Calls a worker; a response that can't be handled counts as none, as the worker would never be called again. */
+    private CompletableFuture<LeaseRenewalResult> renewLease(DispatchAction.RenewLease renewal) {
+        return workers.renewLease(renewal).exceptionally(e -> {
+            LOG.log(
+                    System.Logger.Level.ERROR,
+                    "WORKER response failed worker=" + renewal.worker().id(),
+                    e);
+            return LeaseRenewalResult.withoutList(OrderOutcome.NO_ANSWER);
+        });
+    }
+
     /** Sends an order if the leader's lease is still valid: this thread may have been suspended since the decision. */
     private CompletableFuture<OrderResult> sendOrder(String kind, Supplier<CompletableFuture<OrderResult>> order) {
         CompletableFuture<OrderResult> result =
@@ -401,9 +456,12 @@
      * runs after the next batch: a response that is lost would leave its order open for the rest of the term.
      */
     private void submitInTerm(Dispatcher current, Runnable event) {
-        Runnable eventInTerm = () -> runInTerm(current, event);
-        if (!group.submit(eventInTerm)) {
-            deferredEvents.add(eventInTerm);
+        submitOrDefer(() -> runInTerm(current, event));
+    }
+
+    private void submitOrDefer(Runnable event) {
+        if (!group.submit(event)) {
+            deferredEvents.add(event);
         }
     }
 
--- a/daemon/src/test/java/org/wasabimount/daemon/job/FullRingTest.java
+++ b/daemon/src/test/java/org/wasabimount/daemon/job/FullRingTest.java
@@ -36,11 +36,13 @@
     private static final long TIMEOUT_SECONDS = 20;
 
     private final BlockingQueue<CompletableFuture<LeaseRenewalResult>> renewals = new LinkedBlockingQueue<>();
+    private volatile boolean confirmed;
     private JobGroup group;
 
     @BeforeMethod
     public void startLeader() throws IOException {
         renewals.clear();
+        confirmed = false;
         WorkerCalls workers = new WorkerCalls() {
             @Override
             public CompletableFuture<OrderResult> start(DispatchAction.Start order) {
@@ -54,6 +56,10 @@
 
             @Override
             public CompletableFuture<LeaseRenewalResult> renewLease(DispatchAction.RenewLease order) {
+                if (!confirmed) {
+                    confirmed = true;
+                    return CompletableFuture.completedFuture(emptyList());
+                }
                 CompletableFuture<LeaseRenewalResult> renewal = new CompletableFuture<>();
                 renewals.add(renewal);
                 return renewal;
--- a/daemon/src/test/java/org/wasabimount/daemon/job/UnexpectedErrorTest.java
+++ b/daemon/src/test/java/org/wasabimount/daemon/job/UnexpectedErrorTest.java
@@ -7,7 +7,9 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Supplier;
 
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -38,10 +40,11 @@
     private volatile boolean clockFails;
     private volatile boolean workFails;
     private volatile int failures;
+    private volatile Supplier<CompletableFuture<LeaseRenewalResult>> renewal;
     private JobGroup group;
 
     private long wallMillis() {
-        if (clockFails && calledBy("announce") || workFails && calledBy("work") && !calledBy("mayDecide")) {
+        if (clockFails && calledBy("record") || workFails && calledBy("work") && !calledBy("mayDecide")) {
             failures++;
             throw new IllegalStateException("the clock fails");
         }
@@ -55,6 +58,9 @@
 
     @BeforeMethod
     public void startLeader() throws IOException {
+        clockFails = false;
+        renewal = () -> CompletableFuture.completedFuture(
+                new LeaseRenewalResult(OrderOutcome.DONE, 1_000, 1, List.of(), List.of()));
         WorkerCalls workers = new WorkerCalls() {
             @Override
             public CompletableFuture<OrderResult> start(DispatchAction.Start order) {
@@ -68,7 +74,7 @@
 
             @Override
             public CompletableFuture<LeaseRenewalResult> renewLease(DispatchAction.RenewLease order) {
-                return new CompletableFuture<>();
+                return renewal.get();
             }
         };
         group = new JobGroup(
@@ -127,6 +133,23 @@
         assertEquals(failure.get(), null);
     }
 
+    /** Guards against a worker that is not called again after a response that can't be handled. */
+    @Test(timeOut = 60_000)
+    public void responseThatFailsUnexpectedlyCountsAsNone() throws InterruptedException {
+        awaitLeadership();
+        renewal = () -> CompletableFuture.failedFuture(new IllegalStateException("the response can't be handled"));
+        assertEquals(group.execute(announce("w1")).join().getResultCode(), ResultCode.OK.number());
+        AtomicInteger calls = new AtomicInteger();
+        renewal = () -> {
+            calls.incrementAndGet();
+            return CompletableFuture.failedFuture(new IllegalStateException("the response can't be handled"));
+        };
+        while (calls.get() < 3) {
+            Thread.sleep(20);
+        }
+        assertEquals(failure.get(), null);
+    }
+
     /** Guards against a state or response at which the dispatcher fails, and with it one leader after the other. */
     @Test(timeOut = 60_000)
     public void dispatcherThatFailsUnexpectedlyStartsAgain() throws InterruptedException {
