An announcement can't move a worker to another address or service

A heartbeat with the id and the birth of a worker, and another address, service or rack, was recorded: orders went to the other address until the worker's next heartbeat.

Cause: Dispatcher recorded every difference between two announcements of one incarnation, though only its capacity and its draining can change.

Evidence: three rows of ForeignAnnouncementTest failed before ("another address", "another service", "another rack").

Why it works: an announcement that contradicts the recorded one in anything else is acknowledged and ignored.

--- a/core/src/main/java/org/wasabimount/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/Dispatcher.java
@@ -249,6 +249,19 @@
     public Optional<JobCommand> announcementReceived(Announce announcement) {
         IncarnationId incarnation = IncarnationId.of(announcement.getLife());
         Optional<TrackedWorker> recordedState = workers.trackedWorker(incarnation);
+        boolean contradicts = recordedState
+                .map(TrackedWorker::entry)
+                .filter(entry -> !describesSameProcess(entry.incarnation(), announcement.getLife()))
+                .isPresent();
+        if (contradicts) {
+            LOG.log(
+                    System.Logger.Level.INFO,
+                    "WORKER announcement ignored worker={0} address={1} pool={2} reason=differs from the recorded one",
+                    incarnation,
+                    announcement.getLife().getAddress(),
+                    announcement.getLife().getPool());
+            return Optional.empty();
+        }
         boolean overtaken = recordedState.isPresent()
                 && !workers.announcementReceived(recordedState.get(), announcement, nowMillis);
         if (overtaken) {
@@ -268,6 +281,15 @@
                 : Optional.empty();
     }
 
+    /** Returns whether two announcements of an incarnation agree in what can't change during its life. */
+    private static boolean describesSameProcess(WorkerLife recorded, WorkerLife announced) {
+        return recorded.equals(announced)
+                || recorded.equals(announced.toBuilder()
+                        .setCapacity(recorded.getCapacity())
+                        .setDraining(recorded.getDraining())
+                        .build());
+    }
+
     private static boolean differs(WorkerLife recordedState, WorkerLife announcedState) {
         // Draining cannot be undone; an announcement sent before the worker began to drain may still arrive.
         return !recordedState.equals(announcedState) && (!recordedState.getDraining() || announcedState.getDraining());
--- a/core/src/test/java/org/wasabimount/core/dispatch/ForeignAnnouncementTest.java
+++ b/core/src/test/java/org/wasabimount/core/dispatch/ForeignAnnouncementTest.java
@@ -49,6 +49,9 @@
             {"a later birth", change(life -> life.setBornMillis(life.getBornMillis() + LATER_MILLIS))},
             {"the latest birth", change(life -> life.setBornMillis(Long.MAX_VALUE))},
             {"no birth", change(life -> life.setBornMillis(0))},
+            {"another address", change(life -> life.setAddress("elsewhere:1"))},
+            {"another service", change(life -> life.setPool("shipping"))},
+            {"another rack", change(life -> life.setRack("r9"))},
             {
                 "another id that drains",
                 change(life -> life.setWorker("shipper-1").setDraining(true))
