Jobs wait until a worker has shown one of their tasks

Cause: JobTable.place set the phase ACTIVE when a placement was committed, before its start was sent. Workers that left the start unanswered carried it out seconds later.

Why it works: what is told follows from what a worker has shown: an answered start, a run in its list, or an end. The phase in the table still says that a job was placed, which is what the dispatcher needs.

--- a/core/src/main/java/org/wasabimount/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/Dispatcher.java
@@ -22,6 +22,7 @@
 import org.wasabimount.core.job.TaskId;
 import org.wasabimount.core.job.WorkerEntry;
 import org.wasabimount.protocol.job.Announce;
+import org.wasabimount.protocol.job.BeginJobs;
 import org.wasabimount.protocol.job.ForgetJobs;
 import org.wasabimount.protocol.job.JobCommand;
 import org.wasabimount.protocol.job.JobSpec;
@@ -50,7 +51,10 @@
     /** Interval between checks for steps whose time has come, in milliseconds; a part of the allowed delay. */
     private static final long DUE_CHECK_INTERVAL_MILLIS = 40;
 
-    /** Interval at which announced capacities are recorded, in milliseconds; a part of the time for which they hold. */
+    /**
+     * Interval at which announced capacities and begun jobs are recorded, in milliseconds; a part of the time for which
+     * capacities hold.
+     */
     private static final long CONFIRM_INTERVAL_MILLIS = 1_000;
 
     /** Interval between scans for ended jobs to forget, in milliseconds. */
@@ -83,6 +87,9 @@
     /** The steps that wait for the time at which they are due. */
     private final Set<OpenStep> scheduledSteps = new LinkedHashSet<>();
 
+    /** The jobs that have begun, of which that is not recorded in the table yet. */
+    private final Set<String> begunJobs = new LinkedHashSet<>();
+
     private final Map<String, Queue> queuesByName = new HashMap<>();
     private long queuesVersion = Long.MIN_VALUE;
     private List<DispatchAction> actions = new ArrayList<>();
@@ -118,6 +125,7 @@
         this.excludedJobs = Set.copyOf(excludedJobs);
         this.nowMillis = nowMillis;
         this.workers = new WorkerManager(settings, table, fence, this::add, examined, nowMillis);
+        this.workers.setBegunListener(this::begun);
         this.waits = new WaitSampler(workers, advice);
         this.placement = new StepPlacement(workers, advice, waits, order, this::add, this::proposed, examined);
         this.waits.setIdleSampler(new IdleSampler(idleJobs, workers, advice, placement)::sample);
@@ -387,6 +395,20 @@
         }
     }
 
+    /**
+     * Returns whether a task of a job has begun: a worker has shown that it has had one.
+     *
+     * @param job the job
+     * @return true from then on
+     */
+    public boolean begun(Job job) {
+        return job.begun() || begunJobs.contains(job.id());
+    }
+
+    private void begun(TaskId task) {
+        table.job(task.job()).filter(job -> !job.begun()).ifPresent(job -> begunJobs.add(job.id()));
+    }
+
     /**
      * Decides whether a job may be accepted.
      *
@@ -433,12 +455,22 @@
         if (commitsAnyway && nowMillis >= confirmDueMillis) {
             confirmDueMillis = nowMillis + CONFIRM_INTERVAL_MILLIS;
             workers.confirmCapacities().ifPresent(command -> add(new DispatchAction.Propose(command)));
+            recordBegunJobs();
         }
         List<DispatchAction> dueActions = actions;
         actions = new ArrayList<>();
         return dueActions;
     }
 
+    private void recordBegunJobs() {
+        begunJobs.removeIf(id -> table.job(id).map(Job::begun).orElse(true));
+        if (!begunJobs.isEmpty()) {
+            add(new DispatchAction.Propose(JobCommand.newBuilder()
+                    .setBegin(BeginJobs.newBuilder().addAllJobs(begunJobs))
+                    .build()));
+        }
+    }
+
     /** Reads the queues again if they have changed: a waiting step follows the current definition of its queue. */
     private void readQueues() {
         if (table.queues().getVersion() != queuesVersion) {
--- a/core/src/main/java/org/wasabimount/core/dispatch/WorkerManager.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/WorkerManager.java
@@ -129,6 +129,7 @@
     private final SilenceLog silences = new SilenceLog();
     private final SlowWorkerDetector slowWorkerDetector = new SlowWorkerDetector();
     private Runnable gangWithheld = () -> {};
+    private Consumer<TaskId> begun = task -> {};
 
     private record RunFailure(TaskId task, IncarnationId incarnation, long atMillis) {}
 
@@ -163,6 +164,11 @@
         gangWithheld = listener;
     }
 
+    /** Sets the listener for tasks of which a worker shows that it has them; it may be called again for each run. */
+    void setBegunListener(Consumer<TaskId> listener) {
+        begun = listener;
+    }
+
     Collection<TrackedWorker> trackedWorkers() {
         return trackedWorkers.values();
     }
@@ -546,7 +552,10 @@
         }
         trackedRun.unanswered(result == OrderOutcome.NO_ANSWER);
         switch (result) {
-            case DONE -> trackedRun.runs(nowMillis);
+            case DONE -> {
+                trackedRun.runs(nowMillis);
+                begun.accept(run.task());
+            }
             case NO_ANSWER, NOT_SENT -> {
                 recordFirstUnansweredCall(trackedWorker, "start", result, nowMillis);
                 trackedWorker.recordUnansweredCall();
@@ -802,7 +811,10 @@
                 .filter(run -> trackedWorker.run(run) == null)
                 .toList();
         trackedWorker.strays(sizeOf(strays));
-        strays.forEach(run -> stopStray(trackedWorker, run));
+        strays.forEach(run -> {
+            begun.accept(run.task());
+            stopStray(trackedWorker, run);
+        });
     }
 
     /** Quarantines a worker that is much slower than others, and stops its slow runs so that they run elsewhere. */
@@ -822,6 +834,9 @@
     }
 
     private OptionalDouble recordProgress(TrackedRun trackedRun, LeaseRenewalResult.RunProgress row, long nowMillis) {
+        if (trackedRun.state() != TrackedRun.State.RUNNING) {
+            begun.accept(trackedRun.id().task());
+        }
         if (!trackedRun.state().ending() && trackedRun.state() != TrackedRun.State.RUNNING) {
             trackedRun.runs(nowMillis);
         }
--- a/core/src/main/java/org/wasabimount/core/job/Job.java
+++ b/core/src/main/java/org/wasabimount/core/job/Job.java
@@ -22,6 +22,7 @@
     private final long acceptedMillis;
     private final Map<Integer, List<List<JobTask>>> occurrences = new TreeMap<>();
     private JobPhase phase = JobPhase.QUEUED;
+    private boolean begun;
     private long endedMillis;
 
     Job(JobSpec spec, Queue queue, long acceptedMillis) {
@@ -187,6 +188,20 @@
         return phase != JobPhase.QUEUED;
     }
 
+    /**
+     * Returns whether a task of the job has begun, as far as it is recorded: a worker has shown that it has had one. A
+     * placement alone does not count, as its start may be carried out late or never.
+     *
+     * @return true from then on
+     */
+    public boolean begun() {
+        return begun;
+    }
+
+    void begin() {
+        begun = true;
+    }
+
     boolean has(TaskId task) {
         return occurrences.containsKey(task.occurrence())
                 && task.step() >= 0
@@ -220,7 +235,8 @@
                 .setQueue(queue)
                 .setPhase(phase)
                 .setAcceptedMillis(acceptedMillis)
-                .setEndedMillis(endedMillis);
+                .setEndedMillis(endedMillis)
+                .setBegun(begun);
         tasks().filter(task -> !task.inInitialState()).map(JobTask::toState).forEach(state::addTasks);
         return state.build();
     }
@@ -229,6 +245,7 @@
         Job job = new Job(state.getSpec(), state.getQueue(), state.getAcceptedMillis());
         job.phase = state.getPhase();
         job.endedMillis = state.getEndedMillis();
+        job.begun = state.getBegun();
         state.getTasksList().forEach(task -> job.task(TaskId.of(task.getTask())).restore(task));
         return job;
     }
--- a/core/src/main/java/org/wasabimount/core/job/JobTable.java
+++ b/core/src/main/java/org/wasabimount/core/job/JobTable.java
@@ -248,6 +248,7 @@
             case FORGET -> forget(command.getForget().getJobsList());
             case PUT_QUEUES -> putQueues(command.getPutQueues());
             case CONFIRM_CAPACITIES -> confirmCapacities(command.getConfirmCapacities());
+            case BEGIN -> begin(command.getBegin().getJobsList());
             case BODY_NOT_SET -> ResultCode.UNKNOWN_KIND;
         };
     }
@@ -376,6 +377,11 @@
                         .isPresent();
     }
 
+    private ResultCode begin(List<String> ids) {
+        ids.forEach(id -> job(id).ifPresent(Job::begin));
+        return ResultCode.OK;
+    }
+
     private ResultCode endRuns(EndRuns command, long nowMillis) {
         IncarnationId incarnation = new IncarnationId(command.getWorker(), command.getBornMillis());
         WorkerEntry worker = workers.get(command.getWorker());
@@ -396,6 +402,7 @@
     }
 
     private void recordEnd(Job job, JobTask task, End end, IncarnationId incarnation) {
+        job.begin();
         boolean current = task.runs(end.getRun(), incarnation);
         if (end.getKind() == EndKind.DONE && (current || task.awaitsPlacement())) {
             finish(job, task, end.getRun());
--- a/core/src/test/java/org/wasabimount/core/job/JobTableTest.java
+++ b/core/src/test/java/org/wasabimount/core/job/JobTableTest.java
@@ -9,6 +9,7 @@
 import org.wasabimount.core.ResultCode;
 import org.wasabimount.protocol.cell.Quantity;
 import org.wasabimount.protocol.job.AcceptJob;
+import org.wasabimount.protocol.job.BeginJobs;
 import org.wasabimount.protocol.job.CancelJob;
 import org.wasabimount.protocol.job.End;
 import org.wasabimount.protocol.job.EndKind;
@@ -371,6 +372,17 @@
         assertEquals(table.job("job0").orElseThrow().phase(), JobPhase.QUEUED);
     }
 
+    /** Guards against a next leader that counts jobs as waiting whose tasks run on workers that it can't reach. */
+    @Test
+    public void begunJobsAreKeptInSnapshot() {
+        accept("job1", 1, false);
+        place(new TaskId("job1", 0, 0, 0), 1, "w1", 10);
+        assertFalse(table.job("job1").orElseThrow().begun());
+        apply(JobCommand.newBuilder().setBegin(BeginJobs.newBuilder().addJobs("job1")));
+        table = JobTable.restore(table.snapshot());
+        assertTrue(table.job("job1").orElseThrow().begun());
+    }
+
     private ResultCode cancel(String job) {
         return apply(JobCommand.newBuilder().setCancel(CancelJob.newBuilder().setJob(job)));
     }
--- a/daemon/src/main/java/org/wasabimount/daemon/job/JobLeader.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/job/JobLeader.java
@@ -190,7 +190,7 @@
 
     private Reply state(JobQuery query) {
         return table().job(query.getJob())
-                .map(job -> response(JobAnswer.newBuilder().setPhase(job.phase())))
+                .map(job -> response(JobAnswer.newBuilder().setPhase(waits(job) ? JobPhase.QUEUED : job.phase())))
                 .orElseGet(() -> reply(queueAt(query.getAt()).isPresent() ? noJob(query) : noQueue(query.getAt())));
     }
 
@@ -223,12 +223,17 @@
             return reply(noQueue(at));
         }
         long waiting = table().jobs().stream()
-                .filter(job -> job.phase() == JobPhase.QUEUED
-                        && job.queue().getName().equals(queue.get().getName()))
+                .filter(job ->
+                        waits(job) && job.queue().getName().equals(queue.get().getName()))
                 .count();
         return response(JobAnswer.newBuilder().setWaiting(waiting));
     }
 
+    /** Returns whether no task of an open job has begun; its tasks may be placed. */
+    private boolean waits(Job job) {
+        return job.open() && !dispatcher.begun(job);
+    }
+
     private CompletableFuture<Reply> putQueues(QueueTable next) {
         Optional<Refusal> refusal = QueueCheck.check(next);
         LOG.log(
--- a/protocol/src/main/java/org/wasabimount/protocol/job/JobCommand.java
+++ b/protocol/src/main/java/org/wasabimount/protocol/job/JobCommand.java
@@ -30,6 +30,7 @@
     FORGET(9),
     PUT_QUEUES(10),
     CONFIRM_CAPACITIES(11),
+    BEGIN(12),
     BODY_NOT_SET(0);
     private final int value;
     private BodyCase(int value) {
@@ -55,6 +56,7 @@
         case 9: return FORGET;
         case 10: return PUT_QUEUES;
         case 11: return CONFIRM_CAPACITIES;
+        case 12: return BEGIN;
         case 0: return BODY_NOT_SET;
         default: return null;
       }
@@ -614,6 +616,56 @@
     }
   }
 
+  public static final int BEGIN_FIELD_NUMBER = 12;
+  /**
+   * <code>.wasabimount.job.BeginJobs begin = 12;</code>
+   */
+  @java.lang.Override
+  public boolean hasBegin() {
+    return bodyCase_ == 12;
+  }
+  /**
+   * <code>.wasabimount.job.BeginJobs begin = 12;</code>
+   */
+  @java.lang.Override
+  public org.wasabimount.protocol.job.BeginJobs getBegin() {
+    if (bodyCase_ == 12) {
+       return (org.wasabimount.protocol.job.BeginJobs) body_;
+    }
+    return org.wasabimount.protocol.job.BeginJobs.getDefaultInstance();
+  }
+  /**
+   * <code>.wasabimount.job.BeginJobs begin = 12;</code>
+   */
+  private void setBegin(org.wasabimount.protocol.job.BeginJobs value) {
+    java.util.Objects.requireNonNull(value);
+    body_ = value;
+    bodyCase_ = 12;
+  }
+  /**
+   * <code>.wasabimount.job.BeginJobs begin = 12;</code>
+   */
+  private void mergeBegin(org.wasabimount.protocol.job.BeginJobs value) {
+    java.util.Objects.requireNonNull(value);
+    if (bodyCase_ == 12 &&
+        body_ != org.wasabimount.protocol.job.BeginJobs.getDefaultInstance()) {
+      body_ = org.wasabimount.protocol.job.BeginJobs.newBuilder((org.wasabimount.protocol.job.BeginJobs) body_)
+          .mergeFrom(value).buildPartial();
+    } else {
+      body_ = value;
+    }
+    bodyCase_ = 12;
+  }
+  /**
+   * <code>.wasabimount.job.BeginJobs begin = 12;</code>
+   */
+  private void clearBegin() {
+    if (bodyCase_ == 12) {
+      bodyCase_ = 0;
+      body_ = null;
+    }
+  }
+
   public static org.wasabimount.protocol.job.JobCommand parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -1243,6 +1295,54 @@
       return this;
     }
 
+    /**
+     * <code>.wasabimount.job.BeginJobs begin = 12;</code>
+     */
+    @java.lang.Override
+    public boolean hasBegin() {
+      return instance.hasBegin();
+    }
+    /**
+     * <code>.wasabimount.job.BeginJobs begin = 12;</code>
+     */
+    @java.lang.Override
+    public org.wasabimount.protocol.job.BeginJobs getBegin() {
+      return instance.getBegin();
+    }
+    /**
+     * <code>.wasabimount.job.BeginJobs begin = 12;</code>
+     */
+    public Builder setBegin(org.wasabimount.protocol.job.BeginJobs value) {
+      copyOnWrite();
+      instance.setBegin(value);
+      return this;
+    }
+    /**
+     * <code>.wasabimount.job.BeginJobs begin = 12;</code>
+     */
+    public Builder setBegin(
+        org.wasabimount.protocol.job.BeginJobs.Builder builderForValue) {
+      copyOnWrite();
+      instance.setBegin(builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>.wasabimount.job.BeginJobs begin = 12;</code>
+     */
+    public Builder mergeBegin(org.wasabimount.protocol.job.BeginJobs value) {
+      copyOnWrite();
+      instance.mergeBegin(value);
+      return this;
+    }
+    /**
+     * <code>.wasabimount.job.BeginJobs begin = 12;</code>
+     */
+    public Builder clearBegin() {
+      copyOnWrite();
+      instance.clearBegin();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:wasabimount.job.JobCommand)
   }
   @java.lang.Override
@@ -1272,11 +1372,12 @@
             org.wasabimount.protocol.job.ForgetJobs.class,
             org.wasabimount.protocol.job.QueueTable.class,
             org.wasabimount.protocol.job.ConfirmCapacities.class,
+            org.wasabimount.protocol.job.BeginJobs.class,
           };
           java.lang.String info =
-              "\u0000\u000b\u0001\u0000\u0001\u000b\u000b\u0000\u0000\u0000\u0001\u0002\u0002<\u0000" +
-              "\u0003<\u0000\u0004<\u0000\u0005<\u0000\u0006<\u0000\u0007<\u0000\b<\u0000\t<\u0000" +
-              "\n<\u0000\u000b<\u0000";
+              "\u0000\f\u0001\u0000\u0001\f\f\u0000\u0000\u0000\u0001\u0002\u0002<\u0000\u0003<" +
+              "\u0000\u0004<\u0000\u0005<\u0000\u0006<\u0000\u0007<\u0000\b<\u0000\t<\u0000\n<\u0000" +
+              "\u000b<\u0000\f<\u0000";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/protocol/src/main/java/org/wasabimount/protocol/job/JobCommandOrBuilder.java
+++ b/protocol/src/main/java/org/wasabimount/protocol/job/JobCommandOrBuilder.java
@@ -130,5 +130,16 @@
    */
   org.wasabimount.protocol.job.ConfirmCapacities getConfirmCapacities();
 
+  /**
+   * <code>.wasabimount.job.BeginJobs begin = 12;</code>
+   * @return Whether the begin field is set.
+   */
+  boolean hasBegin();
+  /**
+   * <code>.wasabimount.job.BeginJobs begin = 12;</code>
+   * @return The begin.
+   */
+  org.wasabimount.protocol.job.BeginJobs getBegin();
+
   public org.wasabimount.protocol.job.JobCommand.BodyCase getBodyCase();
 }
--- a/protocol/src/main/java/org/wasabimount/protocol/job/JobState.java
+++ b/protocol/src/main/java/org/wasabimount/protocol/job/JobState.java
@@ -345,6 +345,44 @@
     bitField0_ = (bitField0_ & ~0x00000002);
   }
 
+  public static final int BEGUN_FIELD_NUMBER = 7;
+  private boolean begun_;
+  /**
+   * <pre>
+   * A worker has shown that it has had a task of the job.
+   * </pre>
+   *
+   * <code>bool begun = 7;</code>
+   * @return The begun.
+   */
+  @java.lang.Override
+  public boolean getBegun() {
+    return begun_;
+  }
+  /**
+   * <pre>
+   * A worker has shown that it has had a task of the job.
+   * </pre>
+   *
+   * <code>bool begun = 7;</code>
+   * @param value The begun to set.
+   */
+  private void setBegun(boolean value) {
+    
+    begun_ = value;
+  }
+  /**
+   * <pre>
+   * A worker has shown that it has had a task of the job.
+   * </pre>
+   *
+   * <code>bool begun = 7;</code>
+   */
+  private void clearBegun() {
+
+    begun_ = false;
+  }
+
   public static org.wasabimount.protocol.job.JobState parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -789,6 +827,46 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * A worker has shown that it has had a task of the job.
+     * </pre>
+     *
+     * <code>bool begun = 7;</code>
+     * @return The begun.
+     */
+    @java.lang.Override
+    public boolean getBegun() {
+      return instance.getBegun();
+    }
+    /**
+     * <pre>
+     * A worker has shown that it has had a task of the job.
+     * </pre>
+     *
+     * <code>bool begun = 7;</code>
+     * @param value The begun to set.
+     * @return This builder for chaining.
+     */
+    public Builder setBegun(boolean value) {
+      copyOnWrite();
+      instance.setBegun(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * A worker has shown that it has had a task of the job.
+     * </pre>
+     *
+     * <code>bool begun = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearBegun() {
+      copyOnWrite();
+      instance.clearBegun();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:wasabimount.job.JobState)
   }
   @java.lang.Override
@@ -813,10 +891,11 @@
             "tasks_",
             org.wasabimount.protocol.job.TaskState.class,
             "queue_",
+            "begun_",
           };
           java.lang.String info =
-              "\u0000\u0006\u0000\u0001\u0001\u0006\u0006\u0000\u0001\u0000\u0001\u1009\u0000\u0002" +
-              "\f\u0003\u0002\u0004\u0002\u0005\u001b\u0006\u1009\u0001";
+              "\u0000\u0007\u0000\u0001\u0001\u0007\u0007\u0000\u0001\u0000\u0001\u1009\u0000\u0002" +
+              "\f\u0003\u0002\u0004\u0002\u0005\u001b\u0006\u1009\u0001\u0007\u0007";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/protocol/src/main/java/org/wasabimount/protocol/job/JobStateOrBuilder.java
+++ b/protocol/src/main/java/org/wasabimount/protocol/job/JobStateOrBuilder.java
@@ -80,4 +80,14 @@
    * @return The queue.
    */
   org.wasabimount.protocol.job.Queue getQueue();
+
+  /**
+   * <pre>
+   * A worker has shown that it has had a task of the job.
+   * </pre>
+   *
+   * <code>bool begun = 7;</code>
+   * @return The begun.
+   */
+  boolean getBegun();
 }
