A gang of tasks without a size starts on two workers

Cause: Capacity.timesIn is Long.MAX_VALUE for such a size, and the sum over two workers overflows in StepPlacement.startInFreeRoom.

Evidence: DispatcherTest.startsGangOfTasksWithoutSize failed before with 2 workers: QUEUED after 100 ms with all workers free.

Why it works: the count is at most Integer.MAX_VALUE, so that those of all workers can be added.

--- a/core/src/main/java/org/wasabimount/core/cell/Capacity.java
+++ b/core/src/main/java/org/wasabimount/core/cell/Capacity.java
@@ -86,10 +86,11 @@
      * Returns how many times this fits into another capacity.
      *
      * @param available the other capacity; negative dimensions count as zero
-     * @return the count, {@link Long#MAX_VALUE} if this is zero in every dimension
+     * @return the count, {@link Integer#MAX_VALUE} at most, so that the counts of all workers can be added
      */
     public long timesIn(Capacity available) {
-        long times = cpuMillis == 0 ? Long.MAX_VALUE : Math.max(0, available.cpuMillis) / cpuMillis;
+        long times = Integer.MAX_VALUE;
+        times = cpuMillis == 0 ? times : Math.min(times, Math.max(0, available.cpuMillis) / cpuMillis);
         times = memoryMegabytes == 0
                 ? times
                 : Math.min(times, Math.max(0, available.memoryMegabytes) / memoryMegabytes);
--- a/core/src/test/java/org/wasabimount/core/dispatch/DispatcherTest.java
+++ b/core/src/test/java/org/wasabimount/core/dispatch/DispatcherTest.java
@@ -190,6 +190,21 @@
         assertNoViolations();
     }
 
+    /** Guards against a gang that waits although all is free, because the slots for tasks without a size overflow. */
+    @Test
+    public void startsGangOfTasksWithoutSize() {
+        for (int workers = 1; workers <= 4; workers++) {
+            cell = new SimulatedCell(7);
+            cell.workMillis(5_000);
+            cell.addresses(workers).forEach(address -> cell.worker("w" + address, address, WORKER));
+            cell.run(SETTLE_MILLIS);
+            cell.submit(cell.job("gang1", 3, Capacity.NONE, true));
+            cell.run(100);
+            assertEquals(cell.phase("gang1"), JobPhase.ACTIVE, workers + " workers");
+            assertNoViolations();
+        }
+    }
+
     @Test
     public void startsAllTasksOfGang() {
         cell.submit(cell.job("gang1", 8, LARGE, true));
