Refuse jobs of more than 262,144 bytes

The number of tasks of a job was bounded, the length of its texts (image, rack, label) only by the body of a request, 4 MiB.

Evidence: JobCheckTest.rejectsJobOfUnboundedSize failed before.

Why it works: the limit is that of the body which the operators' configurations allow their clients.

--- a/core/src/main/java/org/wasabimount/core/job/JobCheck.java
+++ b/core/src/main/java/org/wasabimount/core/job/JobCheck.java
@@ -15,6 +15,9 @@
     /** Maximum number of characters in a payload, so that one log entry can carry every job of a burst. */
     public static final int MAX_PAYLOAD_CHARACTERS = 4_096;
 
+    /** Maximum size of a whole job in bytes; the platform's clients send no larger request. */
+    public static final int MAX_JOB_BYTES = 262_144;
+
     /** Maximum number of tasks of one job over all its occurrences; each task takes memory on every replica. */
     public static final int MAX_TASKS = 20_000;
 
@@ -38,6 +41,9 @@
         if (spec.getPayload().length() > MAX_PAYLOAD_CHARACTERS) {
             return refuse(ResultCode.TOO_LARGE, "the payload has more than " + MAX_PAYLOAD_CHARACTERS + " characters");
         }
+        if (spec.getSerializedSize() > MAX_JOB_BYTES) {
+            return refuse(ResultCode.TOO_LARGE, "the job has more than " + MAX_JOB_BYTES + " bytes");
+        }
         if (spec.getStepsCount() == 0) {
             return refuse(ResultCode.INVALID_VALUE, "the job has no steps");
         }
--- a/core/src/test/java/org/wasabimount/core/job/JobCheckTest.java
+++ b/core/src/test/java/org/wasabimount/core/job/JobCheckTest.java
@@ -35,4 +35,14 @@
                 check(Step.newBuilder().setCount(1).setEstimateMillis(Long.MAX_VALUE)),
                 Optional.of(ResultCode.INVALID_VALUE));
     }
+
+    /** Guards against memory that hundreds of jobs with long names of images and racks take on every replica. */
+    @Test
+    public void rejectsJobOfUnboundedSize() {
+        JobSpec spec = JobSpec.newBuilder()
+                .setId("job1")
+                .addSteps(Step.newBuilder().setCount(1).setImage("i".repeat(262_144)))
+                .build();
+        assertEquals(JobCheck.check(spec).orElseThrow().code(), ResultCode.TOO_LARGE);
+    }
 }
