--- a/core/src/main/java/org/wasabimount/core/job/Job.java
+++ b/core/src/main/java/org/wasabimount/core/job/Job.java
@@ -17,7 +17,7 @@
 /** One accepted job with its tasks. */
 public final class Job {
 
-    private final JobSpec spec;
+    private JobSpec spec;
     private final Queue queue;
     private final long acceptedMillis;
     private final Map<Integer, List<List<JobTask>>> occurrences = new TreeMap<>();
@@ -223,6 +223,8 @@
     void end(JobPhase endPhase, long nowMillis) {
         phase = endPhase;
         endedMillis = nowMillis;
+        // Only starts need the payload; the job is kept for as long as its state may be asked for.
+        spec = spec.toBuilder().clearPayload().build();
     }
 
     boolean allDone() {
--- a/core/src/test/java/org/wasabimount/core/job/JobTableTest.java
+++ b/core/src/test/java/org/wasabimount/core/job/JobTableTest.java
@@ -383,6 +383,24 @@
         assertTrue(table.job("job1").orElseThrow().begun());
     }
 
+    /** Guards against a state whose size follows the texts of jobs that have ended, and exhausts every replica's heap. */
+    @Test
+    public void endedJobsKeepNoPayload() {
+        for (int number = 0; number < 100; number++) {
+            apply(JobCommand.newBuilder()
+                    .setAccept(AcceptJob.newBuilder()
+                            .setQueue(QUEUE)
+                            .setSpec(JobSpec.newBuilder()
+                                    .setId("job" + number)
+                                    .setPayload("x".repeat(4_000))
+                                    .addSteps(Step.newBuilder().setCount(1)))));
+            cancel("job" + number);
+        }
+        assertTrue(
+                table.snapshot().getSerializedSize() < 20_000, table.snapshot().getSerializedSize() + " bytes");
+        assertEquals(table.job("job0").orElseThrow().phase(), JobPhase.CANCELLED);
+    }
+
     private ResultCode cancel(String job) {
         return apply(JobCommand.newBuilder().setCancel(CancelJob.newBuilder().setJob(job)));
     }
--- a/daemon/src/main/java/org/wasabimount/daemon/log/RecordFile.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/log/RecordFile.java
@@ -86,15 +86,26 @@
             channel.position(end);
         }
         incomplete = true;
-        ByteBuffer buffer = frame(payload);
+        if (payload.length < CHUNK_BYTES) {
+            write(ByteBuffer.allocate(HEADER_BYTES + payload.length)
+                    .put(header(payload))
+                    .put(payload)
+                    .flip());
+        } else {
+            write(header(payload));
+            write(ByteBuffer.wrap(payload));
+        }
+        channel.force(false);
+        end += HEADER_BYTES + payload.length;
+        incomplete = false;
+    }
+
+    private void write(ByteBuffer buffer) throws IOException {
         int length = buffer.limit();
         while (buffer.position() < length) {
             buffer.limit(Math.min(length, buffer.position() + CHUNK_BYTES));
             channel.write(buffer);
         }
-        channel.force(false);
-        end += length;
-        incomplete = false;
     }
 
     @Override
@@ -102,10 +113,11 @@
         channel.close();
     }
 
-    static ByteBuffer frame(byte[] payload) {
-        ByteBuffer buffer = ByteBuffer.allocate(HEADER_BYTES + payload.length);
-        buffer.putInt(payload.length).putInt(checksum(payload)).put(payload);
-        return buffer.flip();
+    private static ByteBuffer header(byte[] payload) {
+        return ByteBuffer.allocate(HEADER_BYTES)
+                .putInt(payload.length)
+                .putInt(checksum(payload))
+                .flip();
     }
 
     /** Returns a checksum of the payload and its length; without the length, zeros would be a valid empty record. */
