A job with the id of another queue's job is refused

Cause: jobs are known by their id alone, and a submission whose id was known was acknowledged as a repetition, at whichever queue it came in.

Evidence: RecoveryTest.jobWithIdOfAnotherQueuesJobIsRefused failed before: 200 for the second job.

Why it works: a request belongs to a job only if the queue that accepted the job serves the request's address; that holds for a repetition also after the queue was removed.

--- a/daemon/src/main/java/org/wasabimount/daemon/job/JobLeader.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/job/JobLeader.java
@@ -156,7 +156,9 @@
         JobSpec spec = submit.getSpec();
         Optional<Job> existing = table().job(spec.getId());
         if (existing.isPresent()) {
-            return CompletableFuture.completedFuture(Reply.getDefaultInstance());
+            return existing.filter(job -> submittedAt(job, submit.getAt())).isPresent()
+                    ? CompletableFuture.completedFuture(Reply.getDefaultInstance())
+                    : refuse(Refusal.of(ResultCode.KEY_REUSED, "a job of another queue has the id " + spec.getId()));
         }
         CompletableFuture<Reply> pending = pendingAccepts.get(spec.getId());
         if (pending != null) {
@@ -190,12 +192,14 @@
 
     private Reply state(JobQuery query) {
         return table().job(query.getJob())
+                .filter(job -> submittedAt(job, query.getAt()))
                 .map(job -> response(JobAnswer.newBuilder().setPhase(waits(job) ? JobPhase.QUEUED : job.phase())))
                 .orElseGet(() -> reply(queueAt(query.getAt()).isPresent() ? noJob(query) : noQueue(query.getAt())));
     }
 
     private CompletableFuture<Reply> cancel(String request, JobQuery query) {
-        Optional<Job> job = table().job(query.getJob());
+        Optional<Job> known = table().job(query.getJob());
+        Optional<Job> job = known.filter(candidate -> submittedAt(candidate, query.getAt()));
         LOG.log(
                 System.Logger.Level.INFO,
                 "CANCEL request={0} job={1} phase={2}",
@@ -205,7 +209,8 @@
         if (job.isEmpty() && queueAt(query.getAt()).isEmpty()) {
             return refuse(noQueue(query.getAt()));
         }
-        if (job.isEmpty() && (!JobCheck.validId(query.getJob()) || table().cancelledEarly(query.getJob()))) {
+        boolean recorded = known.isPresent() || table().cancelledEarly(query.getJob());
+        if (job.isEmpty() && (recorded || !JobCheck.validId(query.getJob()))) {
             return refuse(noJob(query));
         }
         // Also recorded for a job that is not known: its submission may arrive later, through a node that was
@@ -217,6 +222,12 @@
                 reply -> reply.getResultCode() == ResultCode.NOT_FOUND.number() ? reply(noJob(query)) : reply);
     }
 
+    /** Returns whether a request is for a job: the queue that accepted the job serves the request's address. */
+    private static boolean submittedAt(Job job, QueueAddress at) {
+        return job.queue().getHost().equals(at.getHost())
+                && at.getPath().startsWith(job.queue().getPathPrefix());
+    }
+
     private Reply countWaiting(QueueAddress at) {
         Optional<Queue> queue = queueAt(at);
         if (queue.isEmpty()) {
