A cancellation of an unknown job counts for two minutes only

What callers saw: nothing yet; found when the change was read again. The term was checked only when another unknown job was cancelled, so the id could stay cancelled for as long as none was.

Evidence: JobTableTest.cancelOfUnknownJobIsForgottenAfterItsTerm failed before: CANCELLED after 200 s.

Why it works: the time of the cancellation is compared when the job is accepted and when it is cancelled again.

--- a/core/src/main/java/org/wasabimount/core/job/EarlyCancellations.java
+++ b/core/src/main/java/org/wasabimount/core/job/EarlyCancellations.java
@@ -20,20 +20,26 @@
 
     /** Records a cancellation, and forgets the oldest ones. */
     void add(String job, long nowMillis) {
-        timesByJob.putIfAbsent(job, nowMillis);
+        timesByJob.put(job, nowMillis);
         Iterator<Long> oldest = timesByJob.values().iterator();
-        while (oldest.hasNext() && (oldest.next() < nowMillis - TERM_MILLIS || timesByJob.size() > MAX_COUNT)) {
+        while (oldest.hasNext() && (!counts(oldest.next(), nowMillis) || timesByJob.size() > MAX_COUNT)) {
             oldest.remove();
         }
     }
 
-    boolean contains(String job) {
-        return timesByJob.containsKey(job);
+    boolean contains(String job, long nowMillis) {
+        return counts(timesByJob.getOrDefault(job, Long.MIN_VALUE), nowMillis);
     }
 
-    /** Removes a cancellation; returns whether there was one. */
-    boolean remove(String job) {
-        return timesByJob.remove(job) != null;
+    /** Removes a cancellation; returns whether there was one that still counts. */
+    boolean remove(String job, long nowMillis) {
+        boolean contained = contains(job, nowMillis);
+        timesByJob.remove(job);
+        return contained;
+    }
+
+    private static boolean counts(long timeMillis, long nowMillis) {
+        return timeMillis >= nowMillis - TERM_MILLIS;
     }
 
     List<EarlyCancellation> toMessages() {
--- a/core/src/main/java/org/wasabimount/core/job/JobTable.java
+++ b/core/src/main/java/org/wasabimount/core/job/JobTable.java
@@ -175,10 +175,11 @@
      * Returns whether a job was cancelled that is not known; it is cancelled as soon as it is accepted.
      *
      * @param id the job's id
+     * @param nowMillis the current time of day, in milliseconds since 1970
      * @return true if its cancellation was recorded lately
      */
-    public boolean cancelledEarly(String id) {
-        return earlyCancellations.contains(id);
+    public boolean cancelledEarly(String id, long nowMillis) {
+        return earlyCancellations.contains(id, nowMillis);
     }
 
     /**
@@ -325,7 +326,7 @@
             Job job = new Job(command.getSpec(), command.getQueue(), nowMillis);
             jobs.put(job.id(), job);
             tell(changes -> changes.accepted(job));
-            if (earlyCancellations.remove(job.id())) {
+            if (earlyCancellations.remove(job.id(), nowMillis)) {
                 endJob(job, JobPhase.CANCELLED, nowMillis);
             }
         }
--- a/core/src/test/java/org/wasabimount/core/job/JobTableTest.java
+++ b/core/src/test/java/org/wasabimount/core/job/JobTableTest.java
@@ -401,6 +401,21 @@
         assertEquals(table.job("job0").orElseThrow().phase(), JobPhase.CANCELLED);
     }
 
+    /** Guards against an id that stays unusable for as long as no other unknown job is cancelled. */
+    @Test
+    public void cancelOfUnknownJobIsForgottenAfterItsTerm() {
+        cancel("job1");
+        table.apply(JobCommand.newBuilder()
+                .setTimeMillis(200_000)
+                .setAccept(AcceptJob.newBuilder()
+                        .setQueue(QUEUE)
+                        .setSpec(JobSpec.newBuilder()
+                                .setId("job1")
+                                .addSteps(Step.newBuilder().setCount(1))))
+                .build());
+        assertEquals(table.job("job1").orElseThrow().phase(), JobPhase.QUEUED);
+    }
+
     private ResultCode cancel(String job) {
         return apply(JobCommand.newBuilder().setCancel(CancelJob.newBuilder().setJob(job)));
     }
--- a/daemon/src/main/java/org/wasabimount/daemon/job/JobLeader.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/job/JobLeader.java
@@ -209,7 +209,7 @@
         if (job.isEmpty() && queueAt(query.getAt()).isEmpty()) {
             return refuse(noQueue(query.getAt()));
         }
-        boolean recorded = known.isPresent() || table().cancelledEarly(query.getJob());
+        boolean recorded = known.isPresent() || table().cancelledEarly(query.getJob(), wallClock.millis());
         if (job.isEmpty() && (recorded || !JobCheck.validId(query.getJob()))) {
             return refuse(noJob(query));
         }
