Fuzz late leaves and announcements of other writers

DispatcherFuzzTest.keepsGuaranteesUnderLateLeavesAndForeignAnnouncements draws workers that drain, leave and start again, leaves that arrive late, announcements of other writers, cuts, cancellations and new leaders.

--- a/core/src/test/java/org/wasabimount/core/dispatch/DispatcherFuzzTest.java
+++ b/core/src/test/java/org/wasabimount/core/dispatch/DispatcherFuzzTest.java
@@ -12,8 +12,10 @@
 import org.wasabimount.core.cell.Capacity;
 import org.wasabimount.core.job.Job;
 import org.wasabimount.core.job.JobTask;
+import org.wasabimount.protocol.job.Announce;
 import org.wasabimount.protocol.job.JobPhase;
 import org.wasabimount.protocol.job.Step;
+import org.wasabimount.protocol.job.WorkerLife;
 
 /** Injects random faults around the dispatcher; {@link SimulatedCell} checks its invariants at every start. */
 public class DispatcherFuzzTest {
@@ -147,6 +149,78 @@
                 .forEach(job -> assertEquals(job.phase(), JobPhase.BROKEN_DOWN, "seed " + seed + ", " + job.id()));
     }
 
+    /**
+     * Draws workers that drain, leave and start again, leaves that arrive late, and announcements of other writers. Draining
+     * workers are not cut off: a leave is believed if the worker drains and does not answer.
+     */
+    @Test(dataProvider = "seeds")
+    public void keepsGuaranteesUnderLateLeavesAndForeignAnnouncements(long seed) {
+        SimulatedCell cell = new SimulatedCell(seed);
+        if (seed % 2 == 0) {
+            cell.withAdvice();
+        }
+        List<String> addresses = cell.addresses(WORKERS);
+        addresses.forEach(address -> cell.worker("w" + address, address, WORKER));
+        cell.run(300);
+        List<String> jobs = new ArrayList<>();
+        List<String> cancelled = new ArrayList<>();
+        for (int round = 0; round < ROUNDS; round++) {
+            String address = addresses.get(cell.random.nextInt(WORKERS));
+            SimulatedWorker worker = cell.byAddress.get(address);
+            switch (cell.random.nextInt(16)) {
+                case 0 -> {
+                    if (!worker.draining) {
+                        cell.disconnectedAddresses.add(address);
+                    }
+                }
+                case 1, 2 -> cell.disconnectedAddresses.clear();
+                case 3 -> worker.draining = !cell.disconnectedAddresses.contains(address);
+                case 4, 5 -> leaveIfDraining(cell, worker);
+                case 6 -> {
+                    if (worker.crashed) {
+                        cell.worker(round % 2 == 0 ? "life" + round : worker.id, address, WORKER);
+                    }
+                }
+                case 7 -> cell.leave(worker.id);
+                case 8, 9 -> announceForeign(cell, worker, round);
+                case 10 -> cell.changeLeader();
+                case 11 -> cancelOne(cell, jobs, cancelled);
+                default -> jobs.add(submitOne(cell, "job" + round));
+            }
+            cell.run(ROUND_MILLIS);
+        }
+        cell.disconnectedAddresses.clear();
+        addresses.stream()
+                .filter(address -> cell.byAddress.get(address).crashed || cell.byAddress.get(address).draining)
+                .forEach(address -> cell.worker("last" + address, address, WORKER));
+        cell.run(RECOVERY_MILLIS);
+        assertEquals(String.join("; ", cell.violations), "", "seed " + seed);
+        jobs.stream()
+                .filter(job -> !cancelled.contains(job))
+                .forEach(job -> assertEquals(cell.phase(job), JobPhase.COMPLETED, "seed " + seed + ", " + job));
+        assertEquals(cell.table.workers().size(), WORKERS, "seed " + seed + ": workers that nobody has");
+    }
+
+    private static void leaveIfDraining(SimulatedCell cell, SimulatedWorker worker) {
+        if (worker.draining && !worker.crashed) {
+            cell.leave(worker.id);
+            worker.kill();
+        }
+    }
+
+    /** Announces the address or the id of a worker as another writer might. */
+    private static void announceForeign(SimulatedCell cell, SimulatedWorker worker, int round) {
+        Announce own = worker.announcement();
+        WorkerLife.Builder life = own.getLife().toBuilder().setDraining(cell.random.nextBoolean());
+        switch (cell.random.nextInt(4)) {
+            case 0 -> life.setWorker("shipper" + round);
+            case 1 -> life.setBornMillis(life.getBornMillis() + 1 + cell.random.nextInt(100_000));
+            case 2 -> life.setBornMillis(0).setAddress("elsewhere:1");
+            default -> life.setAddress("elsewhere:1");
+        }
+        cell.deliver(own.toBuilder().setLife(life).build());
+    }
+
     /** A gang can't start again if the workers that are left and may run it can't hold it. */
     private static boolean workersCanHold(SimulatedCell cell, Job job) {
         Step step = job.step(0);
