--- a/core/src/test/java/org/wasabimount/core/dispatch/DispatcherFuzzTest.java
+++ b/core/src/test/java/org/wasabimount/core/dispatch/DispatcherFuzzTest.java
@@ -150,7 +150,7 @@
     }
 
     /**
-     * Draws workers that drain, leave and start again, leaves that arrive late, and announcements of other writers. Draining
+     * Draws workers that drain, leave and start again, leaves that arrive late, and announcements that no worker has sent. Draining
      * workers are not cut off: a leave is believed if the worker drains and does not answer.
      */
     @Test(dataProvider = "seeds")
@@ -208,7 +208,7 @@
         }
     }
 
-    /** Announces the address or the id of a worker as another writer might. */
+    /** Announces the address or the id of a worker without being that worker. */
     private static void announceForeign(SimulatedCell cell, SimulatedWorker worker, int round) {
         Announce own = worker.announcement();
         WorkerLife.Builder life = own.getLife().toBuilder().setDraining(cell.random.nextBoolean());
--- a/core/src/test/java/org/wasabimount/core/dispatch/ForeignAnnouncementTest.java
+++ b/core/src/test/java/org/wasabimount/core/dispatch/ForeignAnnouncementTest.java
@@ -88,7 +88,7 @@
         assertEquals(cell.starts.get("job2"), 3);
     }
 
-    /** Guards against a worker that is given up while it works, because another writer has announced its address or id. */
+    /** Guards against a worker that is given up while it works, because somebody else has announced its address or id. */
     @Test(dataProvider = "foreignAnnouncements")
     public void foreignAnnouncementDoesNotEndWorker(String name, UnaryOperator<WorkerLife> change) {
         announce(change);
--- a/daemon/src/test/java/org/wasabimount/daemon/job/FullRingTest.java
+++ b/daemon/src/test/java/org/wasabimount/daemon/job/FullRingTest.java
@@ -16,23 +16,16 @@
 import org.wasabimount.core.Clock;
 import org.wasabimount.core.ResultCode;
 import org.wasabimount.core.dispatch.DispatchAction;
-import org.wasabimount.core.dispatch.DispatchSettings;
 import org.wasabimount.core.dispatch.LeaseRenewalResult;
 import org.wasabimount.core.dispatch.OrderOutcome;
-import org.wasabimount.core.log.ReplicaSettings;
-import org.wasabimount.daemon.log.MemoryLogStore;
-import org.wasabimount.daemon.metrics.NodeMetrics;
 import org.wasabimount.protocol.cell.Quantity;
 import org.wasabimount.protocol.job.Announce;
 import org.wasabimount.protocol.job.JobOperation;
 import org.wasabimount.protocol.job.WorkerLife;
-import org.wasabimount.protocol.log.LogSnapshot;
-import org.wasabimount.protocol.log.Membership;
 
 /** Tests that responses of workers are not lost while the group's thread is busy. */
 public class FullRingTest {
 
-    private static final String SELF = "vm0/0";
     private static final long TIMEOUT_SECONDS = 20;
 
     private final BlockingQueue<CompletableFuture<LeaseRenewalResult>> renewals = new LinkedBlockingQueue<>();
@@ -65,22 +58,7 @@
                 return renewal;
             }
         };
-        group = new JobGroup(
-                ReplicaSettings.of(JobGroup.NAME, SELF, 100, 1),
-                LogSnapshot.newBuilder()
-                        .setMembership(Membership.newBuilder().addVoters(SELF))
-                        .build(),
-                new MemoryLogStore(),
-                new JobGroup.Dependencies(
-                        workers,
-                        call -> {},
-                        List::of,
-                        message -> {},
-                        failure -> {},
-                        new NodeMetrics(),
-                        Clock.monotonic(),
-                        Clock.wall()),
-                new DispatchSettings(6_000, 3_000, 120_000, 2_000, 200, 1_500, 3_000));
+        group = SingleReplicaGroup.of(workers, failure -> {}, Clock.wall());
         group.thread().start();
     }
 
--- a/daemon/src/test/java/org/wasabimount/daemon/job/UnexpectedErrorTest.java
+++ b/daemon/src/test/java/org/wasabimount/daemon/job/UnexpectedErrorTest.java
@@ -17,23 +17,16 @@
 import org.wasabimount.core.Clock;
 import org.wasabimount.core.ResultCode;
 import org.wasabimount.core.dispatch.DispatchAction;
-import org.wasabimount.core.dispatch.DispatchSettings;
 import org.wasabimount.core.dispatch.LeaseRenewalResult;
 import org.wasabimount.core.dispatch.OrderOutcome;
-import org.wasabimount.core.log.ReplicaSettings;
-import org.wasabimount.daemon.log.MemoryLogStore;
-import org.wasabimount.daemon.metrics.NodeMetrics;
 import org.wasabimount.protocol.cell.Quantity;
 import org.wasabimount.protocol.job.Announce;
 import org.wasabimount.protocol.job.JobOperation;
 import org.wasabimount.protocol.job.WorkerLife;
-import org.wasabimount.protocol.log.LogSnapshot;
-import org.wasabimount.protocol.log.Membership;
 
 /** Tests that an unexpected error fails the operation that met it and nothing else. */
 public class UnexpectedErrorTest {
 
-    private static final String SELF = "vm0/0";
     private static final long TIMEOUT_SECONDS = 20;
 
     private final AtomicReference<IOException> failure = new AtomicReference<>();
@@ -77,22 +70,7 @@
                 return renewal.get();
             }
         };
-        group = new JobGroup(
-                ReplicaSettings.of(JobGroup.NAME, SELF, 100, 1),
-                LogSnapshot.newBuilder()
-                        .setMembership(Membership.newBuilder().addVoters(SELF))
-                        .build(),
-                new MemoryLogStore(),
-                new JobGroup.Dependencies(
-                        workers,
-                        call -> {},
-                        List::of,
-                        message -> {},
-                        failure::set,
-                        new NodeMetrics(),
-                        Clock.monotonic(),
-                        this::wallMillis),
-                new DispatchSettings(6_000, 3_000, 120_000, 2_000, 200, 1_500, 3_000));
+        group = SingleReplicaGroup.of(workers, failure::set, this::wallMillis);
         group.thread().start();
     }
 
--- a/daemon/src/test/java/org/wasabimount/daemon/job/WaitingJobsTest.java
+++ b/daemon/src/test/java/org/wasabimount/daemon/job/WaitingJobsTest.java
@@ -16,12 +16,8 @@
 import org.testng.annotations.Test;
 import org.wasabimount.core.Clock;
 import org.wasabimount.core.dispatch.DispatchAction;
-import org.wasabimount.core.dispatch.DispatchSettings;
 import org.wasabimount.core.dispatch.LeaseRenewalResult;
 import org.wasabimount.core.dispatch.OrderOutcome;
-import org.wasabimount.core.log.ReplicaSettings;
-import org.wasabimount.daemon.log.MemoryLogStore;
-import org.wasabimount.daemon.metrics.NodeMetrics;
 import org.wasabimount.protocol.cell.Quantity;
 import org.wasabimount.protocol.cell.Reply;
 import org.wasabimount.protocol.job.Announce;
@@ -36,13 +32,10 @@
 import org.wasabimount.protocol.job.Step;
 import org.wasabimount.protocol.job.Submit;
 import org.wasabimount.protocol.job.WorkerLife;
-import org.wasabimount.protocol.log.LogSnapshot;
-import org.wasabimount.protocol.log.Membership;
 
 /** Tests which jobs are said to wait; a placement is a decision, and its start may be carried out late or never. */
 public class WaitingJobsTest {
 
-    private static final String SELF = "vm0/0";
     private static final long TIMEOUT_SECONDS = 20;
     private static final long CALL_MILLIS = 20;
     private static final int JOBS = 3;
@@ -75,22 +68,7 @@
                 return later(new LeaseRenewalResult(OrderOutcome.DONE, 1_000, 1, List.of(), List.of()));
             }
         };
-        group = new JobGroup(
-                ReplicaSettings.of(JobGroup.NAME, SELF, 100, 1),
-                LogSnapshot.newBuilder()
-                        .setMembership(Membership.newBuilder().addVoters(SELF))
-                        .build(),
-                new MemoryLogStore(),
-                new JobGroup.Dependencies(
-                        workers,
-                        call -> {},
-                        List::of,
-                        message -> {},
-                        failure -> {},
-                        new NodeMetrics(),
-                        Clock.monotonic(),
-                        Clock.wall()),
-                new DispatchSettings(6_000, 3_000, 120_000, 2_000, 200, 1_500, 3_000));
+        group = SingleReplicaGroup.of(workers, failure -> {}, Clock.wall());
         group.thread().start();
         await(() -> accepted(JobOperation.newBuilder()
                 .setPutQueues(QueueTable.newBuilder()
