--- a/core/src/test/java/org/wasabimount/core/dispatch/DispatcherFuzzTest.java
+++ b/core/src/test/java/org/wasabimount/core/dispatch/DispatcherFuzzTest.java
@@ -174,7 +174,9 @@
                     }
                 }
                 case 1, 2 -> cell.disconnectedAddresses.clear();
-                case 3 -> worker.draining = !cell.disconnectedAddresses.contains(address);
+                case 3 -> {
+                    worker.draining = worker.draining || !cell.disconnectedAddresses.contains(address);
+                }
                 case 4, 5 -> leaveIfDraining(cell, worker);
                 case 6 -> {
                     if (worker.crashed) {
