--- a/review/stand/TimedJobs.java
+++ b/review/stand/TimedJobs.java
@@ -19,7 +19,7 @@
     private static final int SUBMIT_SECONDS = 50;
     private static final int TIMES = 8;
     private static final int STEPS = 3;
-    private static final int TASKS = 40;
+    private static final int TASKS = 48;
     private static final int FINISH_SECONDS = 14;
     private static final int ASK_SECONDS = 14;
     private static final int CLIENTS = 32;
