--- a/review/stand/TimedJobs.java
+++ b/review/stand/TimedJobs.java
@@ -92,6 +92,9 @@
             });
         }
         clients.shutdown();
+        Thread platform = new Thread(() -> restartEnded(cell), "platform");
+        platform.setDaemon(true);
+        platform.start();
         while (!clients.awaitTermination(10, TimeUnit.SECONDS)) {
             record.line("POST: " + accepted.size() + " accepted, " + refused + " refused, " + unclear
                     + " without a clear answer");
@@ -102,6 +105,24 @@
         return ask(site, accepted);
     }
 
+    /** Starts processes that have ended by themselves again after a second, as the platform does. */
+    private static void restartEnded(Cell cell) {
+        try {
+            while (true) {
+                for (Cell.Node node : cell.controls) {
+                    if (!node.alive()) {
+                        cell.record.line("control " + node.ip + " has ended by itself, status " + node.process.exitValue());
+                        Thread.sleep(1_000);
+                        node.start();
+                    }
+                }
+                Thread.sleep(200);
+            }
+        } catch (Exception e) {
+            cell.record.line("no more restarts: " + e);
+        }
+    }
+
     /** Asks all nodes for accepted jobs; each must be known by one of them. */
     private static int ask(Site site, List<String> accepted) throws Exception {
         Record record = site.record;
