A gang fails once for each run, however many of its tasks fail in it

Cause: JobTable.attempts added up the failures of the members. Two members that fail in one run of a gang used up two attempts, so a gang as wide as max-attempts could be given up in its first run.

Each task now keeps the numbers of its failed runs, and a gang has failed as many runs as its members name together. Tasks that last have no limit and keep no runs.

--- a/core/src/main/java/org/wasabimount/core/dispatch/WorkerManager.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/WorkerManager.java
@@ -757,7 +757,8 @@
         EndRuns.Builder command = EndRuns.newBuilder()
                 .setWorker(trackedWorker.entry().id().worker())
                 .setBornMillis(trackedWorker.entry().id().bornMillis())
-                .setOffset(offset);
+                .setOffset(offset)
+                .setCountedByRun(true);
         ended.forEach(end -> command.addEnds(End.newBuilder()
                 .setTask(end.run().task().toKey())
                 .setRun(end.run().number())
--- a/core/src/main/java/org/wasabimount/core/job/Job.java
+++ b/core/src/main/java/org/wasabimount/core/job/Job.java
@@ -231,6 +231,31 @@
         return spec.getStepsList().stream().noneMatch(Step::getLongRunning) && tasks().allMatch(JobTask::done);
     }
 
+    /** Returns whether the tasks of a step may fail only as often as the queue allows. */
+    boolean limitsAttempts(int step) {
+        return queue.getMaxAttempts() > 0 && !step(step).getLongRunning();
+    }
+
+    /** Returns whether a task that is not done, or its gang, has failed as often as the queue allows. */
+    boolean attemptsExhausted() {
+        return occurrences.values().stream()
+                .flatMap(steps -> IntStream.range(0, steps.size())
+                        .filter(this::limitsAttempts)
+                        .mapToObj(step -> attempts(step, steps.get(step))))
+                .anyMatch(attempts -> attempts >= queue.getMaxAttempts());
+    }
+
+    /** Returns how many attempts of the most frequently failed task have failed; a gang fails once for each run. */
+    private int attempts(int step, List<JobTask> tasks) {
+        List<JobTask> open = tasks.stream().filter(task -> !task.done()).toList();
+        if (!step(step).getGang()) {
+            return open.stream().mapToInt(JobTask::failures).max().orElse(0);
+        }
+        long failedRuns = open.stream().flatMap(JobTask::failedRuns).distinct().count();
+        return (int) failedRuns
+                + open.stream().mapToInt(JobTask::failuresCountedByEnd).sum();
+    }
+
     JobState toState() {
         JobState.Builder state = JobState.newBuilder()
                 .setSpec(spec)
--- a/core/src/main/java/org/wasabimount/core/job/JobTable.java
+++ b/core/src/main/java/org/wasabimount/core/job/JobTable.java
@@ -394,7 +394,7 @@
         for (End end : command.getEndsList()) {
             task(TaskId.of(end.getTask())).ifPresent(task -> {
                 Job job = jobs.get(task.id().job());
-                recordEnd(job, task, end, incarnation);
+                recordEnd(job, task, end, incarnation, command.getCountedByRun());
                 changedJobs.add(job);
             });
         }
@@ -402,7 +402,7 @@
         return ResultCode.OK;
     }
 
-    private void recordEnd(Job job, JobTask task, End end, IncarnationId incarnation) {
+    private void recordEnd(Job job, JobTask task, End end, IncarnationId incarnation, boolean countedByRun) {
         job.begin();
         boolean current = task.runs(end.getRun(), incarnation);
         if (end.getKind() == EndKind.DONE && (current || task.awaitsPlacement())) {
@@ -414,11 +414,19 @@
         }
         task.save(end.getSaved());
         if (end.getKind() == EndKind.FAILED) {
-            task.fail();
+            recordFailure(job, task, end.getRun(), countedByRun);
         }
         release(task, incarnation);
     }
 
+    private static void recordFailure(Job job, JobTask task, int run, boolean countedByRun) {
+        if (countedByRun && job.limitsAttempts(task.id().step())) {
+            task.fail(run);
+        } else {
+            task.fail();
+        }
+    }
+
     /** Records that a worker that had fallen silent lists the end of a run: it has not crashed with it. */
     private void explainSilence(JobTask task, int run, IncarnationId incarnation) {
         if (silentWorkers.remove(incarnation, new RunId(task.id(), run))) {
@@ -451,33 +459,12 @@
             endJob(job, JobPhase.COMPLETED, nowMillis);
             return;
         }
-        boolean attemptsExhausted = job.queue().getMaxAttempts() > 0
-                && job.tasks()
-                        .filter(task ->
-                                !task.done() && !job.step(task.id().step()).getLongRunning())
-                        .anyMatch(task -> attempts(job, task) >= job.queue().getMaxAttempts());
         boolean startsExhausted = job.open() && job.tasks().anyMatch(CrashLimit::exhausted);
-        if (job.open() && (attemptsExhausted || startsExhausted)) {
+        if (job.open() && (job.attemptsExhausted() || startsExhausted)) {
             endJob(job, JobPhase.BROKEN_DOWN, nowMillis);
         }
     }
 
-    /**
-     * Returns how many attempts of a task have failed; in a gang, a failed attempt of one task counts for all tasks.
-     *
-     * @param job the job
-     * @param task one of its tasks
-     * @return the count
-     */
-    public static int attempts(Job job, JobTask task) {
-        boolean gang = job.step(task.id().step()).getGang();
-        return gang
-                ? job.tasks(task.id().occurrence(), task.id().step()).stream()
-                        .mapToInt(JobTask::failures)
-                        .sum()
-                : task.failures();
-    }
-
     private ResultCode loseRuns(LoseRuns command, long nowMillis) {
         Set<Job> changedJobs = new LinkedHashSet<>();
         for (RunKey run : command.getRunsList()) {
--- a/core/src/main/java/org/wasabimount/core/job/JobTask.java
+++ b/core/src/main/java/org/wasabimount/core/job/JobTask.java
@@ -1,6 +1,9 @@
 package org.wasabimount.core.job;
 
 import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.stream.Stream;
 
 import org.wasabimount.protocol.job.TaskState;
 
@@ -12,6 +15,10 @@
     private int run;
     private IncarnationId incarnation;
     private int failures;
+
+    /** The runs that have failed, of those in {@link #failures} that are known by their run. */
+    private Set<Integer> failedRuns = Set.of();
+
     private int crashes;
     private int singleCrashes;
     private int silentWorkers;
@@ -77,6 +84,15 @@
         return failures;
     }
 
+    Stream<Integer> failedRuns() {
+        return failedRuns.stream();
+    }
+
+    /** Returns how many failures are known by their number only, because an earlier build has recorded them. */
+    int failuresCountedByEnd() {
+        return failures - failedRuns.size();
+    }
+
     /**
      * Returns how many workers have crashed with the task.
      *
@@ -178,10 +194,20 @@
         done = true;
     }
 
+    /** Counts a failure for itself. */
     void fail() {
         failures++;
     }
 
+    /** Counts the failure of a run, once. */
+    void fail(int number) {
+        if (!failedRuns.contains(number)) {
+            failures++;
+            failedRuns = new TreeSet<>(failedRuns);
+            failedRuns.add(number);
+        }
+    }
+
     void save(String progress) {
         if (!progress.isEmpty()) {
             saved = progress;
@@ -198,6 +224,7 @@
                 .setDone(done)
                 .setRun(run)
                 .setFailures(failures)
+                .addAllFailedRuns(failedRuns)
                 .setCrashes(crashes)
                 .setSingleCrashes(singleCrashes)
                 .setLimitedStarts(limitedStarts)
@@ -213,6 +240,7 @@
         done = state.getDone();
         run = state.getRun();
         failures = state.getFailures();
+        failedRuns = state.getFailedRunsCount() == 0 ? Set.of() : new TreeSet<>(state.getFailedRunsList());
         crashes = state.getCrashes();
         singleCrashes = state.getSingleCrashes();
         limitedStarts = state.getLimitedStarts();
--- a/core/src/test/java/org/wasabimount/core/dispatch/SimulatedCell.java
+++ b/core/src/test/java/org/wasabimount/core/dispatch/SimulatedCell.java
@@ -75,6 +75,9 @@
 
     final Map<String, Integer> starts = new HashMap<>();
 
+    /** Whether the failure of one task of a gang ends the others before they can fail themselves. */
+    boolean failureBreaksGang = true;
+
     /** Selects the tasks that crash every worker that starts them. */
     Predicate<TaskId> crashingTasks = task -> false;
 
@@ -128,6 +131,7 @@
             new PriorityQueue<>(Comparator.comparingLong(Event::atMillis).thenComparingLong(Event::number));
     private final Set<TaskId> acknowledgedDone = new HashSet<>();
     private final Map<TaskId, Integer> acknowledgedFailures = new HashMap<>();
+    private final Map<TaskId, Set<Integer>> failedRuns = new HashMap<>();
     private final Map<String, Long> cancelled = new HashMap<>();
     private final Map<TaskId, Integer> crashesByTask = new HashMap<>();
     private final Map<TaskId, Integer> startsBeyondLimit = new HashMap<>();
@@ -688,12 +692,36 @@
         }
     }
 
+    /** Returns how many attempts of a task have ended as failed on a worker; its gang fails once for each run. */
+    int failedAttempts(Job job, TaskId task) {
+        return (int) failedRuns.entrySet().stream()
+                .filter(runs -> job.step(task.step()).getGang()
+                        ? runs.getKey().stepId().equals(task.stepId())
+                        : runs.getKey().equals(task))
+                .flatMap(runs -> runs.getValue().stream())
+                .distinct()
+                .count();
+    }
+
+    /** Returns whether a job may be shown as failed: a task of it, or its gang, has used up its attempts. */
+    boolean attemptsUsedUp(Job job) {
+        return job.tasks()
+                .anyMatch(task -> failedAttempts(job, task.id()) >= job.queue().getMaxAttempts());
+    }
+
     /** Called by a worker when a run ends; ends the other runs of its gang. */
     void runEnded(RunId run, EndKind endKind) {
+        if (endKind == EndKind.FAILED) {
+            failedRuns.computeIfAbsent(run.task(), absent -> new HashSet<>()).add(run.number());
+        }
         if (!isGang(run.task())) {
             return;
         }
         aloneEnds += endKind == EndKind.ALONE ? 1 : 0;
+        if (endKind == EndKind.FAILED && !failureBreaksGang) {
+            alive().forEach(worker -> worker.neverCompletes(run));
+            return;
+        }
         for (SimulatedWorker worker : alive()) {
             for (RunId other : List.copyOf(worker.activeRuns.keySet())) {
                 if (other.task().stepId().equals(run.task().stepId()) && other.number() == run.number()) {
--- a/core/src/test/java/org/wasabimount/core/dispatch/SimulatedWorker.java
+++ b/core/src/test/java/org/wasabimount/core/dispatch/SimulatedWorker.java
@@ -158,6 +158,15 @@
         run.endsMillis = stalled ? Long.MAX_VALUE : cell.nowMillis() + workMillis;
     }
 
+    /** Keeps the other tasks of a gang from completing after one has failed; those that fail, too, still do so. */
+    void neverCompletes(RunId failed) {
+        activeRuns.entrySet().stream()
+                .filter(run -> run.getKey().task().stepId().equals(failed.task().stepId())
+                        && run.getKey().number() == failed.number()
+                        && run.getValue().endKind == EndKind.DONE)
+                .forEach(run -> run.getValue().endsMillis = Long.MAX_VALUE - 1);
+    }
+
     /** Resumes stalled tasks and restores normal speed for later ones. */
     void recover() {
         slowdownFactor = 1;
--- a/protocol/src/main/java/org/wasabimount/protocol/job/EndRuns.java
+++ b/protocol/src/main/java/org/wasabimount/protocol/job/EndRuns.java
@@ -215,6 +215,47 @@
     ends_.remove(index);
   }
 
+  public static final int COUNTED_BY_RUN_FIELD_NUMBER = 5;
+  private boolean countedByRun_;
+  /**
+   * <pre>
+   * Ends that are failed count once for each run. Not set in commands of earlier builds: there each of them counts, so
+   * that a replica that replays them has the state of those that applied them then.
+   * </pre>
+   *
+   * <code>bool counted_by_run = 5;</code>
+   * @return The countedByRun.
+   */
+  @java.lang.Override
+  public boolean getCountedByRun() {
+    return countedByRun_;
+  }
+  /**
+   * <pre>
+   * Ends that are failed count once for each run. Not set in commands of earlier builds: there each of them counts, so
+   * that a replica that replays them has the state of those that applied them then.
+   * </pre>
+   *
+   * <code>bool counted_by_run = 5;</code>
+   * @param value The countedByRun to set.
+   */
+  private void setCountedByRun(boolean value) {
+    
+    countedByRun_ = value;
+  }
+  /**
+   * <pre>
+   * Ends that are failed count once for each run. Not set in commands of earlier builds: there each of them counts, so
+   * that a replica that replays them has the state of those that applied them then.
+   * </pre>
+   *
+   * <code>bool counted_by_run = 5;</code>
+   */
+  private void clearCountedByRun() {
+
+    countedByRun_ = false;
+  }
+
   public static org.wasabimount.protocol.job.EndRuns parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -523,6 +564,49 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * Ends that are failed count once for each run. Not set in commands of earlier builds: there each of them counts, so
+     * that a replica that replays them has the state of those that applied them then.
+     * </pre>
+     *
+     * <code>bool counted_by_run = 5;</code>
+     * @return The countedByRun.
+     */
+    @java.lang.Override
+    public boolean getCountedByRun() {
+      return instance.getCountedByRun();
+    }
+    /**
+     * <pre>
+     * Ends that are failed count once for each run. Not set in commands of earlier builds: there each of them counts, so
+     * that a replica that replays them has the state of those that applied them then.
+     * </pre>
+     *
+     * <code>bool counted_by_run = 5;</code>
+     * @param value The countedByRun to set.
+     * @return This builder for chaining.
+     */
+    public Builder setCountedByRun(boolean value) {
+      copyOnWrite();
+      instance.setCountedByRun(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Ends that are failed count once for each run. Not set in commands of earlier builds: there each of them counts, so
+     * that a replica that replays them has the state of those that applied them then.
+     * </pre>
+     *
+     * <code>bool counted_by_run = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearCountedByRun() {
+      copyOnWrite();
+      instance.clearCountedByRun();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:wasabimount.job.EndRuns)
   }
   @java.lang.Override
@@ -544,10 +628,11 @@
             "offset_",
             "ends_",
             org.wasabimount.protocol.job.End.class,
+            "countedByRun_",
           };
           java.lang.String info =
-              "\u0000\u0004\u0000\u0000\u0001\u0004\u0004\u0000\u0001\u0000\u0001\u0208\u0002\u0002" +
-              "\u0003\u0002\u0004\u001b";
+              "\u0000\u0005\u0000\u0000\u0001\u0005\u0005\u0000\u0001\u0000\u0001\u0208\u0002\u0002" +
+              "\u0003\u0002\u0004\u001b\u0005\u0007";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/protocol/src/main/java/org/wasabimount/protocol/job/EndRunsOrBuilder.java
+++ b/protocol/src/main/java/org/wasabimount/protocol/job/EndRunsOrBuilder.java
@@ -47,4 +47,15 @@
    * <code>repeated .wasabimount.job.End ends = 4;</code>
    */
   int getEndsCount();
+
+  /**
+   * <pre>
+   * Ends that are failed count once for each run. Not set in commands of earlier builds: there each of them counts, so
+   * that a replica that replays them has the state of those that applied them then.
+   * </pre>
+   *
+   * <code>bool counted_by_run = 5;</code>
+   * @return The countedByRun.
+   */
+  boolean getCountedByRun();
 }
--- a/protocol/src/main/java/org/wasabimount/protocol/job/TaskState.java
+++ b/protocol/src/main/java/org/wasabimount/protocol/job/TaskState.java
@@ -17,6 +17,7 @@
   private TaskState() {
     worker_ = "";
     saved_ = "";
+    failedRuns_ = emptyIntList();
   }
   private int bitField0_;
   public static final int TASK_FIELD_NUMBER = 1;
@@ -448,6 +449,105 @@
     placedMillis_ = 0L;
   }
 
+  public static final int FAILED_RUNS_FIELD_NUMBER = 12;
+  private com.google.protobuf.Internal.IntList failedRuns_;
+  /**
+   * <pre>
+   * The runs that have ended as failed, of those in failures that were counted by run.
+   * </pre>
+   *
+   * <code>repeated int32 failed_runs = 12;</code>
+   * @return A list containing the failedRuns.
+   */
+  @java.lang.Override
+  public java.util.List<java.lang.Integer>
+      getFailedRunsList() {
+    return failedRuns_;
+  }
+  /**
+   * <pre>
+   * The runs that have ended as failed, of those in failures that were counted by run.
+   * </pre>
+   *
+   * <code>repeated int32 failed_runs = 12;</code>
+   * @return The count of failedRuns.
+   */
+  @java.lang.Override
+  public int getFailedRunsCount() {
+    return failedRuns_.size();
+  }
+  /**
+   * <pre>
+   * The runs that have ended as failed, of those in failures that were counted by run.
+   * </pre>
+   *
+   * <code>repeated int32 failed_runs = 12;</code>
+   * @param index The index of the element to return.
+   * @return The failedRuns at the given index.
+   */
+  @java.lang.Override
+  public int getFailedRuns(int index) {
+    return failedRuns_.getInt(index);
+  }
+  private int failedRunsMemoizedSerializedSize = -1;
+  private void ensureFailedRunsIsMutable() {
+    com.google.protobuf.Internal.IntList tmp = failedRuns_;
+    if (!tmp.isModifiable()) {
+      failedRuns_ =
+          com.google.protobuf.GeneratedMessageLite.mutableCopy(tmp);
+     }
+  }
+  /**
+   * <pre>
+   * The runs that have ended as failed, of those in failures that were counted by run.
+   * </pre>
+   *
+   * <code>repeated int32 failed_runs = 12;</code>
+   * @param index The index to set the value at.
+   * @param value The failedRuns to set.
+   */
+  private void setFailedRuns(
+      int index, int value) {
+    ensureFailedRunsIsMutable();
+    failedRuns_.setInt(index, value);
+  }
+  /**
+   * <pre>
+   * The runs that have ended as failed, of those in failures that were counted by run.
+   * </pre>
+   *
+   * <code>repeated int32 failed_runs = 12;</code>
+   * @param value The failedRuns to add.
+   */
+  private void addFailedRuns(int value) {
+    ensureFailedRunsIsMutable();
+    failedRuns_.addInt(value);
+  }
+  /**
+   * <pre>
+   * The runs that have ended as failed, of those in failures that were counted by run.
+   * </pre>
+   *
+   * <code>repeated int32 failed_runs = 12;</code>
+   * @param values The failedRuns to add.
+   */
+  private void addAllFailedRuns(
+      java.lang.Iterable<? extends java.lang.Integer> values) {
+    ensureFailedRunsIsMutable();
+    com.google.protobuf.AbstractMessageLite.addAll(
+        values, failedRuns_);
+  }
+  /**
+   * <pre>
+   * The runs that have ended as failed, of those in failures that were counted by run.
+   * </pre>
+   *
+   * <code>repeated int32 failed_runs = 12;</code>
+   */
+  private void clearFailedRuns() {
+    failedRuns_ = emptyIntList();
+  }
+
   public static org.wasabimount.protocol.job.TaskState parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -994,6 +1094,103 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * The runs that have ended as failed, of those in failures that were counted by run.
+     * </pre>
+     *
+     * <code>repeated int32 failed_runs = 12;</code>
+     * @return A list containing the failedRuns.
+     */
+    @java.lang.Override
+    public java.util.List<java.lang.Integer>
+        getFailedRunsList() {
+      return java.util.Collections.unmodifiableList(
+          instance.getFailedRunsList());
+    }
+    /**
+     * <pre>
+     * The runs that have ended as failed, of those in failures that were counted by run.
+     * </pre>
+     *
+     * <code>repeated int32 failed_runs = 12;</code>
+     * @return The count of failedRuns.
+     */
+    @java.lang.Override
+    public int getFailedRunsCount() {
+      return instance.getFailedRunsCount();
+    }
+    /**
+     * <pre>
+     * The runs that have ended as failed, of those in failures that were counted by run.
+     * </pre>
+     *
+     * <code>repeated int32 failed_runs = 12;</code>
+     * @param index The index of the element to return.
+     * @return The failedRuns at the given index.
+     */
+    @java.lang.Override
+    public int getFailedRuns(int index) {
+      return instance.getFailedRuns(index);
+    }
+    /**
+     * <pre>
+     * The runs that have ended as failed, of those in failures that were counted by run.
+     * </pre>
+     *
+     * <code>repeated int32 failed_runs = 12;</code>
+     * @param value The failedRuns to set.
+     * @return This builder for chaining.
+     */
+    public Builder setFailedRuns(
+        int index, int value) {
+      copyOnWrite();
+      instance.setFailedRuns(index, value);
+      return this;
+    }
+    /**
+     * <pre>
+     * The runs that have ended as failed, of those in failures that were counted by run.
+     * </pre>
+     *
+     * <code>repeated int32 failed_runs = 12;</code>
+     * @param value The failedRuns to add.
+     * @return This builder for chaining.
+     */
+    public Builder addFailedRuns(int value) {
+      copyOnWrite();
+      instance.addFailedRuns(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * The runs that have ended as failed, of those in failures that were counted by run.
+     * </pre>
+     *
+     * <code>repeated int32 failed_runs = 12;</code>
+     * @param values The failedRuns to add.
+     * @return This builder for chaining.
+     */
+    public Builder addAllFailedRuns(
+        java.lang.Iterable<? extends java.lang.Integer> values) {
+      copyOnWrite();
+      instance.addAllFailedRuns(values);
+      return this;
+    }
+    /**
+     * <pre>
+     * The runs that have ended as failed, of those in failures that were counted by run.
+     * </pre>
+     *
+     * <code>repeated int32 failed_runs = 12;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearFailedRuns() {
+      copyOnWrite();
+      instance.clearFailedRuns();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:wasabimount.job.TaskState)
   }
   @java.lang.Override
@@ -1022,11 +1219,12 @@
             "limitedStarts_",
             "singleCrashes_",
             "placedMillis_",
+            "failedRuns_",
           };
           java.lang.String info =
-              "\u0000\u000b\u0000\u0001\u0001\u000b\u000b\u0000\u0000\u0000\u0001\u1009\u0000\u0002" +
-              "\u0007\u0003\u0004\u0004\u0208\u0005\u0002\u0006\u0004\u0007\u0208\b\u0004\t\u0004" +
-              "\n\u0004\u000b\u0002";
+              "\u0000\f\u0000\u0001\u0001\f\f\u0000\u0001\u0000\u0001\u1009\u0000\u0002\u0007\u0003" +
+              "\u0004\u0004\u0208\u0005\u0002\u0006\u0004\u0007\u0208\b\u0004\t\u0004\n\u0004\u000b" +
+              "\u0002\f\'";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/protocol/src/main/java/org/wasabimount/protocol/job/TaskStateOrBuilder.java
+++ b/protocol/src/main/java/org/wasabimount/protocol/job/TaskStateOrBuilder.java
@@ -120,4 +120,33 @@
    * @return The placedMillis.
    */
   long getPlacedMillis();
+
+  /**
+   * <pre>
+   * The runs that have ended as failed, of those in failures that were counted by run.
+   * </pre>
+   *
+   * <code>repeated int32 failed_runs = 12;</code>
+   * @return A list containing the failedRuns.
+   */
+  java.util.List<java.lang.Integer> getFailedRunsList();
+  /**
+   * <pre>
+   * The runs that have ended as failed, of those in failures that were counted by run.
+   * </pre>
+   *
+   * <code>repeated int32 failed_runs = 12;</code>
+   * @return The count of failedRuns.
+   */
+  int getFailedRunsCount();
+  /**
+   * <pre>
+   * The runs that have ended as failed, of those in failures that were counted by run.
+   * </pre>
+   *
+   * <code>repeated int32 failed_runs = 12;</code>
+   * @param index The index of the element to return.
+   * @return The failedRuns at the given index.
+   */
+  int getFailedRuns(int index);
 }
