Failures that are listed after the next placement count

A run that was given up (its worker was silent until its lease had expired, or a later incarnation took its start) may be listed as failed once the task's next run is placed. JobTable.recordEnd dropped that end, so a task could be started once more after max-attempts runs had failed (BUDGET).

Runs are counted by their number now, so such an end counts, and counts once even if two incarnations list it. Numbers that were never placed are ignored. After: the test passes, and so do JobTableTest, FailingWorkersTest and DispatcherFuzzTest.

--- a/core/src/main/java/org/wasabimount/core/job/JobTable.java
+++ b/core/src/main/java/org/wasabimount/core/job/JobTable.java
@@ -408,21 +408,23 @@
         if (end.getKind() == EndKind.DONE && (current || task.awaitsPlacement())) {
             finish(job, task, end.getRun());
         }
+        if (end.getKind() == EndKind.FAILED) {
+            recordFailure(job, task, end.getRun(), current, countedByRun);
+        }
         if (!current) {
             explainSilence(task, end.getRun(), incarnation);
             return;
         }
         task.save(end.getSaved());
-        if (end.getKind() == EndKind.FAILED) {
-            recordFailure(job, task, end.getRun(), countedByRun);
-        }
         release(task, incarnation);
     }
 
-    private static void recordFailure(Job job, JobTask task, int run, boolean countedByRun) {
-        if (countedByRun && job.limitsAttempts(task.id().step())) {
+    private static void recordFailure(Job job, JobTask task, int run, boolean current, boolean countedByRun) {
+        boolean placedOnce = run > 0 && run <= task.run();
+        if (countedByRun && placedOnce && job.limitsAttempts(task.id().step())) {
+            // The run may have been given up before, or taken by a later incarnation; the task has failed all the same.
             task.fail(run);
-        } else {
+        } else if (current) {
             task.fail();
         }
     }
--- a/core/src/test/java/org/wasabimount/core/job/GangAttemptsTest.java
+++ b/core/src/test/java/org/wasabimount/core/job/GangAttemptsTest.java
@@ -15,6 +15,8 @@
 import org.wasabimount.protocol.job.JobCommand;
 import org.wasabimount.protocol.job.JobPhase;
 import org.wasabimount.protocol.job.JobSpec;
+import org.wasabimount.protocol.job.LoseRuns;
+import org.wasabimount.protocol.job.LossCause;
 import org.wasabimount.protocol.job.PlaceRuns;
 import org.wasabimount.protocol.job.Placement;
 import org.wasabimount.protocol.job.Queue;
@@ -173,6 +175,30 @@
         assertEquals(phase("gang"), JobPhase.BROKEN_DOWN);
     }
 
+    /**
+     * Guards against a start after the last attempt: the end of an earlier run that is listed only once the next run has been
+     * placed was not counted.
+     */
+    @Test
+    public void failureListedAfterNextPlacementIsCounted() {
+        for (int run = 1; run < MAX_ATTEMPTS; run++) {
+            apply(JobCommand.newBuilder().setPlace(PlaceRuns.newBuilder().addPlacements(placement(single(), run, 0))));
+            apply(JobCommand.newBuilder()
+                    .setLose(LoseRuns.newBuilder()
+                            .setCause(LossCause.LEASE_EXPIRED)
+                            .addRuns(new RunId(single(), run).toKey(""))));
+        }
+        apply(JobCommand.newBuilder()
+                .setPlace(PlaceRuns.newBuilder().addPlacements(placement(single(), MAX_ATTEMPTS, 1))));
+        for (int run = 1; run < MAX_ATTEMPTS; run++) {
+            list(0, BORN_MILLIS, end(single(), run, EndKind.FAILED));
+        }
+        assertEquals(phase("single"), JobPhase.ACTIVE);
+        assertEquals(table.task(single()).orElseThrow().failures(), MAX_ATTEMPTS - 1);
+        list(1, BORN_MILLIS, end(single(), MAX_ATTEMPTS, EndKind.FAILED));
+        assertEquals(phase("single"), JobPhase.BROKEN_DOWN);
+    }
+
     /** Guards against a failure that counts twice: a later incarnation lists the end that was recorded for the earlier one. */
     @Test
     public void failureListedByTwoIncarnationsCountsOnce() {
