The line on an ended job tells its failed attempts

The users had no logs that tell why a job was shown as failed. "JOB ended" named the phase and the crashes, but not the attempts, so that a job given up too early looked like one whose attempts were used up. It now has failedAttempts and maxAttempts.

--- a/core/src/main/java/org/wasabimount/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/Dispatcher.java
@@ -607,12 +607,14 @@
         ended.accept(job);
         LOG.log(
                 System.Logger.Level.INFO,
-                "JOB ended job={0} queue={1} phase={2} tookMillis={3} crashes={4}",
+                "JOB ended job={0} queue={1} phase={2} tookMillis={3} crashes={4} failedAttempts={5} maxAttempts={6}",
                 job.id(),
                 job.queue().getName(),
                 job.phase(),
                 Long.toString(job.endedMillis() - job.acceptedMillis()),
-                job.tasks().mapToInt(JobTask::crashes).max().orElse(0));
+                job.tasks().mapToInt(JobTask::crashes).max().orElse(0),
+                job.failedAttempts(),
+                job.queue().getMaxAttempts());
     }
 
     @Override
--- a/core/src/main/java/org/wasabimount/core/job/Job.java
+++ b/core/src/main/java/org/wasabimount/core/job/Job.java
@@ -236,17 +236,27 @@
         return queue.getMaxAttempts() > 0 && !step(step).getLongRunning();
     }
 
-    /** Returns whether a task that is not done, or its gang, has failed as often as the queue allows. */
-    boolean attemptsExhausted() {
+    /**
+     * Returns how many attempts have failed of the task, or gang, that has failed most often and is not done.
+     *
+     * @return the count; tasks without a limit are left out
+     */
+    public int failedAttempts() {
         return occurrences.values().stream()
-                .flatMap(steps -> IntStream.range(0, steps.size())
+                .flatMapToInt(steps -> IntStream.range(0, steps.size())
                         .filter(this::limitsAttempts)
-                        .mapToObj(step -> attempts(step, steps.get(step))))
-                .anyMatch(attempts -> attempts >= queue.getMaxAttempts());
+                        .map(step -> failedAttempts(step, steps.get(step))))
+                .max()
+                .orElse(0);
+    }
+
+    /** Returns whether a task that is not done, or its gang, has failed as often as the queue allows. */
+    boolean attemptsExhausted() {
+        return queue.getMaxAttempts() > 0 && failedAttempts() >= queue.getMaxAttempts();
     }
 
-    /** Returns how many attempts of the most frequently failed task have failed; a gang fails once for each run. */
-    private int attempts(int step, List<JobTask> tasks) {
+    /** Returns how many attempts of a step's tasks have failed at most; a gang fails once for each run. */
+    private int failedAttempts(int step, List<JobTask> tasks) {
         List<JobTask> open = tasks.stream().filter(task -> !task.done()).toList();
         if (!step(step).getGang()) {
             return open.stream().mapToInt(JobTask::failures).max().orElse(0);
