A later life is stopped from carrying out starts that it left unanswered

Cause: WorkerManager.laterIncarnationResponded ended the earlier life as soon as the later one listed none of its runs. A start without an answer may still be carried out there: the id in X-Wasabimount-Expect-Instance is the same, and the deadline was made for the older clock. A stop, by which a run that is not there yet is rejected, was sent only within one life.

Now a run is settled in a later life by a list that was requested after its start was answered, or after a stop was answered. Until then the earlier life is not ended. Starts of earlier leaders need no stop: the call that returns the list carries the higher fence. Lists are requested at once and without a lease, which would extend runs that the later life must not have. The lease of the earlier life proves nothing any more once a later one is known, so its runs are given up by time only after the longest delay of an order and the longest lease. "WORKER replaced" in the log names the runs.

--- a/core/src/main/java/org/wasabimount/core/dispatch/TrackedRun.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/TrackedRun.java
@@ -206,6 +206,27 @@
         return state == State.AWAITING_LIST && requestedMillis >= awaitingListSinceMillis;
     }
 
+    /**
+     * Returns whether this leader has sent a start that was not answered, so that whichever incarnation received it may carry
+     * it out late. The starts of earlier leaders are fenced by any call of this one.
+     */
+    boolean mayStartLate() {
+        return unanswered && startAttempts > 0;
+    }
+
+    /**
+     * Returns whether a list of a later incarnation that does not contain the run proves that it will never be there: the
+     * list was requested after the start was answered, or after a stop by which a late start is rejected.
+     */
+    boolean settledInLaterIncarnation(long requestedMillis) {
+        return switch (state) {
+            case STARTING, STOPPING -> false;
+            case AWAITING_LIST -> absenceConfirmedBy(requestedMillis);
+            case LOSING, PROPOSED -> true;
+            default -> !mayStartLate() && requestedMillis >= startedMillis;
+        };
+    }
+
     void losing() {
         state = State.LOSING;
     }
--- a/core/src/main/java/org/wasabimount/core/dispatch/TrackedWorker.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/TrackedWorker.java
@@ -33,7 +33,7 @@
     private Capacity strayCapacity = Capacity.NONE;
     private long lastContactMillis;
     private boolean ending;
-    private boolean replaced;
+    private OptionalLong replacedMillis = OptionalLong.empty();
 
     TrackedWorker(WorkerEntry entry, long leaseMillis, long nowMillis) {
         this.entry = entry;
@@ -211,7 +211,7 @@
     boolean usable(long nowMillis) {
         return runsListed
                 && !ending
-                && !replaced
+                && !replaced()
                 && !draining()
                 && unansweredCalls == 0
                 && capacityKnown(nowMillis)
@@ -226,8 +226,23 @@
     }
 
     /** Records that another incarnation of the worker responds at its address: no more runs may be started there. */
-    void replaced() {
-        replaced = true;
+    void replacedSince(long nowMillis) {
+        if (!replaced()) {
+            replacedMillis = OptionalLong.of(nowMillis);
+        }
+    }
+
+    /** Returns since when another incarnation is known to respond at the worker's address, empty if none is. */
+    OptionalLong replacedMillis() {
+        return replacedMillis;
+    }
+
+    boolean replaced() {
+        return replacedMillis.isPresent();
+    }
+
+    /** Has the next list requested without delay. */
+    void requestListNow() {
         renewalDueMillis = Long.MIN_VALUE;
     }
 
@@ -236,7 +251,7 @@
      * one.
      */
     boolean canStart() {
-        return !replaced && unansweredCalls == 0;
+        return !replaced() && unansweredCalls == 0;
     }
 
     /** Returns whether an order for one of the runs may have reached any incarnation that listens at the address. */
@@ -244,11 +259,6 @@
         return runs.values().stream().anyMatch(run -> run.startAttempts() > 0 || run.unanswered());
     }
 
-    /** Returns whether the outcome of a start is outstanding. */
-    boolean starting() {
-        return runs.values().stream().anyMatch(run -> run.state() == TrackedRun.State.STARTING);
-    }
-
     /**
      * Returns the cores that count for admission, even before the worker has listed its runs to a new leader, in
      * thousandths of a core.
--- a/core/src/main/java/org/wasabimount/core/dispatch/WorkerManager.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/WorkerManager.java
@@ -96,6 +96,9 @@
      */
     private static final long LIST_GRACE_MILLIS = 500;
 
+    /** Longest time after which a worker carries out an order that it has not answered, in milliseconds, from the contract. */
+    private static final long MAX_ORDER_DELAY_MILLIS = 12_000;
+
     /**
      * Number of a task's run from which it is no longer relocated when slow: some tasks take far longer than declared
      * on every worker.
@@ -424,7 +427,7 @@
             if (gangCheckDue && trackedWorker.unansweredCalls() > 0) {
                 stopGangsThatMissTasks(trackedWorker, nowMillis);
             }
-            if (trackedWorker.unansweredCalls() > 0 && trackedWorker.clock().expired(nowMillis)) {
+            if (trackedWorker.unansweredCalls() > 0 && leasesExpired(trackedWorker, nowMillis)) {
                 loseAll(trackedWorker, nowMillis);
                 if (trackedWorker.silentMillis(nowMillis) > SILENT_WORKER_REMOVAL_MILLIS) {
                     endIncarnation(
@@ -441,8 +444,25 @@
         });
     }
 
+    /**
+     * Returns whether all runs on a worker have certainly ended by the expiry of their leases. A later incarnation has a
+     * clock of its own, so there a run ends the longest lease after the last moment at which its start can be carried out.
+     */
+    private boolean leasesExpired(TrackedWorker trackedWorker, long nowMillis) {
+        return trackedWorker.replacedMillis().stream()
+                .mapToObj(replacedMillis -> nowMillis - replacedMillis
+                        > MAX_ORDER_DELAY_MILLIS + LeaseClock.longestMillis(settings.leaseMillis()))
+                .findFirst()
+                .orElseGet(() -> trackedWorker.clock().expired(nowMillis));
+    }
+
     private void renewLease(TrackedWorker trackedWorker, long nowMillis) {
         trackedWorker.renewalSent();
+        if (trackedWorker.replaced()) {
+            // Only the list is requested: a lease would extend the runs that a later incarnation must not have.
+            actions.accept(new DispatchAction.RenewLease(trackedWorker.entry(), 0, fence, 0, 0));
+            return;
+        }
         // The first list is requested without delay: until it arrives, nothing may be placed on the worker.
         long waitMillis = trackedWorker.runsListed() ? LIST_WAIT_MILLIS : 0;
         // A later incarnation with the same id restarts the numbering of its ends, so nothing is acknowledged while one
@@ -560,6 +580,9 @@
                 recordFirstUnansweredCall(trackedWorker, "start", result, nowMillis);
                 trackedWorker.recordUnansweredCall();
                 trackedRun.startAt(nowMillis + RETRY_MILLIS);
+                if (trackedWorker.replaced()) {
+                    stop(trackedRun, nowMillis);
+                }
             }
             case SUPERSEDED -> trackedRun.awaitList(nowMillis);
             case FENCED -> trackedRun.startAt(nowMillis + RETRY_MILLIS);
@@ -607,6 +630,9 @@
         }
         if (result == OrderOutcome.DONE || result == OrderOutcome.SUPERSEDED) {
             trackedRun.awaitList(nowMillis);
+            if (trackedWorker.replaced()) {
+                trackedWorker.requestListNow();
+            }
         } else {
             trackedRun.stopAt(nowMillis + RETRY_MILLIS);
         }
@@ -627,7 +653,7 @@
                 && result.bornMillis() > 0
                 && result.bornMillis() != incarnation.bornMillis();
         if (laterIncarnation) {
-            laterIncarnationResponded(trackedWorker, result, nowMillis);
+            laterIncarnationResponded(trackedWorker, result, requestedMillis, nowMillis);
             return;
         }
         if (result.outcome() != OrderOutcome.DONE) {
@@ -688,21 +714,52 @@
         }
     }
 
-    /** Ends an incarnation whose id a later one has taken over, once no run meant for it is active in the later one. */
-    private void laterIncarnationResponded(TrackedWorker trackedWorker, LeaseRenewalResult result, long nowMillis) {
-        trackedWorker.replaced();
-        List<RunId> strays = result.running().stream()
+    /**
+     * Ends an incarnation whose id a later one has taken over, once the later one certainly has none of its runs and will not
+     * start any: it may have received a start without answering it, and carry it out late.
+     */
+    private void laterIncarnationResponded(
+            TrackedWorker trackedWorker, LeaseRenewalResult result, long requestedMillis, long nowMillis) {
+        replaced(trackedWorker, nowMillis);
+        Set<RunId> running = result.running().stream()
                 .map(LeaseRenewalResult.RunProgress::run)
-                .filter(run -> trackedWorker.run(run) != null)
+                .collect(Collectors.toSet());
+        List<TrackedRun> unsettled = trackedWorker.runs().stream()
+                .filter(trackedRun ->
+                        running.contains(trackedRun.id()) || !trackedRun.settledInLaterIncarnation(requestedMillis))
                 .toList();
-        strays.forEach(run -> stopStray(trackedWorker, run));
-        if (strays.isEmpty() && !trackedWorker.starting() && !trackedWorker.ending()) {
+        unsettled.forEach(trackedRun -> {
+            if (trackedRun.state() == TrackedRun.State.LOSING) {
+                stopStray(trackedWorker, trackedRun.id());
+            } else if (trackedRun.state() != TrackedRun.State.STARTING) {
+                stop(trackedRun, nowMillis);
+            }
+        });
+        if (unsettled.isEmpty() && !trackedWorker.ending()) {
             proposeEndsInLaterIncarnation(trackedWorker, result.ended());
             endIncarnation(trackedWorker, WorkerEndCause.REPLACED, "replaced by a later incarnation");
         }
         trackedWorker.leaseRenewalCompleted(false, nowMillis + RETRY_MILLIS, nowMillis);
     }
 
+    private void replaced(TrackedWorker trackedWorker, long nowMillis) {
+        if (!trackedWorker.replaced()) {
+            LOG.log(
+                    System.Logger.Level.INFO,
+                    "WORKER replaced worker={0} runs={1} unanswered={2}",
+                    trackedWorker.entry().id(),
+                    trackedWorker.runs().size(),
+                    firstOf(trackedWorker.runs().stream()
+                            .filter(TrackedRun::mayStartLate)
+                            .map(TrackedRun::id)
+                            .toList()));
+        }
+        trackedWorker.replacedSince(nowMillis);
+        trackedWorker.runs().stream()
+                .filter(trackedRun -> trackedRun.mayStartLate() && trackedRun.state() != TrackedRun.State.STARTING)
+                .forEach(trackedRun -> stop(trackedRun, nowMillis));
+    }
+
     /**
      * Records the ends of runs that were meant for an incarnation but accepted by a later one. This must precede the
      * end of the earlier incarnation, which would make their tasks run again. The later incarnation lists these ends
@@ -721,9 +778,10 @@
      * Returns whether the runs of a later incarnation must be listed before its earlier one is ended.
      *
      * @param later the later incarnation
+     * @param nowMillis the current monotonic time, in milliseconds
      * @return true if the later incarnation may have accepted an order for the earlier one
      */
-    boolean mustReconcileEarlierIncarnation(WorkerLife later) {
+    boolean mustReconcileEarlierIncarnation(WorkerLife later, long nowMillis) {
         List<TrackedWorker> earlier = trackedWorkers.values().stream()
                 .filter(trackedWorker -> trackedWorker
                                 .entry()
@@ -734,7 +792,11 @@
                         && trackedWorker.entry().id().bornMillis() < later.getBornMillis()
                         && trackedWorker.mayHaveReceivedOrder())
                 .toList();
-        earlier.forEach(TrackedWorker::replaced);
+        earlier.forEach(trackedWorker -> {
+            wake(trackedWorker);
+            replaced(trackedWorker, nowMillis);
+            trackedWorker.requestListNow();
+        });
         return !earlier.isEmpty();
     }
 
--- a/core/src/test/java/org/wasabimount/core/dispatch/SimulatedCell.java
+++ b/core/src/test/java/org/wasabimount/core/dispatch/SimulatedCell.java
@@ -93,6 +93,18 @@
     /** Whether a worker that has crashed returns under the id that it had. */
     boolean returnsUnderSameId = true;
 
+    /**
+     * Workers, by address, that leave the next starts unanswered, with the time after which they carry them out, in
+     * milliseconds.
+     */
+    final Map<String, Long> lateStartMillis = new HashMap<>();
+
+    /** Addresses of workers whose responses to stops are lost. */
+    final Set<String> lostStopResponses = new HashSet<>();
+
+    /** Number of starts that were carried out or rejected late. */
+    int lateStarts;
+
     /** Number of runs that ended because the other tasks of their gang did not come. */
     int aloneEnds;
 
@@ -230,6 +242,21 @@
         return worker;
     }
 
+    /**
+     * Starts a worker again under the id and at the address that it had, without a word of its earlier life.
+     *
+     * @param worker the earlier life
+     * @param firstAnnouncementMillis the time until the new life announces itself, in milliseconds
+     */
+    SimulatedWorker startAgain(SimulatedWorker worker, long firstAnnouncementMillis) {
+        worker.kill();
+        SimulatedWorker later = new SimulatedWorker(
+                this, worker.id, EPOCH_MILLIS + nowMillis, worker.address, worker.capacity, random.nextBoolean());
+        byAddress.put(worker.address, later);
+        announceLater(later, firstAnnouncementMillis);
+        return later;
+    }
+
     private void announceLater(SimulatedWorker worker, long delayMillis) {
         after(delayMillis, () -> {
             if (worker.crashed) {
@@ -412,15 +439,22 @@
                     worker -> worker.start(start),
                     (result, clock) ->
                             sender.startCompleted(start.run(), start.worker().id(), result, clock),
-                    sender);
+                    sender,
+                    Optional.ofNullable(
+                            lateStartMillis.get(start.worker().incarnation().getAddress())));
         } else if (action instanceof DispatchAction.Stop stop) {
             order(
                     stop.worker().incarnation().getAddress(),
                     stop.worker().incarnation().getWorker(),
                     worker -> worker.stop(stop),
-                    (result, clock) ->
-                            sender.stopCompleted(stop.run(), stop.worker().id(), result, clock),
-                    sender);
+                    (result, clock) -> {
+                        boolean lost = lostStopResponses.contains(
+                                stop.worker().incarnation().getAddress());
+                        sender.stopCompleted(
+                                stop.run(), stop.worker().id(), lost ? OrderOutcome.NO_ANSWER : result, clock);
+                    },
+                    sender,
+                    Optional.empty());
         } else if (action instanceof DispatchAction.RenewLease renewLease) {
             renewLease(
                     renewLease,
@@ -440,16 +474,23 @@
         void accept(OrderOutcome result, OptionalLong clockMillis);
     }
 
-    private void order(String address, String expected, Order order, ResultHandler resultHandler, Dispatcher sender) {
-        boolean delayed = random.nextDouble() < delayedOrderShare;
+    private void order(
+            String address,
+            String expected,
+            Order order,
+            ResultHandler resultHandler,
+            Dispatcher sender,
+            Optional<Long> lateMillis) {
+        boolean delayed = random.nextDouble() < delayedOrderShare || lateMillis.isPresent();
         boolean unanswered =
                 delayed || random.nextDouble() < lostResponseShare || disconnectedAddresses.contains(address);
         SimulatedWorker initialWorker = byAddress.get(address);
         if (delayed && !disconnectedAddresses.contains(address)) {
             // A worker keeps an unanswered order until it carries it out, and loses it when it crashes.
-            after(2_000 + random.nextInt(10_000), () -> {
+            after(lateMillis.orElseGet(() -> 2_000L + random.nextInt(10_000)), () -> {
                 if (initialWorker != null && !initialWorker.crashed && initialWorker.id.equals(expected)) {
                     order.accept(initialWorker);
+                    lateStarts += lateMillis.isPresent() ? 1 : 0;
                 }
             });
         } else if (!disconnectedAddresses.contains(address)) {
