Nothing is started on a life whose successor is being recorded

A task ran twice (TWICE): a run was being placed on a worker while the announcement of its next life was being committed. The start went to the address, where the next life took it, and the commit then released the run, which was placed again.

Cause: Dispatcher recorded a later life at once if no order could have reached the earlier one, but left that usable until the commit (mustReconcileEarlierIncarnation).

Every earlier life under the id and at the address is now closed to starts when a later one is confirmed; one with runs, placed or being placed, is ended by way of the later life's list.

--- a/core/src/main/java/org/wasabimount/core/dispatch/TrackedWorker.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/TrackedWorker.java
@@ -254,11 +254,6 @@
         return !replaced() && unansweredCalls == 0;
     }
 
-    /** Returns whether an order for one of the runs may have reached any incarnation that listens at the address. */
-    boolean mayHaveReceivedOrder() {
-        return runs.values().stream().anyMatch(run -> run.startAttempts() > 0 || run.unanswered());
-    }
-
     /**
      * Returns the cores that count for admission, even before the worker has listed its runs to a new leader, in
      * thousandths of a core.
--- a/core/src/main/java/org/wasabimount/core/dispatch/WorkerManager.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/WorkerManager.java
@@ -775,11 +775,12 @@
     }
 
     /**
-     * Returns whether the runs of a later incarnation must be listed before its earlier one is ended.
+     * Has nothing more started on the earlier incarnations of a worker, and returns whether the runs of the later one must be
+     * listed before they are ended.
      *
      * @param later the later incarnation
      * @param nowMillis the current monotonic time, in milliseconds
-     * @return true if the later incarnation may have accepted an order for the earlier one
+     * @return true if the later incarnation may have accepted an order for an earlier one, or if a run is being placed there
      */
     boolean mustReconcileEarlierIncarnation(WorkerLife later, long nowMillis) {
         List<TrackedWorker> earlier = trackedWorkers.values().stream()
@@ -789,15 +790,14 @@
                                 .getWorker()
                                 .equals(later.getWorker())
                         && trackedWorker.entry().incarnation().getAddress().equals(later.getAddress())
-                        && trackedWorker.entry().id().bornMillis() < later.getBornMillis()
-                        && trackedWorker.mayHaveReceivedOrder())
+                        && trackedWorker.entry().id().bornMillis() < later.getBornMillis())
                 .toList();
         earlier.forEach(trackedWorker -> {
             wake(trackedWorker);
             replaced(trackedWorker, nowMillis);
             trackedWorker.requestListNow();
         });
-        return !earlier.isEmpty();
+        return earlier.stream().anyMatch(trackedWorker -> !trackedWorker.runs().isEmpty());
     }
 
     private void recordEnds(TrackedWorker trackedWorker, List<LeaseRenewalResult.RunEnd> ended, long nowMillis) {
