A start is not repeated on a worker that drains

A worker that drains was given a task later than drain-ms after the acknowledgement.

Evidence: LeavingWorkerTest.startIsNotRepeatedOnDrainingWorker found the task on the draining worker before.

WorkerManager.start now withholds a start as soon as the worker drains: a run that was never sent is given up at once, one whose start may still be carried out is stopped first.

--- a/core/src/main/java/org/wasabimount/core/dispatch/WorkerManager.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/WorkerManager.java
@@ -162,7 +162,7 @@
         }
     }
 
-    /** Sets the listener for starts of gangs that are withheld, because a worker's capacity is not known or has shrunk. */
+    /** Sets the listener for starts of gangs that are withheld, because a worker's capacity is not known or has shrunk, or it drains. */
     void setGangWithheldListener(Runnable listener) {
         gangWithheld = listener;
     }
@@ -498,15 +498,16 @@
             stop(trackedRun, nowMillis);
             return;
         }
-        if (!capacityAllowsStart(trackedWorker, trackedRun, nowMillis)) {
+        if (trackedWorker.draining() || !capacityAllowsStart(trackedWorker, trackedRun, nowMillis)) {
             LOG.log(
                     System.Logger.Level.INFO,
-                    "START withheld run={0} worker={1} capacity={2} used={3} known={4}",
+                    "START withheld run={0} worker={1} capacity={2} used={3} known={4} draining={5}",
                     trackedRun.id(),
                     trackedWorker.entry().id(),
                     trackedWorker.capacity(),
                     trackedWorker.usedCapacity(),
-                    trackedWorker.capacityKnown(nowMillis));
+                    trackedWorker.capacityKnown(nowMillis),
+                    trackedWorker.draining());
             stop(trackedRun, nowMillis);
             if (trackedRun.step().getGang()) {
                 gangWithheld.run();
--- a/core/src/test/java/org/wasabimount/core/dispatch/LeavingWorkerTest.java
+++ b/core/src/test/java/org/wasabimount/core/dispatch/LeavingWorkerTest.java
@@ -17,6 +17,9 @@
     private static final Capacity LARGE = new Capacity(7_000, 7_000, 0);
     private static final long ANNOUNCED_MILLIS = 1_700;
 
+    /** After the end of the test. */
+    private static final long NEVER_MILLIS = 600_000;
+
     private SimulatedCell cell;
     private SimulatedWorker leaving;
 
@@ -118,4 +121,23 @@
         assertTrue(cell.starts.get("job1") == 3, cell.starts + " starts");
         assertEquals(cell.violations, List.of());
     }
+
+    /**
+     * Guards against a start that is repeated after its worker has announced that it drains: it was carried out later than the
+     * contract allows.
+     */
+    @Test
+    public void startIsNotRepeatedOnDrainingWorker() {
+        cell.lateStartMillis.put(leaving.address, NEVER_MILLIS);
+        cell.submit(cell.job("job1", 2, LARGE, false));
+        cell.run(100);
+        leaving.draining = true;
+        cell.run(ANNOUNCED_MILLIS);
+        cell.lateStartMillis.clear();
+        cell.run(ANNOUNCED_MILLIS);
+        assertTrue(leaving.activeRuns.isEmpty(), "a draining worker has been given " + leaving.activeRuns.keySet());
+        // The tasks run one after the other on the worker that is left.
+        cell.run(15_000);
+        assertCompletedWithoutSecondRun();
+    }
 }
