Known red: a late start in a later life that is cut off

LaterLifeTest.lateStartIsAwaitedInLifeThatIsCutOff fails with two runs of one task: a life that has left a start unanswered is cut off before the leader hears of it, and the leader gives up the run when the earlier life's leases have expired. The workers of LaterLifeTest have been up for 30 s, so that the deadlines made for them lie ahead on the clock of their next life.

--- a/core/src/main/java/org/wasabimount/core/job/Job.java
+++ b/core/src/main/java/org/wasabimount/core/job/Job.java
@@ -257,13 +257,18 @@
 
     /** Returns how many attempts of a step's tasks have failed at most; a gang fails once for each run. */
     private int failedAttempts(int step, List<JobTask> tasks) {
-        List<JobTask> open = tasks.stream().filter(task -> !task.done()).toList();
         if (!step(step).getGang()) {
-            return open.stream().mapToInt(JobTask::failures).max().orElse(0);
+            return tasks.stream()
+                    .filter(task -> !task.done())
+                    .mapToInt(JobTask::failures)
+                    .max()
+                    .orElse(0);
         }
-        long failedRuns = open.stream().flatMap(JobTask::failedRuns).distinct().count();
+        List<JobTask> members = tasks.stream().filter(task -> !task.done()).toList();
+        long failedRuns =
+                members.stream().flatMap(JobTask::failedRuns).distinct().count();
         return (int) failedRuns
-                + open.stream().mapToInt(JobTask::failuresCountedByEnd).sum();
+                + members.stream().mapToInt(JobTask::failuresCountedByEnd).sum();
     }
 
     JobState toState() {
--- a/core/src/test/java/org/wasabimount/core/dispatch/LaterLifeTest.java
+++ b/core/src/test/java/org/wasabimount/core/dispatch/LaterLifeTest.java
@@ -42,7 +42,8 @@
     public void occupyOneOfTwoWorkers() {
         cell = new SimulatedCell(7);
         cell.addresses(2).forEach(address -> cell.worker("w" + address, address, WORKER));
-        cell.run(1_000);
+        // The clock of a life that starts now stays behind the deadlines that were made for this one's.
+        cell.run(30_000);
         cell.workMillis(FIRST_WORK_MILLIS);
         cell.submit(cell.job("busy", 1, LARGE, false));
         cell.run(100);
@@ -131,6 +132,21 @@
         assertCompletedWithoutSecondRun();
     }
 
+    /**
+     * Guards against a task that runs twice: the later life is cut off before the leader has heard of it, so that only the
+     * expiry of the earlier life's leases is known.
+     */
+    @Test(groups = "known-red")
+    public void lateStartIsAwaitedInLifeThatIsCutOff() {
+        SimulatedWorker later = cell.startAgain(free, 10_000);
+        cell.lateStartMillis.put(free.address, LATE_MILLIS + 5_000);
+        cell.workMillis(WORK_MILLIS);
+        cell.submit(cell.job("job", 1, LARGE, false));
+        cell.run(100);
+        cell.disconnectedAddresses.add(later.address);
+        assertCompletedWithoutSecondRun();
+    }
+
     /** Guards against a start that is sent to the later life between the decision to record it and the commit of that. */
     @Test
     public void nothingIsStartedWhileLaterLifeIsBeingRecorded() {
