--- a/core/src/main/java/org/wasabimount/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/Dispatcher.java
@@ -278,7 +278,7 @@
         boolean unrecorded = recordedState
                 .map(trackedWorker -> differs(trackedWorker.entry().incarnation(), announcement.getLife()))
                 .orElse(true);
-        return unrecorded && !workers.mustReconcileEarlierIncarnation(announcement.getLife(), nowMillis)
+        return unrecorded && !workers.closeEarlierIncarnations(announcement.getLife(), nowMillis)
                 ? Optional.of(JobCommand.newBuilder()
                         .setSeeWorker(SeeWorker.newBuilder()
                                 .setLife(announcement.getLife())
--- a/core/src/main/java/org/wasabimount/core/dispatch/TrackedWorker.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/TrackedWorker.java
@@ -226,21 +226,21 @@
     }
 
     /** Records that another incarnation of the worker responds at its address: no more runs may be started there. */
-    void replacedSince(long nowMillis) {
+    void markReplaced(long nowMillis) {
         if (!replaced()) {
             replacedMillis = OptionalLong.of(nowMillis);
         }
     }
 
-    /** Returns since when another incarnation is known to respond at the worker's address, empty if none is. */
-    OptionalLong replacedMillis() {
-        return replacedMillis;
-    }
-
     boolean replaced() {
         return replacedMillis.isPresent();
     }
 
+    /** Returns since when another incarnation is known to respond at the worker's address. */
+    long replacedMillis() {
+        return replacedMillis.orElseThrow();
+    }
+
     /** Has the next list requested without delay. */
     void requestListNow() {
         renewalDueMillis = Long.MIN_VALUE;
--- a/core/src/main/java/org/wasabimount/core/dispatch/WorkerManager.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/WorkerManager.java
@@ -162,7 +162,10 @@
         }
     }
 
-    /** Sets the listener for starts of gangs that are withheld, because a worker's capacity is not known or has shrunk, or it drains. */
+    /**
+     * Sets the listener for starts of gangs that are withheld, because a worker drains, or its capacity is not known or has
+     * shrunk.
+     */
     void setGangWithheldListener(Runnable listener) {
         gangWithheld = listener;
     }
@@ -449,11 +452,10 @@
      * clock of its own, so there a run ends the longest lease after the last moment at which its start can be carried out.
      */
     private boolean leasesExpired(TrackedWorker trackedWorker, long nowMillis) {
-        return trackedWorker.replacedMillis().stream()
-                .mapToObj(replacedMillis -> nowMillis - replacedMillis
-                        > MAX_ORDER_DELAY_MILLIS + LeaseClock.longestMillis(settings.leaseMillis()))
-                .findFirst()
-                .orElseGet(() -> trackedWorker.clock().expired(nowMillis));
+        return trackedWorker.replaced()
+                ? nowMillis - trackedWorker.replacedMillis()
+                        > MAX_ORDER_DELAY_MILLIS + LeaseClock.longestMillis(settings.leaseMillis())
+                : trackedWorker.clock().expired(nowMillis);
     }
 
     private void renewLease(TrackedWorker trackedWorker, long nowMillis) {
@@ -721,7 +723,7 @@
      */
     private void laterIncarnationResponded(
             TrackedWorker trackedWorker, LeaseRenewalResult result, long requestedMillis, long nowMillis) {
-        replaced(trackedWorker, nowMillis);
+        closeToStarts(trackedWorker, nowMillis);
         Set<RunId> running = result.running().stream()
                 .map(LeaseRenewalResult.RunProgress::run)
                 .collect(Collectors.toSet());
@@ -743,7 +745,8 @@
         trackedWorker.leaseRenewalCompleted(false, nowMillis + RETRY_MILLIS, nowMillis);
     }
 
-    private void replaced(TrackedWorker trackedWorker, long nowMillis) {
+    /** Has no more runs started in an earlier incarnation, and stops those whose unanswered starts may reach the later one. */
+    private void closeToStarts(TrackedWorker trackedWorker, long nowMillis) {
         if (!trackedWorker.replaced()) {
             LOG.log(
                     System.Logger.Level.INFO,
@@ -755,7 +758,7 @@
                             .map(TrackedRun::id)
                             .toList()));
         }
-        trackedWorker.replacedSince(nowMillis);
+        trackedWorker.markReplaced(nowMillis);
         trackedWorker.runs().stream()
                 .filter(trackedRun -> trackedRun.mayStartLate() && trackedRun.state() != TrackedRun.State.STARTING)
                 .forEach(trackedRun -> stop(trackedRun, nowMillis));
@@ -776,14 +779,14 @@
     }
 
     /**
-     * Has nothing more started on the earlier incarnations of a worker, and returns whether the runs of the later one must be
-     * listed before they are ended.
+     * Closes the earlier incarnations of a worker to starts, and returns whether the runs of the later one must be listed
+     * before they are ended.
      *
      * @param later the later incarnation
      * @param nowMillis the current monotonic time, in milliseconds
      * @return true if the later incarnation may have accepted an order for an earlier one, or if a run is being placed there
      */
-    boolean mustReconcileEarlierIncarnation(WorkerLife later, long nowMillis) {
+    boolean closeEarlierIncarnations(WorkerLife later, long nowMillis) {
         List<TrackedWorker> earlier = trackedWorkers.values().stream()
                 .filter(trackedWorker -> trackedWorker
                                 .entry()
@@ -795,7 +798,7 @@
                 .toList();
         earlier.forEach(trackedWorker -> {
             wake(trackedWorker);
-            replaced(trackedWorker, nowMillis);
+            closeToStarts(trackedWorker, nowMillis);
             trackedWorker.requestListNow();
         });
         return earlier.stream().anyMatch(trackedWorker -> !trackedWorker.runs().isEmpty());
