--- a/core/src/main/java/org/wasabimount/core/dispatch/WorkerManager.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/WorkerManager.java
@@ -96,7 +96,10 @@
      */
     private static final long LIST_GRACE_MILLIS = 500;
 
-    /** Longest time after which a worker carries out an order that it has not answered, in milliseconds, from the contract. */
+    /**
+     * Longest time after which a worker carries out an order that it has not answered, in milliseconds. The contract only says
+     * seconds; the figure is the upper end of what the platform's list of disruptions names.
+     */
     private static final long MAX_ORDER_DELAY_MILLIS = 12_000;
 
     /**
