Organisations in the table of queues, accounts of what their tasks hold, a hook for preferences among workers

Cause: two customers' jobs belong to organisations with secrets, weights and quotas; nothing kept them. Change: the message Organisation has a file of its own and is part of the queue table; jobs and cancellations carry their organisation; the job table charges placed tasks to accounts, with the account class that the other model of work uses. Placer takes a preference among workers that fit. Nothing sets the new fields yet.

--- a/core/src/main/java/org/wasabimount/core/cell/OrganisationAccount.java
+++ b/core/src/main/java/org/wasabimount/core/cell/OrganisationAccount.java
@@ -16,7 +16,12 @@
     private List<ByteString> secretHashes = List.of();
     private Capacity used = Capacity.NONE;
 
-    OrganisationAccount(Organisation declared) {
+    /**
+     * Creates an account that holds nothing.
+     *
+     * @param declared the organisation's declaration
+     */
+    public OrganisationAccount(Organisation declared) {
         this.id = new OrganisationId(declared.getName());
         update(declared);
     }
@@ -66,17 +71,32 @@
         return secretHashes;
     }
 
-    void update(Organisation declared) {
+    /**
+     * Replaces the weight, the quota and the secrets.
+     *
+     * @param declared the organisation's newer declaration
+     */
+    public void update(Organisation declared) {
         weight = Math.max(1, declared.getWeight());
         quota = Capacity.of(declared.getQuota());
         secretHashes = List.copyOf(declared.getSecretHashesList());
     }
 
-    void charge(Capacity size) {
+    /**
+     * Adds the size of a task that the organisation holds from now on.
+     *
+     * @param size the size
+     */
+    public void charge(Capacity size) {
         used = used.plus(size);
     }
 
-    void refund(Capacity size) {
+    /**
+     * Subtracts the size of a task that has surely ended.
+     *
+     * @param size the size
+     */
+    public void refund(Capacity size) {
         used = used.minus(size);
     }
 
--- a/core/src/main/java/org/wasabimount/core/dispatch/Placer.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/Placer.java
@@ -20,12 +20,21 @@
  */
 final class Placer {
 
+    /** Slowdowns that differ by less than this are equal, so that they do not decide over best fit. */
+    private static final double SLOWDOWN_STEP = 0.25;
+
     private final ExaminedCounts examined;
+    private WorkerPreference preference = WorkerPreference.NONE;
 
     Placer(ExaminedCounts examined) {
         this.examined = examined;
     }
 
+    /** Sets the preference among workers that fit. */
+    void prefer(WorkerPreference newPreference) {
+        preference = newPreference;
+    }
+
     /**
      * Chooses workers for as many waiting tasks as fit.
      *
@@ -57,13 +66,18 @@
         Map<JobTask, WorkerRoom> chosen = new LinkedHashMap<>();
         Map<WorkerRoom, Integer> counts = runCounts(step, candidates);
         Map<WorkerRoom, Capacity> free = new HashMap<>();
-        candidates.forEach(room -> free.put(room, available.apply(room)));
+        Map<WorkerRoom, Long> slowdowns = new HashMap<>();
+        candidates.forEach(room -> {
+            free.put(room, available.apply(room));
+            slowdowns.put(room, Math.round(preference.slowdown(step, room.worker()) / SLOWDOWN_STEP));
+        });
         // Long-running tasks serve independently and are better spread over failure domains, so they are not grouped.
         boolean placeTogether = !step.step().getLongRunning();
         Comparator<WorkerRoom> bestFit = Comparator.<WorkerRoom, Boolean>comparing(
                         room -> !nearData(step, room.worker()))
                 .thenComparing(room -> !size.fitsIn(room.free()))
                 .thenComparing(room -> room.worker().hasSuspects())
+                .thenComparingLong(slowdowns::get)
                 .thenComparing(room -> placeTogether
                         && !domains.isEmpty()
                         && !domains.contains(room.worker().domain()))
--- a/core/src/main/java/org/wasabimount/core/dispatch/StepPlacement.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/StepPlacement.java
@@ -177,6 +177,11 @@
         reservationEnded = listener;
     }
 
+    /** Sets the preference among workers that fit. */
+    void prefer(WorkerPreference preference) {
+        placer.prefer(preference);
+    }
+
     Optional<WaitingStep> waitingStep(StepId id) {
         return Optional.ofNullable(steps.get(id));
     }
--- a/core/src/main/java/org/wasabimount/core/job/Job.java
+++ b/core/src/main/java/org/wasabimount/core/job/Job.java
@@ -19,15 +19,17 @@
 
     private JobSpec spec;
     private final Queue queue;
+    private final String organisation;
     private final long acceptedMillis;
     private final Map<Integer, List<List<JobTask>>> occurrences = new TreeMap<>();
     private JobPhase phase = JobPhase.QUEUED;
     private boolean begun;
     private long endedMillis;
 
-    Job(JobSpec spec, Queue queue, long acceptedMillis) {
+    Job(JobSpec spec, Queue queue, String organisation, long acceptedMillis) {
         this.spec = spec;
         this.queue = queue;
+        this.organisation = organisation;
         this.acceptedMillis = acceptedMillis;
         IntStream.range(0, Math.max(1, spec.getOccurrences())).forEach(this::addOccurrence);
     }
@@ -70,6 +72,15 @@
         return queue;
     }
 
+    /**
+     * Returns the organisation that submitted the job.
+     *
+     * @return its name, empty if the queue required no secret
+     */
+    public String organisation() {
+        return organisation;
+    }
+
     /**
      * Returns when the job was accepted.
      *
@@ -278,13 +289,14 @@
                 .setPhase(phase)
                 .setAcceptedMillis(acceptedMillis)
                 .setEndedMillis(endedMillis)
-                .setBegun(begun);
+                .setBegun(begun)
+                .setOrganisation(organisation);
         tasks().filter(task -> !task.inInitialState()).map(JobTask::toState).forEach(state::addTasks);
         return state.build();
     }
 
     static Job restore(JobState state) {
-        Job job = new Job(state.getSpec(), state.getQueue(), state.getAcceptedMillis());
+        Job job = new Job(state.getSpec(), state.getQueue(), state.getOrganisation(), state.getAcceptedMillis());
         job.phase = state.getPhase();
         job.endedMillis = state.getEndedMillis();
         job.begun = state.getBegun();
--- a/core/src/main/java/org/wasabimount/core/job/JobTable.java
+++ b/core/src/main/java/org/wasabimount/core/job/JobTable.java
@@ -48,6 +48,7 @@
     private final Map<String, WorkerEntry> workers = new LinkedHashMap<>();
     private final Map<String, Job> jobs = new LinkedHashMap<>();
     private final Map<IncarnationId, Set<TaskId>> placed = new HashMap<>();
+    private final Organisations organisations = new Organisations();
     private final SilentWorkers silentWorkers = new SilentWorkers();
     private final EarlyCancellations earlyCancellations = new EarlyCancellations();
     private Observer observer = new Observer() {};
@@ -147,6 +148,15 @@
                 .findFirst();
     }
 
+    /**
+     * Returns the organisations of the current table, with what their tasks hold.
+     *
+     * @return the accounts
+     */
+    public Organisations organisations() {
+        return organisations;
+    }
+
     /**
      * Returns the queue for a request: of the queues of its host, the one with the longest matching path prefix.
      *
@@ -282,6 +292,7 @@
     public static JobTable restore(JobSnapshot snapshot) {
         JobTable table = new JobTable();
         table.queues = snapshot.getQueues();
+        table.organisations.declare(snapshot.getQueues().getOrganisationsList());
         snapshot.getWorkersList()
                 .forEach(worker -> table.workers.put(
                         worker.getLife().getWorker(),
@@ -290,9 +301,10 @@
         snapshot.getJobsList().stream().map(Job::restore).forEach(job -> {
             table.jobs.put(job.id(), job);
             job.tasks()
-                    .forEach(task -> task.incarnation()
-                            .ifPresent(incarnation ->
-                                    table.mutablePlacedOn(incarnation).add(task.id())));
+                    .forEach(task -> task.incarnation().ifPresent(incarnation -> {
+                        table.mutablePlacedOn(incarnation).add(task.id());
+                        table.organisations.charge(job, task.id().step());
+                    }));
         });
         table.earlyCancellations.restore(snapshot.getEarlyCancellationsList());
         table.silentWorkers.restore(snapshot.getSilentWorkersList());
@@ -323,7 +335,7 @@
 
     private ResultCode accept(AcceptJob command, long nowMillis) {
         if (!jobs.containsKey(command.getSpec().getId())) {
-            Job job = new Job(command.getSpec(), command.getQueue(), nowMillis);
+            Job job = new Job(command.getSpec(), command.getQueue(), command.getOrganisation(), nowMillis);
             jobs.put(job.id(), job);
             tell(changes -> changes.accepted(job));
             if (earlyCancellations.remove(job.id(), nowMillis)) {
@@ -361,6 +373,7 @@
             Job job = jobs.get(id.job());
             job.activate();
             job.task(id).place(placement.getRun(), incarnation, nowMillis);
+            organisations.charge(job, id.step());
             mutablePlacedOn(incarnation).add(id);
             tell(changes -> changes.placed(new RunId(id, placement.getRun()), incarnation));
         }
@@ -626,12 +639,14 @@
     private ResultCode putQueues(QueueTable newQueues) {
         if (newQueues.getVersion() > queues.getVersion()) {
             queues = newQueues;
+            organisations.declare(newQueues.getOrganisationsList());
         }
         return ResultCode.OK;
     }
 
     private void release(JobTask task, IncarnationId incarnation) {
         task.release();
+        organisations.refund(jobs.get(task.id().job()), task.id().step());
         mutablePlacedOn(incarnation).remove(task.id());
         tell(changes -> changes.released(new RunId(task.id(), task.run()), incarnation));
     }
--- a/protocol/src/main/java/org/wasabimount/protocol/job/AcceptJob.java
+++ b/protocol/src/main/java/org/wasabimount/protocol/job/AcceptJob.java
@@ -15,6 +15,7 @@
     // @@protoc_insertion_point(message_implements:wasabimount.job.AcceptJob)
     AcceptJobOrBuilder {
   private AcceptJob() {
+    organisation_ = "";
   }
   private int bitField0_;
   public static final int SPEC_FIELD_NUMBER = 1;
@@ -131,6 +132,73 @@
     bitField0_ = (bitField0_ & ~0x00000002);
   }
 
+  public static final int ORGANISATION_FIELD_NUMBER = 3;
+  private java.lang.String organisation_;
+  /**
+   * <pre>
+   * Empty if the queue requires no secret.
+   * </pre>
+   *
+   * <code>string organisation = 3;</code>
+   * @return The organisation.
+   */
+  @java.lang.Override
+  public java.lang.String getOrganisation() {
+    return organisation_;
+  }
+  /**
+   * <pre>
+   * Empty if the queue requires no secret.
+   * </pre>
+   *
+   * <code>string organisation = 3;</code>
+   * @return The bytes for organisation.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getOrganisationBytes() {
+    return com.google.protobuf.ByteString.copyFromUtf8(organisation_);
+  }
+  /**
+   * <pre>
+   * Empty if the queue requires no secret.
+   * </pre>
+   *
+   * <code>string organisation = 3;</code>
+   * @param value The organisation to set.
+   */
+  private void setOrganisation(
+      java.lang.String value) {
+    java.util.Objects.requireNonNull(value);
+
+    organisation_ = value;
+  }
+  /**
+   * <pre>
+   * Empty if the queue requires no secret.
+   * </pre>
+   *
+   * <code>string organisation = 3;</code>
+   */
+  private void clearOrganisation() {
+
+    organisation_ = getDefaultInstance().getOrganisation();
+  }
+  /**
+   * <pre>
+   * Empty if the queue requires no secret.
+   * </pre>
+   *
+   * <code>string organisation = 3;</code>
+   * @param value The bytes for organisation to set.
+   */
+  private void setOrganisationBytes(
+      com.google.protobuf.ByteString value) {
+    checkByteStringIsUtf8(value);
+    organisation_ = value.toStringUtf8();
+
+  }
+
   public static org.wasabimount.protocol.job.AcceptJob parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -346,6 +414,75 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * Empty if the queue requires no secret.
+     * </pre>
+     *
+     * <code>string organisation = 3;</code>
+     * @return The organisation.
+     */
+    @java.lang.Override
+    public java.lang.String getOrganisation() {
+      return instance.getOrganisation();
+    }
+    /**
+     * <pre>
+     * Empty if the queue requires no secret.
+     * </pre>
+     *
+     * <code>string organisation = 3;</code>
+     * @return The bytes for organisation.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getOrganisationBytes() {
+      return instance.getOrganisationBytes();
+    }
+    /**
+     * <pre>
+     * Empty if the queue requires no secret.
+     * </pre>
+     *
+     * <code>string organisation = 3;</code>
+     * @param value The organisation to set.
+     * @return This builder for chaining.
+     */
+    public Builder setOrganisation(
+        java.lang.String value) {
+      copyOnWrite();
+      instance.setOrganisation(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Empty if the queue requires no secret.
+     * </pre>
+     *
+     * <code>string organisation = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearOrganisation() {
+      copyOnWrite();
+      instance.clearOrganisation();
+      return this;
+    }
+    /**
+     * <pre>
+     * Empty if the queue requires no secret.
+     * </pre>
+     *
+     * <code>string organisation = 3;</code>
+     * @param value The bytes for organisation to set.
+     * @return This builder for chaining.
+     */
+    public Builder setOrganisationBytes(
+        com.google.protobuf.ByteString value) {
+      copyOnWrite();
+      instance.setOrganisationBytes(value);
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:wasabimount.job.AcceptJob)
   }
   @java.lang.Override
@@ -365,10 +502,11 @@
             "bitField0_",
             "spec_",
             "queue_",
+            "organisation_",
           };
           java.lang.String info =
-              "\u0000\u0002\u0000\u0001\u0001\u0002\u0002\u0000\u0000\u0000\u0001\u1009\u0000\u0002" +
-              "\u1009\u0001";
+              "\u0000\u0003\u0000\u0001\u0001\u0003\u0003\u0000\u0000\u0000\u0001\u1009\u0000\u0002" +
+              "\u1009\u0001\u0003\u0208";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/protocol/src/main/java/org/wasabimount/protocol/job/AcceptJobOrBuilder.java
+++ b/protocol/src/main/java/org/wasabimount/protocol/job/AcceptJobOrBuilder.java
@@ -39,4 +39,24 @@
    * @return The queue.
    */
   org.wasabimount.protocol.job.Queue getQueue();
+
+  /**
+   * <pre>
+   * Empty if the queue requires no secret.
+   * </pre>
+   *
+   * <code>string organisation = 3;</code>
+   * @return The organisation.
+   */
+  java.lang.String getOrganisation();
+  /**
+   * <pre>
+   * Empty if the queue requires no secret.
+   * </pre>
+   *
+   * <code>string organisation = 3;</code>
+   * @return The bytes for organisation.
+   */
+  com.google.protobuf.ByteString
+      getOrganisationBytes();
 }
--- a/protocol/src/main/java/org/wasabimount/protocol/job/CancelJob.java
+++ b/protocol/src/main/java/org/wasabimount/protocol/job/CancelJob.java
@@ -16,6 +16,7 @@
     CancelJobOrBuilder {
   private CancelJob() {
     job_ = "";
+    organisation_ = "";
   }
   public static final int JOB_FIELD_NUMBER = 1;
   private java.lang.String job_;
@@ -64,6 +65,73 @@
 
   }
 
+  public static final int ORGANISATION_FIELD_NUMBER = 2;
+  private java.lang.String organisation_;
+  /**
+   * <pre>
+   * The organisation that cancels; empty if the queue requires no secret.
+   * </pre>
+   *
+   * <code>string organisation = 2;</code>
+   * @return The organisation.
+   */
+  @java.lang.Override
+  public java.lang.String getOrganisation() {
+    return organisation_;
+  }
+  /**
+   * <pre>
+   * The organisation that cancels; empty if the queue requires no secret.
+   * </pre>
+   *
+   * <code>string organisation = 2;</code>
+   * @return The bytes for organisation.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getOrganisationBytes() {
+    return com.google.protobuf.ByteString.copyFromUtf8(organisation_);
+  }
+  /**
+   * <pre>
+   * The organisation that cancels; empty if the queue requires no secret.
+   * </pre>
+   *
+   * <code>string organisation = 2;</code>
+   * @param value The organisation to set.
+   */
+  private void setOrganisation(
+      java.lang.String value) {
+    java.util.Objects.requireNonNull(value);
+
+    organisation_ = value;
+  }
+  /**
+   * <pre>
+   * The organisation that cancels; empty if the queue requires no secret.
+   * </pre>
+   *
+   * <code>string organisation = 2;</code>
+   */
+  private void clearOrganisation() {
+
+    organisation_ = getDefaultInstance().getOrganisation();
+  }
+  /**
+   * <pre>
+   * The organisation that cancels; empty if the queue requires no secret.
+   * </pre>
+   *
+   * <code>string organisation = 2;</code>
+   * @param value The bytes for organisation to set.
+   */
+  private void setOrganisationBytes(
+      com.google.protobuf.ByteString value) {
+    checkByteStringIsUtf8(value);
+    organisation_ = value.toStringUtf8();
+
+  }
+
   public static org.wasabimount.protocol.job.CancelJob parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -210,6 +278,75 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * The organisation that cancels; empty if the queue requires no secret.
+     * </pre>
+     *
+     * <code>string organisation = 2;</code>
+     * @return The organisation.
+     */
+    @java.lang.Override
+    public java.lang.String getOrganisation() {
+      return instance.getOrganisation();
+    }
+    /**
+     * <pre>
+     * The organisation that cancels; empty if the queue requires no secret.
+     * </pre>
+     *
+     * <code>string organisation = 2;</code>
+     * @return The bytes for organisation.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getOrganisationBytes() {
+      return instance.getOrganisationBytes();
+    }
+    /**
+     * <pre>
+     * The organisation that cancels; empty if the queue requires no secret.
+     * </pre>
+     *
+     * <code>string organisation = 2;</code>
+     * @param value The organisation to set.
+     * @return This builder for chaining.
+     */
+    public Builder setOrganisation(
+        java.lang.String value) {
+      copyOnWrite();
+      instance.setOrganisation(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * The organisation that cancels; empty if the queue requires no secret.
+     * </pre>
+     *
+     * <code>string organisation = 2;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearOrganisation() {
+      copyOnWrite();
+      instance.clearOrganisation();
+      return this;
+    }
+    /**
+     * <pre>
+     * The organisation that cancels; empty if the queue requires no secret.
+     * </pre>
+     *
+     * <code>string organisation = 2;</code>
+     * @param value The bytes for organisation to set.
+     * @return This builder for chaining.
+     */
+    public Builder setOrganisationBytes(
+        com.google.protobuf.ByteString value) {
+      copyOnWrite();
+      instance.setOrganisationBytes(value);
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:wasabimount.job.CancelJob)
   }
   @java.lang.Override
@@ -227,9 +364,11 @@
       case BUILD_MESSAGE_INFO: {
           java.lang.Object[] objects = new java.lang.Object[] {
             "job_",
+            "organisation_",
           };
           java.lang.String info =
-              "\u0000\u0001\u0000\u0000\u0001\u0001\u0001\u0000\u0000\u0000\u0001\u0208";
+              "\u0000\u0002\u0000\u0000\u0001\u0002\u0002\u0000\u0000\u0000\u0001\u0208\u0002\u0208" +
+              "";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/protocol/src/main/java/org/wasabimount/protocol/job/CancelJobOrBuilder.java
+++ b/protocol/src/main/java/org/wasabimount/protocol/job/CancelJobOrBuilder.java
@@ -21,4 +21,24 @@
    */
   com.google.protobuf.ByteString
       getJobBytes();
+
+  /**
+   * <pre>
+   * The organisation that cancels; empty if the queue requires no secret.
+   * </pre>
+   *
+   * <code>string organisation = 2;</code>
+   * @return The organisation.
+   */
+  java.lang.String getOrganisation();
+  /**
+   * <pre>
+   * The organisation that cancels; empty if the queue requires no secret.
+   * </pre>
+   *
+   * <code>string organisation = 2;</code>
+   * @return The bytes for organisation.
+   */
+  com.google.protobuf.ByteString
+      getOrganisationBytes();
 }
--- a/protocol/src/main/java/org/wasabimount/protocol/job/EarlyCancellation.java
+++ b/protocol/src/main/java/org/wasabimount/protocol/job/EarlyCancellation.java
@@ -20,6 +20,7 @@
     EarlyCancellationOrBuilder {
   private EarlyCancellation() {
     job_ = "";
+    organisation_ = "";
   }
   public static final int JOB_FIELD_NUMBER = 1;
   private java.lang.String job_;
@@ -94,6 +95,53 @@
     timeMillis_ = 0L;
   }
 
+  public static final int ORGANISATION_FIELD_NUMBER = 3;
+  private java.lang.String organisation_;
+  /**
+   * <code>string organisation = 3;</code>
+   * @return The organisation.
+   */
+  @java.lang.Override
+  public java.lang.String getOrganisation() {
+    return organisation_;
+  }
+  /**
+   * <code>string organisation = 3;</code>
+   * @return The bytes for organisation.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getOrganisationBytes() {
+    return com.google.protobuf.ByteString.copyFromUtf8(organisation_);
+  }
+  /**
+   * <code>string organisation = 3;</code>
+   * @param value The organisation to set.
+   */
+  private void setOrganisation(
+      java.lang.String value) {
+    java.util.Objects.requireNonNull(value);
+
+    organisation_ = value;
+  }
+  /**
+   * <code>string organisation = 3;</code>
+   */
+  private void clearOrganisation() {
+
+    organisation_ = getDefaultInstance().getOrganisation();
+  }
+  /**
+   * <code>string organisation = 3;</code>
+   * @param value The bytes for organisation to set.
+   */
+  private void setOrganisationBytes(
+      com.google.protobuf.ByteString value) {
+    checkByteStringIsUtf8(value);
+    organisation_ = value.toStringUtf8();
+
+  }
+
   public static org.wasabimount.protocol.job.EarlyCancellation parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -272,6 +320,55 @@
       return this;
     }
 
+    /**
+     * <code>string organisation = 3;</code>
+     * @return The organisation.
+     */
+    @java.lang.Override
+    public java.lang.String getOrganisation() {
+      return instance.getOrganisation();
+    }
+    /**
+     * <code>string organisation = 3;</code>
+     * @return The bytes for organisation.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getOrganisationBytes() {
+      return instance.getOrganisationBytes();
+    }
+    /**
+     * <code>string organisation = 3;</code>
+     * @param value The organisation to set.
+     * @return This builder for chaining.
+     */
+    public Builder setOrganisation(
+        java.lang.String value) {
+      copyOnWrite();
+      instance.setOrganisation(value);
+      return this;
+    }
+    /**
+     * <code>string organisation = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearOrganisation() {
+      copyOnWrite();
+      instance.clearOrganisation();
+      return this;
+    }
+    /**
+     * <code>string organisation = 3;</code>
+     * @param value The bytes for organisation to set.
+     * @return This builder for chaining.
+     */
+    public Builder setOrganisationBytes(
+        com.google.protobuf.ByteString value) {
+      copyOnWrite();
+      instance.setOrganisationBytes(value);
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:wasabimount.job.EarlyCancellation)
   }
   @java.lang.Override
@@ -290,10 +387,11 @@
           java.lang.Object[] objects = new java.lang.Object[] {
             "job_",
             "timeMillis_",
+            "organisation_",
           };
           java.lang.String info =
-              "\u0000\u0002\u0000\u0000\u0001\u0002\u0002\u0000\u0000\u0000\u0001\u0208\u0002\u0002" +
-              "";
+              "\u0000\u0003\u0000\u0000\u0001\u0003\u0003\u0000\u0000\u0000\u0001\u0208\u0002\u0002" +
+              "\u0003\u0208";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/protocol/src/main/java/org/wasabimount/protocol/job/EarlyCancellationOrBuilder.java
+++ b/protocol/src/main/java/org/wasabimount/protocol/job/EarlyCancellationOrBuilder.java
@@ -27,4 +27,16 @@
    * @return The timeMillis.
    */
   long getTimeMillis();
+
+  /**
+   * <code>string organisation = 3;</code>
+   * @return The organisation.
+   */
+  java.lang.String getOrganisation();
+  /**
+   * <code>string organisation = 3;</code>
+   * @return The bytes for organisation.
+   */
+  com.google.protobuf.ByteString
+      getOrganisationBytes();
 }
--- a/protocol/src/main/java/org/wasabimount/protocol/job/JobOperation.java
+++ b/protocol/src/main/java/org/wasabimount/protocol/job/JobOperation.java
@@ -16,6 +16,7 @@
     JobOperationOrBuilder {
   private JobOperation() {
     request_ = "";
+    secretHash_ = com.google.protobuf.ByteString.EMPTY;
   }
   private int bodyCase_ = 0;
   private java.lang.Object body_;
@@ -540,6 +541,45 @@
     }
   }
 
+  public static final int SECRET_HASH_FIELD_NUMBER = 10;
+  private com.google.protobuf.ByteString secretHash_;
+  /**
+   * <pre>
+   * SHA-256 of the caller's secret; empty if it sent none.
+   * </pre>
+   *
+   * <code>bytes secret_hash = 10;</code>
+   * @return The secretHash.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString getSecretHash() {
+    return secretHash_;
+  }
+  /**
+   * <pre>
+   * SHA-256 of the caller's secret; empty if it sent none.
+   * </pre>
+   *
+   * <code>bytes secret_hash = 10;</code>
+   * @param value The secretHash to set.
+   */
+  private void setSecretHash(com.google.protobuf.ByteString value) {
+    java.util.Objects.requireNonNull(value);
+  
+    secretHash_ = value;
+  }
+  /**
+   * <pre>
+   * SHA-256 of the caller's secret; empty if it sent none.
+   * </pre>
+   *
+   * <code>bytes secret_hash = 10;</code>
+   */
+  private void clearSecretHash() {
+
+    secretHash_ = getDefaultInstance().getSecretHash();
+  }
+
   public static org.wasabimount.protocol.job.JobOperation parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -1102,6 +1142,46 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * SHA-256 of the caller's secret; empty if it sent none.
+     * </pre>
+     *
+     * <code>bytes secret_hash = 10;</code>
+     * @return The secretHash.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString getSecretHash() {
+      return instance.getSecretHash();
+    }
+    /**
+     * <pre>
+     * SHA-256 of the caller's secret; empty if it sent none.
+     * </pre>
+     *
+     * <code>bytes secret_hash = 10;</code>
+     * @param value The secretHash to set.
+     * @return This builder for chaining.
+     */
+    public Builder setSecretHash(com.google.protobuf.ByteString value) {
+      copyOnWrite();
+      instance.setSecretHash(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * SHA-256 of the caller's secret; empty if it sent none.
+     * </pre>
+     *
+     * <code>bytes secret_hash = 10;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearSecretHash() {
+      copyOnWrite();
+      instance.clearSecretHash();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:wasabimount.job.JobOperation)
   }
   @java.lang.Override
@@ -1129,10 +1209,12 @@
             org.wasabimount.protocol.job.ReadQueues.class,
             org.wasabimount.protocol.job.Announce.class,
             org.wasabimount.protocol.job.Leave.class,
+            "secretHash_",
           };
           java.lang.String info =
-              "\u0000\t\u0001\u0000\u0001\t\t\u0000\u0000\u0000\u0001\u0208\u0002<\u0000\u0003<" +
-              "\u0000\u0004<\u0000\u0005<\u0000\u0006<\u0000\u0007<\u0000\b<\u0000\t<\u0000";
+              "\u0000\n\u0001\u0000\u0001\n\n\u0000\u0000\u0000\u0001\u0208\u0002<\u0000\u0003<" +
+              "\u0000\u0004<\u0000\u0005<\u0000\u0006<\u0000\u0007<\u0000\b<\u0000\t<\u0000\n\n" +
+              "";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/protocol/src/main/java/org/wasabimount/protocol/job/JobOperationOrBuilder.java
+++ b/protocol/src/main/java/org/wasabimount/protocol/job/JobOperationOrBuilder.java
@@ -118,5 +118,15 @@
    */
   org.wasabimount.protocol.job.Leave getLeave();
 
+  /**
+   * <pre>
+   * SHA-256 of the caller's secret; empty if it sent none.
+   * </pre>
+   *
+   * <code>bytes secret_hash = 10;</code>
+   * @return The secretHash.
+   */
+  com.google.protobuf.ByteString getSecretHash();
+
   public org.wasabimount.protocol.job.JobOperation.BodyCase getBodyCase();
 }
--- a/protocol/src/main/java/org/wasabimount/protocol/job/JobState.java
+++ b/protocol/src/main/java/org/wasabimount/protocol/job/JobState.java
@@ -16,6 +16,7 @@
     JobStateOrBuilder {
   private JobState() {
     tasks_ = emptyProtobufList();
+    organisation_ = "";
   }
   private int bitField0_;
   public static final int SPEC_FIELD_NUMBER = 1;
@@ -383,6 +384,53 @@
     begun_ = false;
   }
 
+  public static final int ORGANISATION_FIELD_NUMBER = 8;
+  private java.lang.String organisation_;
+  /**
+   * <code>string organisation = 8;</code>
+   * @return The organisation.
+   */
+  @java.lang.Override
+  public java.lang.String getOrganisation() {
+    return organisation_;
+  }
+  /**
+   * <code>string organisation = 8;</code>
+   * @return The bytes for organisation.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getOrganisationBytes() {
+    return com.google.protobuf.ByteString.copyFromUtf8(organisation_);
+  }
+  /**
+   * <code>string organisation = 8;</code>
+   * @param value The organisation to set.
+   */
+  private void setOrganisation(
+      java.lang.String value) {
+    java.util.Objects.requireNonNull(value);
+
+    organisation_ = value;
+  }
+  /**
+   * <code>string organisation = 8;</code>
+   */
+  private void clearOrganisation() {
+
+    organisation_ = getDefaultInstance().getOrganisation();
+  }
+  /**
+   * <code>string organisation = 8;</code>
+   * @param value The bytes for organisation to set.
+   */
+  private void setOrganisationBytes(
+      com.google.protobuf.ByteString value) {
+    checkByteStringIsUtf8(value);
+    organisation_ = value.toStringUtf8();
+
+  }
+
   public static org.wasabimount.protocol.job.JobState parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -867,6 +915,55 @@
       return this;
     }
 
+    /**
+     * <code>string organisation = 8;</code>
+     * @return The organisation.
+     */
+    @java.lang.Override
+    public java.lang.String getOrganisation() {
+      return instance.getOrganisation();
+    }
+    /**
+     * <code>string organisation = 8;</code>
+     * @return The bytes for organisation.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getOrganisationBytes() {
+      return instance.getOrganisationBytes();
+    }
+    /**
+     * <code>string organisation = 8;</code>
+     * @param value The organisation to set.
+     * @return This builder for chaining.
+     */
+    public Builder setOrganisation(
+        java.lang.String value) {
+      copyOnWrite();
+      instance.setOrganisation(value);
+      return this;
+    }
+    /**
+     * <code>string organisation = 8;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearOrganisation() {
+      copyOnWrite();
+      instance.clearOrganisation();
+      return this;
+    }
+    /**
+     * <code>string organisation = 8;</code>
+     * @param value The bytes for organisation to set.
+     * @return This builder for chaining.
+     */
+    public Builder setOrganisationBytes(
+        com.google.protobuf.ByteString value) {
+      copyOnWrite();
+      instance.setOrganisationBytes(value);
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:wasabimount.job.JobState)
   }
   @java.lang.Override
@@ -892,10 +989,11 @@
             org.wasabimount.protocol.job.TaskState.class,
             "queue_",
             "begun_",
+            "organisation_",
           };
           java.lang.String info =
-              "\u0000\u0007\u0000\u0001\u0001\u0007\u0007\u0000\u0001\u0000\u0001\u1009\u0000\u0002" +
-              "\f\u0003\u0002\u0004\u0002\u0005\u001b\u0006\u1009\u0001\u0007\u0007";
+              "\u0000\b\u0000\u0001\u0001\b\b\u0000\u0001\u0000\u0001\u1009\u0000\u0002\f\u0003" +
+              "\u0002\u0004\u0002\u0005\u001b\u0006\u1009\u0001\u0007\u0007\b\u0208";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/protocol/src/main/java/org/wasabimount/protocol/job/JobStateOrBuilder.java
+++ b/protocol/src/main/java/org/wasabimount/protocol/job/JobStateOrBuilder.java
@@ -90,4 +90,16 @@
    * @return The begun.
    */
   boolean getBegun();
+
+  /**
+   * <code>string organisation = 8;</code>
+   * @return The organisation.
+   */
+  java.lang.String getOrganisation();
+  /**
+   * <code>string organisation = 8;</code>
+   * @return The bytes for organisation.
+   */
+  com.google.protobuf.ByteString
+      getOrganisationBytes();
 }
--- a/protocol/src/main/java/org/wasabimount/protocol/job/Queue.java
+++ b/protocol/src/main/java/org/wasabimount/protocol/job/Queue.java
@@ -430,6 +430,44 @@
     bitField0_ = (bitField0_ & ~0x00000001);
   }
 
+  public static final int SECRET_REQUIRED_FIELD_NUMBER = 11;
+  private boolean secretRequired_;
+  /**
+   * <pre>
+   * Requests need the secret of an organisation.
+   * </pre>
+   *
+   * <code>bool secret_required = 11;</code>
+   * @return The secretRequired.
+   */
+  @java.lang.Override
+  public boolean getSecretRequired() {
+    return secretRequired_;
+  }
+  /**
+   * <pre>
+   * Requests need the secret of an organisation.
+   * </pre>
+   *
+   * <code>bool secret_required = 11;</code>
+   * @param value The secretRequired to set.
+   */
+  private void setSecretRequired(boolean value) {
+    
+    secretRequired_ = value;
+  }
+  /**
+   * <pre>
+   * Requests need the secret of an organisation.
+   * </pre>
+   *
+   * <code>bool secret_required = 11;</code>
+   */
+  private void clearSecretRequired() {
+
+    secretRequired_ = false;
+  }
+
   public static org.wasabimount.protocol.job.Queue parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -958,6 +996,46 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * Requests need the secret of an organisation.
+     * </pre>
+     *
+     * <code>bool secret_required = 11;</code>
+     * @return The secretRequired.
+     */
+    @java.lang.Override
+    public boolean getSecretRequired() {
+      return instance.getSecretRequired();
+    }
+    /**
+     * <pre>
+     * Requests need the secret of an organisation.
+     * </pre>
+     *
+     * <code>bool secret_required = 11;</code>
+     * @param value The secretRequired to set.
+     * @return This builder for chaining.
+     */
+    public Builder setSecretRequired(boolean value) {
+      copyOnWrite();
+      instance.setSecretRequired(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Requests need the secret of an organisation.
+     * </pre>
+     *
+     * <code>bool secret_required = 11;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearSecretRequired() {
+      copyOnWrite();
+      instance.clearSecretRequired();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:wasabimount.job.Queue)
   }
   @java.lang.Override
@@ -985,10 +1063,12 @@
             "stretch_",
             "maxAttempts_",
             "advice_",
+            "secretRequired_",
           };
           java.lang.String info =
-              "\u0000\n\u0000\u0001\u0001\n\n\u0000\u0000\u0000\u0001\u0208\u0002\u0208\u0003\u0208" +
-              "\u0004\u0208\u0005\u0004\u0006\u0002\u0007\u0002\b\u0000\t\u0004\n\u1009\u0000";
+              "\u0000\u000b\u0000\u0001\u0001\u000b\u000b\u0000\u0000\u0000\u0001\u0208\u0002\u0208" +
+              "\u0003\u0208\u0004\u0208\u0005\u0004\u0006\u0002\u0007\u0002\b\u0000\t\u0004\n\u1009" +
+              "\u0000\u000b\u0007";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/protocol/src/main/java/org/wasabimount/protocol/job/QueueOrBuilder.java
+++ b/protocol/src/main/java/org/wasabimount/protocol/job/QueueOrBuilder.java
@@ -114,4 +114,14 @@
    * @return The advice.
    */
   org.wasabimount.protocol.job.AdviceCost getAdvice();
+
+  /**
+   * <pre>
+   * Requests need the secret of an organisation.
+   * </pre>
+   *
+   * <code>bool secret_required = 11;</code>
+   * @return The secretRequired.
+   */
+  boolean getSecretRequired();
 }
--- a/protocol/src/main/java/org/wasabimount/protocol/job/QueueTable.java
+++ b/protocol/src/main/java/org/wasabimount/protocol/job/QueueTable.java
@@ -22,6 +22,7 @@
     queues_ = emptyProtobufList();
     pools_ = emptyProtobufList();
     document_ = com.google.protobuf.ByteString.EMPTY;
+    organisations_ = emptyProtobufList();
   }
   public static final int VERSION_FIELD_NUMBER = 1;
   private long version_;
@@ -276,6 +277,100 @@
     document_ = getDefaultInstance().getDocument();
   }
 
+  public static final int ORGANISATIONS_FIELD_NUMBER = 5;
+  private com.google.protobuf.Internal.ProtobufList<org.wasabimount.protocol.cell.Organisation> organisations_;
+  /**
+   * <code>repeated .wasabimount.cell.Organisation organisations = 5;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.wasabimount.protocol.cell.Organisation> getOrganisationsList() {
+    return organisations_;
+  }
+  /**
+   * <code>repeated .wasabimount.cell.Organisation organisations = 5;</code>
+   */
+  public java.util.List<? extends org.wasabimount.protocol.cell.OrganisationOrBuilder> 
+      getOrganisationsOrBuilderList() {
+    return organisations_;
+  }
+  /**
+   * <code>repeated .wasabimount.cell.Organisation organisations = 5;</code>
+   */
+  @java.lang.Override
+  public int getOrganisationsCount() {
+    return organisations_.size();
+  }
+  /**
+   * <code>repeated .wasabimount.cell.Organisation organisations = 5;</code>
+   */
+  @java.lang.Override
+  public org.wasabimount.protocol.cell.Organisation getOrganisations(int index) {
+    return organisations_.get(index);
+  }
+  /**
+   * <code>repeated .wasabimount.cell.Organisation organisations = 5;</code>
+   */
+  public org.wasabimount.protocol.cell.OrganisationOrBuilder getOrganisationsOrBuilder(
+      int index) {
+    return organisations_.get(index);
+  }
+  private void ensureOrganisationsIsMutable() {
+    com.google.protobuf.Internal.ProtobufList<org.wasabimount.protocol.cell.Organisation> tmp = organisations_;
+    if (!tmp.isModifiable()) {
+      organisations_ =
+          com.google.protobuf.GeneratedMessageLite.mutableCopy(tmp);
+     }
+  }
+
+  /**
+   * <code>repeated .wasabimount.cell.Organisation organisations = 5;</code>
+   */
+  private void setOrganisations(
+      int index, org.wasabimount.protocol.cell.Organisation value) {
+    java.util.Objects.requireNonNull(value);
+    ensureOrganisationsIsMutable();
+    organisations_.set(index, value);
+  }
+  /**
+   * <code>repeated .wasabimount.cell.Organisation organisations = 5;</code>
+   */
+  private void addOrganisations(org.wasabimount.protocol.cell.Organisation value) {
+    java.util.Objects.requireNonNull(value);
+    ensureOrganisationsIsMutable();
+    organisations_.add(value);
+  }
+  /**
+   * <code>repeated .wasabimount.cell.Organisation organisations = 5;</code>
+   */
+  private void addOrganisations(
+      int index, org.wasabimount.protocol.cell.Organisation value) {
+    java.util.Objects.requireNonNull(value);
+    ensureOrganisationsIsMutable();
+    organisations_.add(index, value);
+  }
+  /**
+   * <code>repeated .wasabimount.cell.Organisation organisations = 5;</code>
+   */
+  private void addAllOrganisations(
+      java.lang.Iterable<? extends org.wasabimount.protocol.cell.Organisation> values) {
+    ensureOrganisationsIsMutable();
+    com.google.protobuf.AbstractMessageLite.addAll(
+        values, organisations_);
+  }
+  /**
+   * <code>repeated .wasabimount.cell.Organisation organisations = 5;</code>
+   */
+  private void clearOrganisations() {
+    organisations_ = emptyProtobufList();
+  }
+  /**
+   * <code>repeated .wasabimount.cell.Organisation organisations = 5;</code>
+   */
+  private void removeOrganisations(int index) {
+    ensureOrganisationsIsMutable();
+    organisations_.remove(index);
+  }
+
   public static org.wasabimount.protocol.job.QueueTable parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -649,6 +744,108 @@
       return this;
     }
 
+    /**
+     * <code>repeated .wasabimount.cell.Organisation organisations = 5;</code>
+     */
+    @java.lang.Override
+    public java.util.List<org.wasabimount.protocol.cell.Organisation> getOrganisationsList() {
+      return java.util.Collections.unmodifiableList(
+          instance.getOrganisationsList());
+    }
+    /**
+     * <code>repeated .wasabimount.cell.Organisation organisations = 5;</code>
+     */
+    @java.lang.Override
+    public int getOrganisationsCount() {
+      return instance.getOrganisationsCount();
+    }/**
+     * <code>repeated .wasabimount.cell.Organisation organisations = 5;</code>
+     */
+    @java.lang.Override
+    public org.wasabimount.protocol.cell.Organisation getOrganisations(int index) {
+      return instance.getOrganisations(index);
+    }
+    /**
+     * <code>repeated .wasabimount.cell.Organisation organisations = 5;</code>
+     */
+    public Builder setOrganisations(
+        int index, org.wasabimount.protocol.cell.Organisation value) {
+      copyOnWrite();
+      instance.setOrganisations(index, value);
+      return this;
+    }
+    /**
+     * <code>repeated .wasabimount.cell.Organisation organisations = 5;</code>
+     */
+    public Builder setOrganisations(
+        int index, org.wasabimount.protocol.cell.Organisation.Builder builderForValue) {
+      copyOnWrite();
+      instance.setOrganisations(index,
+          builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>repeated .wasabimount.cell.Organisation organisations = 5;</code>
+     */
+    public Builder addOrganisations(org.wasabimount.protocol.cell.Organisation value) {
+      copyOnWrite();
+      instance.addOrganisations(value);
+      return this;
+    }
+    /**
+     * <code>repeated .wasabimount.cell.Organisation organisations = 5;</code>
+     */
+    public Builder addOrganisations(
+        int index, org.wasabimount.protocol.cell.Organisation value) {
+      copyOnWrite();
+      instance.addOrganisations(index, value);
+      return this;
+    }
+    /**
+     * <code>repeated .wasabimount.cell.Organisation organisations = 5;</code>
+     */
+    public Builder addOrganisations(
+        org.wasabimount.protocol.cell.Organisation.Builder builderForValue) {
+      copyOnWrite();
+      instance.addOrganisations(builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>repeated .wasabimount.cell.Organisation organisations = 5;</code>
+     */
+    public Builder addOrganisations(
+        int index, org.wasabimount.protocol.cell.Organisation.Builder builderForValue) {
+      copyOnWrite();
+      instance.addOrganisations(index,
+          builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>repeated .wasabimount.cell.Organisation organisations = 5;</code>
+     */
+    public Builder addAllOrganisations(
+        java.lang.Iterable<? extends org.wasabimount.protocol.cell.Organisation> values) {
+      copyOnWrite();
+      instance.addAllOrganisations(values);
+      return this;
+    }
+    /**
+     * <code>repeated .wasabimount.cell.Organisation organisations = 5;</code>
+     */
+    public Builder clearOrganisations() {
+      copyOnWrite();
+      instance.clearOrganisations();
+      return this;
+    }
+    /**
+     * <code>repeated .wasabimount.cell.Organisation organisations = 5;</code>
+     */
+    public Builder removeOrganisations(int index) {
+      copyOnWrite();
+      instance.removeOrganisations(index);
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:wasabimount.job.QueueTable)
   }
   @java.lang.Override
@@ -671,10 +868,12 @@
             "pools_",
             org.wasabimount.protocol.job.Pool.class,
             "document_",
+            "organisations_",
+            org.wasabimount.protocol.cell.Organisation.class,
           };
           java.lang.String info =
-              "\u0000\u0004\u0000\u0000\u0001\u0004\u0004\u0000\u0002\u0000\u0001\u0002\u0002\u001b" +
-              "\u0003\u001b\u0004\n";
+              "\u0000\u0005\u0000\u0000\u0001\u0005\u0005\u0000\u0003\u0000\u0001\u0002\u0002\u001b" +
+              "\u0003\u001b\u0004\n\u0005\u001b";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/protocol/src/main/java/org/wasabimount/protocol/job/QueueTableOrBuilder.java
+++ b/protocol/src/main/java/org/wasabimount/protocol/job/QueueTableOrBuilder.java
@@ -53,4 +53,18 @@
    * @return The document.
    */
   com.google.protobuf.ByteString getDocument();
+
+  /**
+   * <code>repeated .wasabimount.cell.Organisation organisations = 5;</code>
+   */
+  java.util.List<org.wasabimount.protocol.cell.Organisation> 
+      getOrganisationsList();
+  /**
+   * <code>repeated .wasabimount.cell.Organisation organisations = 5;</code>
+   */
+  org.wasabimount.protocol.cell.Organisation getOrganisations(int index);
+  /**
+   * <code>repeated .wasabimount.cell.Organisation organisations = 5;</code>
+   */
+  int getOrganisationsCount();
 }
