Requests carry the secret of an organisation, and jobs belong to one

Cause: nothing read the key of a call; requests with keys that no configuration held were served, and any caller could see, cancel or collide with any job. Change: the adapter passes on the hash of a caller's key; the leader checks it against its newest table (CallerCheck): unknown 1101 (401), a job of another organisation 1102 (410), its id 1009 (422). Organisations are validated with the queue table (two that share a secret, no name, negative weight or quota, odd bytes, more than 4,096). Cancellations ahead of a submission count for their organisation only. An organisation that is no longer declared keeps account and quota until its jobs have ended.

--- a/core/src/main/java/org/wasabimount/core/cell/Capacity.java
+++ b/core/src/main/java/org/wasabimount/core/cell/Capacity.java
@@ -14,6 +14,9 @@
     /** Zero in every dimension. */
     public static final Capacity NONE = new Capacity(0, 0, 0);
 
+    /** A dimension without a limit; sums of several do not overflow. */
+    public static final long UNLIMITED = Long.MAX_VALUE >> 10;
+
     /**
      * Reads a capacity from its message.
      *
--- a/core/src/main/java/org/wasabimount/core/cell/OrganisationAccount.java
+++ b/core/src/main/java/org/wasabimount/core/cell/OrganisationAccount.java
@@ -100,7 +100,12 @@
         used = used.minus(size);
     }
 
-    Organisation toMessage() {
+    /**
+     * Writes the organisation's declaration.
+     *
+     * @return the message, without what the organisation holds
+     */
+    public Organisation toMessage() {
         return Organisation.newBuilder()
                 .setName(id.name())
                 .setWeight(weight)
--- a/core/src/main/java/org/wasabimount/core/job/EarlyCancellations.java
+++ b/core/src/main/java/org/wasabimount/core/job/EarlyCancellations.java
@@ -16,25 +16,27 @@
     /** Bounds the memory that clients take by cancelling jobs that do not exist. */
     private static final int MAX_COUNT = 4_096;
 
-    private final Map<String, Long> timesByJob = new LinkedHashMap<>();
+    private final Map<Key, Long> timesByJob = new LinkedHashMap<>();
+
+    private record Key(String job, String organisation) {}
 
     /** Records a cancellation, and forgets the oldest ones. */
-    void add(String job, long nowMillis) {
-        timesByJob.put(job, nowMillis);
+    void add(String job, String organisation, long nowMillis) {
+        timesByJob.put(new Key(job, organisation), nowMillis);
         Iterator<Long> oldest = timesByJob.values().iterator();
         while (oldest.hasNext() && (!counts(oldest.next(), nowMillis) || timesByJob.size() > MAX_COUNT)) {
             oldest.remove();
         }
     }
 
-    boolean contains(String job, long nowMillis) {
-        return counts(timesByJob.getOrDefault(job, Long.MIN_VALUE), nowMillis);
+    boolean contains(String job, String organisation, long nowMillis) {
+        return counts(timesByJob.getOrDefault(new Key(job, organisation), Long.MIN_VALUE), nowMillis);
     }
 
     /** Removes a cancellation; returns whether there was one that still counts. */
-    boolean remove(String job, long nowMillis) {
-        boolean contained = contains(job, nowMillis);
-        timesByJob.remove(job);
+    boolean remove(String job, String organisation, long nowMillis) {
+        boolean contained = contains(job, organisation, nowMillis);
+        timesByJob.remove(new Key(job, organisation));
         return contained;
     }
 
@@ -45,13 +47,15 @@
     List<EarlyCancellation> toMessages() {
         return timesByJob.entrySet().stream()
                 .map(entry -> EarlyCancellation.newBuilder()
-                        .setJob(entry.getKey())
+                        .setJob(entry.getKey().job())
+                        .setOrganisation(entry.getKey().organisation())
                         .setTimeMillis(entry.getValue())
                         .build())
                 .toList();
     }
 
     void restore(List<EarlyCancellation> messages) {
-        messages.forEach(message -> timesByJob.put(message.getJob(), message.getTimeMillis()));
+        messages.forEach(message ->
+                timesByJob.put(new Key(message.getJob(), message.getOrganisation()), message.getTimeMillis()));
     }
 }
--- a/core/src/main/java/org/wasabimount/core/job/JobTable.java
+++ b/core/src/main/java/org/wasabimount/core/job/JobTable.java
@@ -14,6 +14,7 @@
 
 import org.wasabimount.core.ResultCode;
 import org.wasabimount.protocol.job.AcceptJob;
+import org.wasabimount.protocol.job.CancelJob;
 import org.wasabimount.protocol.job.ConfirmCapacities;
 import org.wasabimount.protocol.job.End;
 import org.wasabimount.protocol.job.EndKind;
@@ -185,11 +186,12 @@
      * Returns whether a job was cancelled that is not known; it is cancelled as soon as it is accepted.
      *
      * @param id the job's id
+     * @param organisation the organisation that cancels; empty if the queue requires no secret
      * @param nowMillis the current time of day, in milliseconds since 1970
      * @return true if its cancellation was recorded lately
      */
-    public boolean cancelledEarly(String id, long nowMillis) {
-        return earlyCancellations.contains(id, nowMillis);
+    public boolean cancelledEarly(String id, String organisation, long nowMillis) {
+        return earlyCancellations.contains(id, organisation, nowMillis);
     }
 
     /**
@@ -250,7 +252,7 @@
         long nowMillis = command.getTimeMillis();
         return switch (command.getBodyCase()) {
             case ACCEPT -> accept(command.getAccept(), nowMillis);
-            case CANCEL -> cancel(command.getCancel().getJob(), nowMillis);
+            case CANCEL -> cancel(command.getCancel(), nowMillis);
             case PLACE -> place(command.getPlace(), nowMillis);
             case END -> endRuns(command.getEnd(), nowMillis);
             case LOSE -> loseRuns(command.getLose(), nowMillis);
@@ -280,6 +282,7 @@
         jobs.values().forEach(job -> snapshot.addJobs(job.toState()));
         return snapshot.addAllSilentWorkers(silentWorkers.toMessages())
                 .addAllEarlyCancellations(earlyCancellations.toMessages())
+                .addAllFormerOrganisations(organisations.former())
                 .build();
     }
 
@@ -292,7 +295,7 @@
     public static JobTable restore(JobSnapshot snapshot) {
         JobTable table = new JobTable();
         table.queues = snapshot.getQueues();
-        table.organisations.declare(snapshot.getQueues().getOrganisationsList());
+        table.organisations.restore(snapshot.getQueues().getOrganisationsList(), snapshot.getFormerOrganisationsList());
         snapshot.getWorkersList()
                 .forEach(worker -> table.workers.put(
                         worker.getLife().getWorker(),
@@ -300,6 +303,9 @@
                                 worker.getLife(), worker.getSequence(), worker.getClockMillis(), worker.getOffset())));
         snapshot.getJobsList().stream().map(Job::restore).forEach(job -> {
             table.jobs.put(job.id(), job);
+            if (job.open()) {
+                table.organisations.jobOpened(job);
+            }
             job.tasks()
                     .forEach(task -> task.incarnation().ifPresent(incarnation -> {
                         table.mutablePlacedOn(incarnation).add(task.id());
@@ -334,21 +340,27 @@
     }
 
     private ResultCode accept(AcceptJob command, long nowMillis) {
-        if (!jobs.containsKey(command.getSpec().getId())) {
-            Job job = new Job(command.getSpec(), command.getQueue(), command.getOrganisation(), nowMillis);
-            jobs.put(job.id(), job);
-            tell(changes -> changes.accepted(job));
-            if (earlyCancellations.remove(job.id(), nowMillis)) {
-                endJob(job, JobPhase.CANCELLED, nowMillis);
-            }
+        Job known = jobs.get(command.getSpec().getId());
+        if (known != null) {
+            return known.organisation().equals(command.getOrganisation()) ? ResultCode.OK : ResultCode.KEY_REUSED;
+        }
+        Job job = new Job(command.getSpec(), command.getQueue(), command.getOrganisation(), nowMillis);
+        jobs.put(job.id(), job);
+        organisations.jobOpened(job);
+        tell(changes -> changes.accepted(job));
+        if (earlyCancellations.remove(job.id(), job.organisation(), nowMillis)) {
+            endJob(job, JobPhase.CANCELLED, nowMillis);
         }
         return ResultCode.OK;
     }
 
-    private ResultCode cancel(String id, long nowMillis) {
-        Job job = jobs.get(id);
+    private ResultCode cancel(CancelJob command, long nowMillis) {
+        Job job = jobs.get(command.getJob());
         if (job == null) {
-            earlyCancellations.add(id, nowMillis);
+            earlyCancellations.add(command.getJob(), command.getOrganisation(), nowMillis);
+            return ResultCode.NOT_FOUND;
+        }
+        if (!job.organisation().equals(command.getOrganisation())) {
             return ResultCode.NOT_FOUND;
         }
         endJob(job, JobPhase.CANCELLED, nowMillis);
@@ -358,6 +370,7 @@
     private void endJob(Job job, JobPhase endPhase, long nowMillis) {
         if (job.open()) {
             job.end(endPhase, nowMillis);
+            organisations.jobEnded(job);
             tell(changes -> changes.ended(job));
         }
     }
--- a/core/src/main/java/org/wasabimount/core/job/Organisations.java
+++ b/core/src/main/java/org/wasabimount/core/job/Organisations.java
@@ -2,6 +2,7 @@
 
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -18,26 +19,45 @@
 /**
  * The organisations that share the workers, by name and by secret, with what their tasks hold.
  *
- * <p>An organisation that is no longer declared keeps its account, as its accepted jobs go on.
+ * <p>An organisation that is no longer declared keeps its account, and the quota that it had, until its last job has ended
+ * and its last task has left its worker.
  */
 public final class Organisations {
 
     private final Map<String, OrganisationAccount> accounts = new LinkedHashMap<>();
     private final Map<ByteString, OrganisationAccount> accountsBySecret = new HashMap<>();
+    private final Set<String> declared = new HashSet<>();
+    private final Map<String, Integer> openJobs = new HashMap<>();
 
     /** Replaces the declared organisations. */
-    void declare(List<Organisation> declared) {
+    void declare(List<Organisation> organisations) {
         accountsBySecret.clear();
-        Set<String> names = declared.stream().map(Organisation::getName).collect(Collectors.toSet());
-        accounts.values()
-                .removeIf(account ->
-                        !names.contains(account.id().name()) && account.used().equals(Capacity.NONE));
-        declared.forEach(organisation -> {
-            OrganisationAccount account =
-                    accounts.computeIfAbsent(organisation.getName(), absent -> new OrganisationAccount(organisation));
+        declared.clear();
+        organisations.forEach(organisation -> {
+            declared.add(organisation.getName());
+            OrganisationAccount account = account(organisation);
             account.update(organisation);
             organisation.getSecretHashesList().forEach(hash -> accountsBySecret.put(hash, account));
         });
+        List.copyOf(accounts.keySet()).forEach(this::removeIfUnused);
+    }
+
+    /** Restores the accounts, before jobs and tasks are restored. */
+    void restore(List<Organisation> nowDeclared, List<Organisation> former) {
+        declare(nowDeclared);
+        former.forEach(this::account);
+    }
+
+    /** Returns the organisations that are not declared and still have an account. */
+    List<Organisation> former() {
+        return accounts.values().stream()
+                .filter(account -> !declared.contains(account.id().name()))
+                .map(OrganisationAccount::toMessage)
+                .toList();
+    }
+
+    private OrganisationAccount account(Organisation organisation) {
+        return accounts.computeIfAbsent(organisation.getName(), absent -> new OrganisationAccount(organisation));
     }
 
     /**
@@ -54,7 +74,7 @@
      * Returns the account with a given name.
      *
      * @param name the organisation's name
-     * @return the account, empty if the organisation was never declared, or is not declared and holds nothing
+     * @return the account, empty if the organisation is not declared and has no open jobs and no placed tasks
      */
     public Optional<OrganisationAccount> account(String name) {
         return Optional.ofNullable(accounts.get(name));
@@ -69,15 +89,50 @@
         return accounts.values();
     }
 
+    /** Records that a job was accepted. */
+    void jobOpened(Job job) {
+        if (accounts.containsKey(job.organisation())) {
+            openJobs.merge(job.organisation(), 1, Integer::sum);
+        }
+    }
+
+    /** Records that a job has ended; its tasks may still be on workers. */
+    void jobEnded(Job job) {
+        openJobs.computeIfPresent(job.organisation(), (name, count) -> count == 1 ? null : count - 1);
+        removeIfUnused(job.organisation());
+    }
+
     /** Adds the size of a task that has been placed. */
     void charge(Job job, int step) {
-        account(job.organisation())
-                .ifPresent(account -> account.charge(Capacity.of(job.step(step).getSize())));
+        account(job.organisation()).ifPresent(account -> account.charge(size(job, step)));
     }
 
     /** Subtracts the size of a task whose run has surely ended. */
     void refund(Job job, int step) {
-        account(job.organisation())
-                .ifPresent(account -> account.refund(Capacity.of(job.step(step).getSize())));
+        account(job.organisation()).ifPresent(account -> account.refund(size(job, step)));
+        removeIfUnused(job.organisation());
+    }
+
+    private static Capacity size(Job job, int step) {
+        return Capacity.of(job.step(step).getSize());
+    }
+
+    private void removeIfUnused(String name) {
+        boolean used = declared.contains(name)
+                || openJobs.containsKey(name)
+                || account(name)
+                        .map(OrganisationAccount::used)
+                        .filter(held -> !held.equals(Capacity.NONE))
+                        .isPresent();
+        if (!used) {
+            accounts.remove(name);
+        }
+    }
+
+    @Override
+    public String toString() {
+        return accounts.values().stream()
+                .map(account -> account.id() + "=" + account.used())
+                .collect(Collectors.joining(", "));
     }
 }
--- a/core/src/main/java/org/wasabimount/core/job/QueueCheck.java
+++ b/core/src/main/java/org/wasabimount/core/job/QueueCheck.java
@@ -31,6 +31,10 @@
                 return refuse("pool \"" + pool.getName() + "\" has no name or is defined more than once");
             }
         }
+        Optional<Refusal> organisationProblem = OrganisationCheck.check(table.getOrganisationsList());
+        if (organisationProblem.isPresent()) {
+            return organisationProblem;
+        }
         Set<String> names = new HashSet<>();
         Set<String> hostsWithPrefix = new HashSet<>();
         return table.getQueuesList().stream()
--- a/daemon/src/main/java/org/wasabimount/daemon/job/JobLeader.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/job/JobLeader.java
@@ -46,6 +46,10 @@
 import org.wasabimount.protocol.job.QueueTable;
 import org.wasabimount.protocol.job.Submit;
 
+import com.google.protobuf.ByteString;
+
+import io.vavr.control.Either;
+
 /** Executes operations and drives the dispatcher while this replica leads the jobs' group. */
 public final class JobLeader {
 
@@ -72,7 +76,8 @@
     private final NodeMetrics metrics;
     private final Clock clock;
     private final Clock wallClock;
-    private final Map<String, CompletableFuture<Reply>> pendingAccepts = new HashMap<>();
+    private final Map<String, PendingAccept> pendingAccepts = new HashMap<>();
+    private final CallerCheck callers = new CallerCheck(this::table);
     private final ConcurrentLinkedQueue<Runnable> deferredEvents = new ConcurrentLinkedQueue<>();
     private final SuspensionWatch suspensionWatch;
     private final DispatchMonitor monitor;
@@ -83,6 +88,8 @@
     private long restartMillis = Long.MIN_VALUE;
     private long term;
 
+    private record PendingAccept(CallerCheck.Caller caller, CompletableFuture<Reply> reply) {}
+
     /**
      * Creates the instance and registers it with the group's thread, on which all other methods are called.
      *
@@ -124,10 +131,11 @@
             return refuse(new Refusal(ResultCode.NOT_READY, "the dispatcher starts again", RESTART_DELAY_MILLIS));
         }
         return switch (operation.getBodyCase()) {
-            case SUBMIT -> submit(operation.getRequest(), operation.getSubmit());
-            case STATE -> CompletableFuture.completedFuture(state(operation.getState()));
-            case CANCEL -> cancel(operation.getRequest(), operation.getCancel());
-            case COUNT_WAITING -> CompletableFuture.completedFuture(countWaiting(operation.getCountWaiting()));
+            case SUBMIT -> submit(operation, operation.getSubmit());
+            case STATE -> CompletableFuture.completedFuture(state(operation.getState(), operation.getSecretHash()));
+            case CANCEL -> cancel(operation, operation.getCancel());
+            case COUNT_WAITING ->
+                CompletableFuture.completedFuture(countWaiting(operation.getCountWaiting(), operation.getSecretHash()));
             case PUT_QUEUES -> putQueues(operation.getPutQueues());
             case READ_QUEUES -> CompletableFuture.completedFuture(readQueues());
             case ANNOUNCE -> announce(operation.getAnnounce());
@@ -152,92 +160,99 @@
         }
     }
 
-    private CompletableFuture<Reply> submit(String request, Submit submit) {
+    private CompletableFuture<Reply> submit(JobOperation operation, Submit submit) {
+        Either<Refusal, CallerCheck.Caller> caller = callers.callerAt(submit.getAt(), operation.getSecretHash());
+        return caller.isLeft() ? refuse(caller.getLeft()) : submit(operation.getRequest(), submit, caller.get());
+    }
+
+    private CompletableFuture<Reply> submit(String request, Submit submit, CallerCheck.Caller caller) {
         JobSpec spec = submit.getSpec();
         Optional<Job> existing = table().job(spec.getId());
+        PendingAccept pending = pendingAccepts.get(spec.getId());
+        boolean sameJob = existing.map(job -> CallerCheck.submittedAt(job, submit.getAt()) && caller.mayAccess(job))
+                .orElse(pending == null || pending.caller().sameAs(caller));
+        if (!sameJob) {
+            return refuse(Refusal.of(ResultCode.KEY_REUSED, "another job has the id " + spec.getId()));
+        }
         if (existing.isPresent()) {
-            return existing.filter(job -> submittedAt(job, submit.getAt())).isPresent()
-                    ? CompletableFuture.completedFuture(Reply.getDefaultInstance())
-                    : refuse(Refusal.of(ResultCode.KEY_REUSED, "a job of another queue has the id " + spec.getId()));
+            return CompletableFuture.completedFuture(Reply.getDefaultInstance());
         }
-        CompletableFuture<Reply> pending = pendingAccepts.get(spec.getId());
         if (pending != null) {
-            return pending;
-        }
-        Optional<Queue> queue = queueAt(submit.getAt());
-        if (queue.isEmpty()) {
-            return refuse(noQueue(submit.getAt()));
+            return pending.reply();
         }
-        Optional<Refusal> refusal = JobCheck.check(spec).or(() -> dispatcher.admit(spec, queue.get()));
+        Queue queue = caller.queue();
+        Optional<Refusal> refusal = JobCheck.check(spec).or(() -> dispatcher.admit(spec, queue));
         LOG.log(
                 System.Logger.Level.INFO,
-                "SUBMIT request={0} job={1} queue={2} version={3} outcome={4}",
+                "SUBMIT request={0} job={1} queue={2} organisation={3} version={4} outcome={5}",
                 request,
                 spec.getId(),
-                queue.get().getName(),
+                queue.getName(),
+                caller.organisation(),
                 Long.toString(table().queues().getVersion()),
                 refusal.map(reason -> reason.code() + " (" + reason.detail() + ")")
                         .orElse("accepted"));
         if (refusal.isPresent()) {
             return refuse(refusal.get());
         }
-        JobSpec specWithQueue = spec.toBuilder().setQueue(queue.get().getName()).build();
+        JobSpec specWithQueue = spec.toBuilder().setQueue(queue.getName()).build();
         CompletableFuture<Reply> reply = propose(JobCommand.newBuilder()
-                .setAccept(AcceptJob.newBuilder().setSpec(specWithQueue).setQueue(queue.get()))
+                .setAccept(AcceptJob.newBuilder()
+                        .setSpec(specWithQueue)
+                        .setQueue(queue)
+                        .setOrganisation(caller.organisation()))
                 .build());
-        pendingAccepts.put(spec.getId(), reply);
+        pendingAccepts.put(spec.getId(), new PendingAccept(caller, reply));
         reply.whenComplete((done, failure) -> pendingAccepts.remove(spec.getId()));
         return reply;
     }
 
-    private Reply state(JobQuery query) {
-        return table().job(query.getJob())
-                .filter(job -> submittedAt(job, query.getAt()))
-                .map(job -> response(JobAnswer.newBuilder().setPhase(waits(job) ? JobPhase.QUEUED : job.phase())))
-                .orElseGet(() -> reply(queueAt(query.getAt()).isPresent() ? noJob(query) : noQueue(query.getAt())));
+    private Reply state(JobQuery query, ByteString secretHash) {
+        return callers.callerFor(query, secretHash)
+                .fold(
+                        JobLeader::reply,
+                        caller -> callers.job(query, caller)
+                                .map(job -> response(
+                                        JobAnswer.newBuilder().setPhase(waits(job) ? JobPhase.QUEUED : job.phase())))
+                                .orElseGet(() -> reply(noJob(query))));
     }
 
-    private CompletableFuture<Reply> cancel(String request, JobQuery query) {
-        Optional<Job> known = table().job(query.getJob());
-        Optional<Job> job = known.filter(candidate -> submittedAt(candidate, query.getAt()));
+    private CompletableFuture<Reply> cancel(JobOperation operation, JobQuery query) {
+        Either<Refusal, CallerCheck.Caller> caller = callers.callerFor(query, operation.getSecretHash());
+        if (caller.isLeft()) {
+            return refuse(caller.getLeft());
+        }
+        Optional<Job> job = callers.job(query, caller.get());
+        String organisation = job.map(Job::organisation).orElse(caller.get().organisation());
         LOG.log(
                 System.Logger.Level.INFO,
-                "CANCEL request={0} job={1} phase={2}",
-                request,
+                "CANCEL request={0} job={1} organisation={2} phase={3}",
+                operation.getRequest(),
                 query.getJob(),
+                organisation,
                 job.map(Job::phase).map(JobPhase::name).orElse("unknown"));
-        if (job.isEmpty() && queueAt(query.getAt()).isEmpty()) {
-            return refuse(noQueue(query.getAt()));
-        }
-        boolean recorded = known.isPresent() || table().cancelledEarly(query.getJob(), wallClock.millis());
+        boolean recorded = table().job(query.getJob()).isPresent()
+                || table().cancelledEarly(query.getJob(), organisation, wallClock.millis());
         if (job.isEmpty() && (recorded || !JobCheck.validId(query.getJob()))) {
             return refuse(noJob(query));
         }
         // Also recorded for a job that is not known: its submission may arrive later, through a node that was
         // suspended.
         CompletableFuture<Reply> cancellation = propose(JobCommand.newBuilder()
-                .setCancel(CancelJob.newBuilder().setJob(query.getJob()))
+                .setCancel(CancelJob.newBuilder().setJob(query.getJob()).setOrganisation(organisation))
                 .build());
         return cancellation.thenApply(
                 reply -> reply.getResultCode() == ResultCode.NOT_FOUND.number() ? reply(noJob(query)) : reply);
     }
 
-    /** Returns whether a request is for a job: the queue that accepted the job serves the request's address. */
-    private static boolean submittedAt(Job job, QueueAddress at) {
-        return job.queue().getHost().equals(at.getHost())
-                && at.getPath().startsWith(job.queue().getPathPrefix());
-    }
-
-    private Reply countWaiting(QueueAddress at) {
-        Optional<Queue> queue = queueAt(at);
-        if (queue.isEmpty()) {
-            return reply(noQueue(at));
-        }
-        long waiting = table().jobs().stream()
-                .filter(job ->
-                        waits(job) && job.queue().getName().equals(queue.get().getName()))
-                .count();
-        return response(JobAnswer.newBuilder().setWaiting(waiting));
+    private Reply countWaiting(QueueAddress at, ByteString secretHash) {
+        return callers.callerAt(at, secretHash).fold(JobLeader::reply, caller -> {
+            long waiting = table().jobs().stream()
+                    .filter(job -> waits(job)
+                            && job.queue().getName().equals(caller.queue().getName()))
+                    .count();
+            return response(JobAnswer.newBuilder().setWaiting(waiting));
+        });
     }
 
     /** Returns whether no task of an open job has begun; its tasks may be placed. */
@@ -249,10 +264,11 @@
         Optional<Refusal> refusal = QueueCheck.check(next);
         LOG.log(
                 System.Logger.Level.INFO,
-                "QUEUES put version={0} held={1} queues={2} outcome={3}",
+                "QUEUES put version={0} held={1} queues={2} organisations={3} outcome={4}",
                 Long.toString(next.getVersion()),
                 Long.toString(table().queues().getVersion()),
                 next.getQueuesCount(),
+                next.getOrganisationsCount(),
                 refusal.map(Refusal::detail).orElse("accepted"));
         if (refusal.isPresent()) {
             return refuse(refusal.get());
@@ -532,18 +548,6 @@
         return stateMachine.table();
     }
 
-    private Optional<Queue> queueAt(QueueAddress at) {
-        return table().queueAt(at.getHost(), at.getPath());
-    }
-
-    private Refusal noQueue(QueueAddress at) {
-        return table().queues().getVersion() == 0
-                ? Refusal.of(ResultCode.NOT_READY, "no queues were put yet")
-                : Refusal.of(
-                        ResultCode.NO_SUCH_ROUTE,
-                        "there is no queue at host " + at.getHost() + ", path " + at.getPath());
-    }
-
     private static Refusal noJob(JobQuery query) {
         return Refusal.of(ResultCode.NOT_FOUND, "there is no job " + query.getJob());
     }
--- a/protocol/src/main/java/org/wasabimount/protocol/job/JobSnapshot.java
+++ b/protocol/src/main/java/org/wasabimount/protocol/job/JobSnapshot.java
@@ -19,6 +19,7 @@
     jobs_ = emptyProtobufList();
     silentWorkers_ = emptyProtobufList();
     earlyCancellations_ = emptyProtobufList();
+    formerOrganisations_ = emptyProtobufList();
   }
   private int bitField0_;
   public static final int QUEUES_FIELD_NUMBER = 1;
@@ -444,6 +445,144 @@
     earlyCancellations_.remove(index);
   }
 
+  public static final int FORMER_ORGANISATIONS_FIELD_NUMBER = 6;
+  private com.google.protobuf.Internal.ProtobufList<org.wasabimount.protocol.cell.Organisation> formerOrganisations_;
+  /**
+   * <pre>
+   * Organisations that the queue table no longer declares and that still have open jobs or tasks on workers.
+   * </pre>
+   *
+   * <code>repeated .wasabimount.cell.Organisation former_organisations = 6;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.wasabimount.protocol.cell.Organisation> getFormerOrganisationsList() {
+    return formerOrganisations_;
+  }
+  /**
+   * <pre>
+   * Organisations that the queue table no longer declares and that still have open jobs or tasks on workers.
+   * </pre>
+   *
+   * <code>repeated .wasabimount.cell.Organisation former_organisations = 6;</code>
+   */
+  public java.util.List<? extends org.wasabimount.protocol.cell.OrganisationOrBuilder> 
+      getFormerOrganisationsOrBuilderList() {
+    return formerOrganisations_;
+  }
+  /**
+   * <pre>
+   * Organisations that the queue table no longer declares and that still have open jobs or tasks on workers.
+   * </pre>
+   *
+   * <code>repeated .wasabimount.cell.Organisation former_organisations = 6;</code>
+   */
+  @java.lang.Override
+  public int getFormerOrganisationsCount() {
+    return formerOrganisations_.size();
+  }
+  /**
+   * <pre>
+   * Organisations that the queue table no longer declares and that still have open jobs or tasks on workers.
+   * </pre>
+   *
+   * <code>repeated .wasabimount.cell.Organisation former_organisations = 6;</code>
+   */
+  @java.lang.Override
+  public org.wasabimount.protocol.cell.Organisation getFormerOrganisations(int index) {
+    return formerOrganisations_.get(index);
+  }
+  /**
+   * <pre>
+   * Organisations that the queue table no longer declares and that still have open jobs or tasks on workers.
+   * </pre>
+   *
+   * <code>repeated .wasabimount.cell.Organisation former_organisations = 6;</code>
+   */
+  public org.wasabimount.protocol.cell.OrganisationOrBuilder getFormerOrganisationsOrBuilder(
+      int index) {
+    return formerOrganisations_.get(index);
+  }
+  private void ensureFormerOrganisationsIsMutable() {
+    com.google.protobuf.Internal.ProtobufList<org.wasabimount.protocol.cell.Organisation> tmp = formerOrganisations_;
+    if (!tmp.isModifiable()) {
+      formerOrganisations_ =
+          com.google.protobuf.GeneratedMessageLite.mutableCopy(tmp);
+     }
+  }
+
+  /**
+   * <pre>
+   * Organisations that the queue table no longer declares and that still have open jobs or tasks on workers.
+   * </pre>
+   *
+   * <code>repeated .wasabimount.cell.Organisation former_organisations = 6;</code>
+   */
+  private void setFormerOrganisations(
+      int index, org.wasabimount.protocol.cell.Organisation value) {
+    java.util.Objects.requireNonNull(value);
+    ensureFormerOrganisationsIsMutable();
+    formerOrganisations_.set(index, value);
+  }
+  /**
+   * <pre>
+   * Organisations that the queue table no longer declares and that still have open jobs or tasks on workers.
+   * </pre>
+   *
+   * <code>repeated .wasabimount.cell.Organisation former_organisations = 6;</code>
+   */
+  private void addFormerOrganisations(org.wasabimount.protocol.cell.Organisation value) {
+    java.util.Objects.requireNonNull(value);
+    ensureFormerOrganisationsIsMutable();
+    formerOrganisations_.add(value);
+  }
+  /**
+   * <pre>
+   * Organisations that the queue table no longer declares and that still have open jobs or tasks on workers.
+   * </pre>
+   *
+   * <code>repeated .wasabimount.cell.Organisation former_organisations = 6;</code>
+   */
+  private void addFormerOrganisations(
+      int index, org.wasabimount.protocol.cell.Organisation value) {
+    java.util.Objects.requireNonNull(value);
+    ensureFormerOrganisationsIsMutable();
+    formerOrganisations_.add(index, value);
+  }
+  /**
+   * <pre>
+   * Organisations that the queue table no longer declares and that still have open jobs or tasks on workers.
+   * </pre>
+   *
+   * <code>repeated .wasabimount.cell.Organisation former_organisations = 6;</code>
+   */
+  private void addAllFormerOrganisations(
+      java.lang.Iterable<? extends org.wasabimount.protocol.cell.Organisation> values) {
+    ensureFormerOrganisationsIsMutable();
+    com.google.protobuf.AbstractMessageLite.addAll(
+        values, formerOrganisations_);
+  }
+  /**
+   * <pre>
+   * Organisations that the queue table no longer declares and that still have open jobs or tasks on workers.
+   * </pre>
+   *
+   * <code>repeated .wasabimount.cell.Organisation former_organisations = 6;</code>
+   */
+  private void clearFormerOrganisations() {
+    formerOrganisations_ = emptyProtobufList();
+  }
+  /**
+   * <pre>
+   * Organisations that the queue table no longer declares and that still have open jobs or tasks on workers.
+   * </pre>
+   *
+   * <code>repeated .wasabimount.cell.Organisation former_organisations = 6;</code>
+   */
+  private void removeFormerOrganisations(int index) {
+    ensureFormerOrganisationsIsMutable();
+    formerOrganisations_.remove(index);
+  }
+
   public static org.wasabimount.protocol.job.JobSnapshot parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -996,6 +1135,156 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * Organisations that the queue table no longer declares and that still have open jobs or tasks on workers.
+     * </pre>
+     *
+     * <code>repeated .wasabimount.cell.Organisation former_organisations = 6;</code>
+     */
+    @java.lang.Override
+    public java.util.List<org.wasabimount.protocol.cell.Organisation> getFormerOrganisationsList() {
+      return java.util.Collections.unmodifiableList(
+          instance.getFormerOrganisationsList());
+    }
+    /**
+     * <pre>
+     * Organisations that the queue table no longer declares and that still have open jobs or tasks on workers.
+     * </pre>
+     *
+     * <code>repeated .wasabimount.cell.Organisation former_organisations = 6;</code>
+     */
+    @java.lang.Override
+    public int getFormerOrganisationsCount() {
+      return instance.getFormerOrganisationsCount();
+    }/**
+     * <pre>
+     * Organisations that the queue table no longer declares and that still have open jobs or tasks on workers.
+     * </pre>
+     *
+     * <code>repeated .wasabimount.cell.Organisation former_organisations = 6;</code>
+     */
+    @java.lang.Override
+    public org.wasabimount.protocol.cell.Organisation getFormerOrganisations(int index) {
+      return instance.getFormerOrganisations(index);
+    }
+    /**
+     * <pre>
+     * Organisations that the queue table no longer declares and that still have open jobs or tasks on workers.
+     * </pre>
+     *
+     * <code>repeated .wasabimount.cell.Organisation former_organisations = 6;</code>
+     */
+    public Builder setFormerOrganisations(
+        int index, org.wasabimount.protocol.cell.Organisation value) {
+      copyOnWrite();
+      instance.setFormerOrganisations(index, value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Organisations that the queue table no longer declares and that still have open jobs or tasks on workers.
+     * </pre>
+     *
+     * <code>repeated .wasabimount.cell.Organisation former_organisations = 6;</code>
+     */
+    public Builder setFormerOrganisations(
+        int index, org.wasabimount.protocol.cell.Organisation.Builder builderForValue) {
+      copyOnWrite();
+      instance.setFormerOrganisations(index,
+          builderForValue.build());
+      return this;
+    }
+    /**
+     * <pre>
+     * Organisations that the queue table no longer declares and that still have open jobs or tasks on workers.
+     * </pre>
+     *
+     * <code>repeated .wasabimount.cell.Organisation former_organisations = 6;</code>
+     */
+    public Builder addFormerOrganisations(org.wasabimount.protocol.cell.Organisation value) {
+      copyOnWrite();
+      instance.addFormerOrganisations(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Organisations that the queue table no longer declares and that still have open jobs or tasks on workers.
+     * </pre>
+     *
+     * <code>repeated .wasabimount.cell.Organisation former_organisations = 6;</code>
+     */
+    public Builder addFormerOrganisations(
+        int index, org.wasabimount.protocol.cell.Organisation value) {
+      copyOnWrite();
+      instance.addFormerOrganisations(index, value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Organisations that the queue table no longer declares and that still have open jobs or tasks on workers.
+     * </pre>
+     *
+     * <code>repeated .wasabimount.cell.Organisation former_organisations = 6;</code>
+     */
+    public Builder addFormerOrganisations(
+        org.wasabimount.protocol.cell.Organisation.Builder builderForValue) {
+      copyOnWrite();
+      instance.addFormerOrganisations(builderForValue.build());
+      return this;
+    }
+    /**
+     * <pre>
+     * Organisations that the queue table no longer declares and that still have open jobs or tasks on workers.
+     * </pre>
+     *
+     * <code>repeated .wasabimount.cell.Organisation former_organisations = 6;</code>
+     */
+    public Builder addFormerOrganisations(
+        int index, org.wasabimount.protocol.cell.Organisation.Builder builderForValue) {
+      copyOnWrite();
+      instance.addFormerOrganisations(index,
+          builderForValue.build());
+      return this;
+    }
+    /**
+     * <pre>
+     * Organisations that the queue table no longer declares and that still have open jobs or tasks on workers.
+     * </pre>
+     *
+     * <code>repeated .wasabimount.cell.Organisation former_organisations = 6;</code>
+     */
+    public Builder addAllFormerOrganisations(
+        java.lang.Iterable<? extends org.wasabimount.protocol.cell.Organisation> values) {
+      copyOnWrite();
+      instance.addAllFormerOrganisations(values);
+      return this;
+    }
+    /**
+     * <pre>
+     * Organisations that the queue table no longer declares and that still have open jobs or tasks on workers.
+     * </pre>
+     *
+     * <code>repeated .wasabimount.cell.Organisation former_organisations = 6;</code>
+     */
+    public Builder clearFormerOrganisations() {
+      copyOnWrite();
+      instance.clearFormerOrganisations();
+      return this;
+    }
+    /**
+     * <pre>
+     * Organisations that the queue table no longer declares and that still have open jobs or tasks on workers.
+     * </pre>
+     *
+     * <code>repeated .wasabimount.cell.Organisation former_organisations = 6;</code>
+     */
+    public Builder removeFormerOrganisations(int index) {
+      copyOnWrite();
+      instance.removeFormerOrganisations(index);
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:wasabimount.job.JobSnapshot)
   }
   @java.lang.Override
@@ -1022,10 +1311,12 @@
             org.wasabimount.protocol.job.SilentWorker.class,
             "earlyCancellations_",
             org.wasabimount.protocol.job.EarlyCancellation.class,
+            "formerOrganisations_",
+            org.wasabimount.protocol.cell.Organisation.class,
           };
           java.lang.String info =
-              "\u0000\u0005\u0000\u0001\u0001\u0005\u0005\u0000\u0004\u0000\u0001\u1009\u0000\u0002" +
-              "\u001b\u0003\u001b\u0004\u001b\u0005\u001b";
+              "\u0000\u0006\u0000\u0001\u0001\u0006\u0006\u0000\u0005\u0000\u0001\u1009\u0000\u0002" +
+              "\u001b\u0003\u001b\u0004\u001b\u0005\u001b\u0006\u001b";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/protocol/src/main/java/org/wasabimount/protocol/job/JobSnapshotOrBuilder.java
+++ b/protocol/src/main/java/org/wasabimount/protocol/job/JobSnapshotOrBuilder.java
@@ -76,4 +76,30 @@
    * <code>repeated .wasabimount.job.EarlyCancellation early_cancellations = 5;</code>
    */
   int getEarlyCancellationsCount();
+
+  /**
+   * <pre>
+   * Organisations that the queue table no longer declares and that still have open jobs or tasks on workers.
+   * </pre>
+   *
+   * <code>repeated .wasabimount.cell.Organisation former_organisations = 6;</code>
+   */
+  java.util.List<org.wasabimount.protocol.cell.Organisation> 
+      getFormerOrganisationsList();
+  /**
+   * <pre>
+   * Organisations that the queue table no longer declares and that still have open jobs or tasks on workers.
+   * </pre>
+   *
+   * <code>repeated .wasabimount.cell.Organisation former_organisations = 6;</code>
+   */
+  org.wasabimount.protocol.cell.Organisation getFormerOrganisations(int index);
+  /**
+   * <pre>
+   * Organisations that the queue table no longer declares and that still have open jobs or tasks on workers.
+   * </pre>
+   *
+   * <code>repeated .wasabimount.cell.Organisation former_organisations = 6;</code>
+   */
+  int getFormerOrganisationsCount();
 }
