Placements keep to the quotas of organisations

Cause: accounts of organisations were kept and nothing read them; a backlog ran far above its quota. Change: the job table refuses a placement command that would bring an organisation above its quota; the new package core.quota keeps the free quota as the leader sees it and parks steps that do not fit it; a start is withheld if the quota was lowered since its placement; a job whose task or gang exceeds the quota is refused with 1005. Limits of isolation moved out of StepPlacement.

--- a/core/src/main/java/org/wasabimount/core/cell/OrganisationAccount.java
+++ b/core/src/main/java/org/wasabimount/core/cell/OrganisationAccount.java
@@ -82,6 +82,17 @@
         secretHashes = List.copyOf(declared.getSecretHashesList());
     }
 
+    /**
+     * Returns whether the quota allows a further size beside what is held. Dimensions that the size does not use do not count:
+     * an organisation that holds more memory than a lowered quota may still run what needs no memory.
+     *
+     * @param size the size of the tasks to be placed
+     * @return true if the organisation may hold it, too
+     */
+    public boolean allows(Capacity size) {
+        return size.timesIn(quota.minus(used)) > 0;
+    }
+
     /**
      * Adds the size of a task that the organisation holds from now on.
      *
--- a/core/src/main/java/org/wasabimount/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/Dispatcher.java
@@ -381,9 +381,9 @@
             PlaceRuns place = command.getPlace();
             place.getPlacementsList().forEach(placement -> {
                 TaskId task = TaskId.of(placement.getTask());
-                workers.refused(
-                        new RunId(task, placement.getRun()),
-                        new IncarnationId(placement.getWorker(), placement.getBornMillis()));
+                RunId run = new RunId(task, placement.getRun());
+                workers.refused(run, new IncarnationId(placement.getWorker(), placement.getBornMillis()));
+                this.placement.quota().refused(run, organisation(task));
                 update(task, OpenStep::settled);
             });
         }
@@ -478,6 +478,7 @@
             queuesByName.clear();
             table.queues().getQueuesList().forEach(queue -> queuesByName.put(queue.getName(), queue));
             plans.values().forEach(plan -> changedSteps.addAll(plan.steps()));
+            placement.quota().quotasChanged();
         }
     }
 
@@ -566,6 +567,7 @@
 
     @Override
     public void placed(RunId run, IncarnationId incarnation) {
+        placement.quota().placed(run, organisation(run.task()));
         workers.placed(run, incarnation, nowMillis);
         idleJobs.placed(run.task(), nowMillis);
         update(run.task(), OpenStep::settled);
@@ -573,6 +575,7 @@
 
     @Override
     public void released(RunId run, IncarnationId incarnation) {
+        placement.quota().released(organisation(run.task()));
         workers.released(run, incarnation, nowMillis);
         idleJobs.released(run.task(), nowMillis);
         update(run.task(), OpenStep::settled);
@@ -588,6 +591,10 @@
         update(task, OpenStep::suspicionChanged);
     }
 
+    private String organisation(TaskId task) {
+        return table.job(task.job()).map(Job::organisation).orElse("");
+    }
+
     private void proposed(TaskId task) {
         update(task, OpenStep::proposed);
     }
--- a/core/src/main/java/org/wasabimount/core/dispatch/IdleReason.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/IdleReason.java
@@ -4,6 +4,8 @@
 
 /** What a job waits for that has a ready step and no run placed. */
 public enum IdleReason {
+    /** The tasks of the job's organisation use so much of its quota that no task, or not all of a gang, fit into the rest. */
+    NO_QUOTA,
     /** No worker of the queue's pool is usable. */
     NO_USABLE_WORKER,
     /** The advice service has not yet named enough workers that may run the step. */
--- a/core/src/main/java/org/wasabimount/core/dispatch/IdleSampler.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/IdleSampler.java
@@ -93,6 +93,9 @@
 
     private IdleReason reason(WaitingStep step) {
         ReadyStep ready = step.ready();
+        if (placement.quota().parked(step)) {
+            return IdleReason.NO_QUOTA;
+        }
         if (placement.poolOf(ready).usable().isEmpty()) {
             return IdleReason.NO_USABLE_WORKER;
         }
--- a/core/src/main/java/org/wasabimount/core/dispatch/ReadyStep.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/ReadyStep.java
@@ -85,6 +85,13 @@
         return new ReadyStep(job, queue, id, remaining, latestStartMillis, late, isolated);
     }
 
+    /** Returns the same step with the first of its waiting tasks. */
+    ReadyStep first(long count) {
+        return count >= waiting.size()
+                ? this
+                : new ReadyStep(job, queue, id, waiting.subList(0, (int) count), latestStartMillis, late, isolated);
+    }
+
     /** Returns the same step with tasks that may share their workers with others. */
     ReadyStep shared() {
         return new ReadyStep(job, queue, id, waiting, latestStartMillis, late, false);
--- a/core/src/main/java/org/wasabimount/core/dispatch/StepPlacement.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/StepPlacement.java
@@ -20,12 +20,12 @@
 import java.util.stream.Stream;
 
 import org.wasabimount.core.cell.Capacity;
-import org.wasabimount.core.job.CrashLimit;
 import org.wasabimount.core.job.IncarnationId;
 import org.wasabimount.core.job.JobTask;
 import org.wasabimount.core.job.RunId;
 import org.wasabimount.core.job.StepId;
 import org.wasabimount.core.job.TaskId;
+import org.wasabimount.core.quota.QuotaGate;
 import org.wasabimount.protocol.job.JobCommand;
 import org.wasabimount.protocol.job.PlaceRuns;
 import org.wasabimount.protocol.job.Placement;
@@ -96,24 +96,6 @@
     /** Time within which the tasks of a gang are started after the decision, in milliseconds: a commit and the calls. */
     private static final long GANG_START_MILLIS = 250;
 
-    /** Share of a pool's workers that may be set aside for tasks that run alone. */
-    private static final double MAX_ISOLATED_SHARE = 0.125;
-
-    /** As {@link #MAX_ISOLATED_SHARE}, for workers that are idle and for the only step whose tasks run alone. */
-    private static final double MAX_ISOLATED_IDLE_SHARE = 0.5;
-
-    /**
-     * How long tasks wait for a worker of their own before they share one, in milliseconds: about as long as most tasks
-     * take, so that one worker has become free unless many wait for it.
-     */
-    private static final long ISOLATION_PATIENCE_MILLIS = 2_000;
-
-    /**
-     * As {@link #ISOLATION_PATIENCE_MILLIS}, for tasks whose starts are limited: several such tasks one after the other. If
-     * no worker can be emptied, as every one has a run that lasts, the task must not wait for ever.
-     */
-    private static final long LIMITED_ISOLATION_PATIENCE_MILLIS = 10_000;
-
     /** Number of gangs, in scheduling order, for which calls may look for eligible workers. */
     private static final int MAX_ASKING_GANGS = 60;
 
@@ -130,6 +112,8 @@
     private final Comparator<WaitingStep> order;
     private final Placer placer;
     private final GangReservations reservations;
+    private final IsolationLimits isolation;
+    private final QuotaGate<WaitingStep> quota;
 
     private final Map<IncarnationId, WorkerRoom> rooms = new HashMap<>();
     private final Map<String, PoolRooms> pools = new HashMap<>();
@@ -165,6 +149,9 @@
         this.order = WaitingStep.comparator(schedulingOrder);
         this.placer = new Placer(examined);
         this.reservations = new GangReservations(this::update, examined);
+        this.isolation = new IsolationLimits(rooms, examined);
+        this.quota = new QuotaGate<>(
+                workers.organisations(), order, items -> examined.add(ExaminedCounts.Part.READY, items));
         this.advicePlan = new AdvicePlan(advice, reservations, order, examined);
         this.waiting = new TreeSet<>(order);
         this.gangs = new TreeSet<>(order);
@@ -198,6 +185,10 @@
         return advicePlan;
     }
 
+    QuotaGate<WaitingStep> quota() {
+        return quota;
+    }
+
     /** Sets the time of the events that follow, as monotonic time in milliseconds. */
     void at(long millis) {
         nowMillis = millis;
@@ -220,7 +211,7 @@
             step.ready(ready);
             enlist(step);
         }
-        if (moreTasks || !samePlace) {
+        if (step.listed() && (moreTasks || !samePlace)) {
             woken.add(step);
         }
     }
@@ -235,15 +226,27 @@
     }
 
     private void enlist(WaitingStep step) {
+        if (quota.enter(step)) {
+            list(step);
+        }
+        reviewAt(step, nowMillis + reviewIntervalMillis(step.ready()));
+    }
+
+    private void list(WaitingStep step) {
         step.listed(true);
         if (step.ready().requiresAdvice()) {
             addEligibleRooms(step);
         }
         index(step);
-        reviewAt(step, nowMillis + reviewIntervalMillis(step.ready()));
     }
 
     private void delist(WaitingStep step) {
+        quota.leave(step);
+        withdraw(step);
+    }
+
+    /** Removes a step from all searches: it asks for nothing, holds nothing and is offered nothing. */
+    private void withdraw(WaitingStep step) {
         if (step.listed()) {
             releaseReservation(step);
             unindex(step);
@@ -251,6 +254,13 @@
         }
     }
 
+    private void parkExceeding() {
+        quota.parkExceeding().forEach(step -> {
+            withdraw(step);
+            step.eligibleRooms().clear();
+        });
+    }
+
     private void index(WaitingStep step) {
         ReadyStep ready = step.ready();
         waiting.add(step);
@@ -303,6 +313,7 @@
                 || !gained.isEmpty()
                 || workers.hasChangedWorkers()
                 || advicePlan.callPossible(nowMillis)
+                || quota.changed()
                 || !timers.isEmpty() && timers.peek().atMillis <= nowMillis
                 || !unusable.isEmpty() && nowMillis >= unusableCheckMillis
                 || waits.due(nowMillis);
@@ -313,13 +324,21 @@
         examined.add(ExaminedCounts.Part.READY, 1);
         runTimers();
         updateRooms();
+        parkExceeding();
+        quota.takeFitting().forEach(step -> {
+            list(step);
+            woken.add(step);
+        });
         List<WorkerRoom> offered = List.copyOf(gained);
         gained.clear();
         offered.forEach(this::offer);
         // Steps that are woken meanwhile wait for the next pass: two that wake each other must not keep the thread.
         List<WaitingStep> due = List.copyOf(woken);
         woken.clear();
-        due.forEach(step -> StepFailure.guard(step.id(), () -> consider(step)));
+        due.forEach(step -> {
+            StepFailure.guard(step.id(), () -> consider(step));
+            parkExceeding();
+        });
         advicePlan.requestCalls(this::suitable, this::poolOf, nowMillis, actions);
         placements.forEach(this::propose);
         placements.clear();
@@ -341,7 +360,7 @@
         while (!timers.isEmpty() && timers.peek().atMillis <= nowMillis) {
             Timer timer = timers.poll();
             WaitingStep step = timer.step;
-            if (!step.listed() || step.reviewMillis() != timer.atMillis) {
+            if (!step.listed() && !quota.parked(step) || step.reviewMillis() != timer.atMillis) {
                 continue;
             }
             examined.add(ExaminedCounts.Part.READY, 1);
@@ -349,16 +368,24 @@
             if (!ready.late() && nowMillis > ready.latestStartMillis()) {
                 becomeLate(step);
             }
-            woken.add(step);
+            if (step.listed()) {
+                woken.add(step);
+            }
             reviewAt(step, nowMillis + reviewIntervalMillis(step.ready()));
         }
     }
 
     /** Moves a step to its place in scheduling order after it has become late. */
     private void becomeLate(WaitingStep step) {
-        unindex(step);
-        step.ready(step.ready().nowLate());
-        index(step);
+        if (step.listed()) {
+            unindex(step);
+            step.ready(step.ready().nowLate());
+            index(step);
+        } else {
+            delist(step);
+            step.ready(step.ready().nowLate());
+            enlist(step);
+        }
     }
 
     private void updateRooms() {
@@ -479,6 +506,7 @@
             }
         }
         offerToOthers(room, claimed);
+        parkExceeding();
     }
 
     /** Has calls made for the first steps that do not know yet whether they may use the rest of a room. */
@@ -511,18 +539,11 @@
         if (step.listed()
                 && step.ready().isolated()
                 && missingTasks(step) > 0
-                && step.isolatedMillis(nowMillis) >= isolationPatienceMillis(step.ready())) {
+                && step.isolatedMillis(nowMillis) >= isolation.patienceMillis(step.ready(), poolOf(step.ready()))) {
             share(step);
         }
     }
 
-    /** Returns how long a step's tasks wait for workers of their own: long if their starts are limited. */
-    private long isolationPatienceMillis(ReadyStep step) {
-        boolean limited = step.waiting().stream().anyMatch(CrashLimit::startsLimited);
-        boolean tooWide = workersRequiredAlone(step) > MAX_ISOLATED_IDLE_SHARE * knownWorkers(step);
-        return limited && !tooWide ? LIMITED_ISOLATION_PATIENCE_MILLIS : ISOLATION_PATIENCE_MILLIS;
-    }
-
     /** Lets the tasks of a step share their workers with others, because there are none that they could have alone. */
     private void share(WaitingStep step) {
         delist(step);
@@ -579,7 +600,8 @@
     }
 
     private void choose(WaitingStep step, List<WorkerRoom> candidates) {
-        place(step, placer.choose(step.ready(), candidates, domainsInUse(step.ready()), nowMillis));
+        ReadyStep ready = step.ready().first(quota.tasksFitting(step));
+        place(step, placer.choose(ready, candidates, domainsInUse(ready), nowMillis));
     }
 
     /** Returns the failure domains in which tasks of the step are running. */
@@ -721,34 +743,7 @@
      * keeps nothing from others.
      */
     private boolean mayReserve(ReadyStep gang) {
-        return gang.isolated() ? mayIsolate(gang) : mayReserveShared(gang);
-    }
-
-    /** Returns whether enough workers of the pool remain for others if tasks get workers of their own. */
-    private boolean mayIsolate(ReadyStep step) {
-        Collection<WorkerRoom> rooms = poolOf(step).usable();
-        examined.add(ExaminedCounts.Part.ROUND, rooms.size());
-        long isolated = rooms.stream().filter(WorkerRoom::isolated).count();
-        long idle = rooms.stream().filter(WorkerRoom::idle).count();
-        long required = workersRequiredAlone(step);
-        boolean first = isolated == 0;
-        double share = first || idle >= required ? MAX_ISOLATED_IDLE_SHARE : MAX_ISOLATED_SHARE;
-        return first && required == 1 || isolated + required <= share * rooms.size();
-    }
-
-    /** Returns the number of workers of a step's pool, whether they are usable or not. */
-    private long knownWorkers(ReadyStep step) {
-        String pool = step.queue().getPool();
-        return rooms.values().stream().filter(room -> room.pool().equals(pool)).count();
-    }
-
-    /** Returns how many workers the tasks of a step need to run alone. */
-    private long workersRequiredAlone(ReadyStep step) {
-        long slots = poolOf(step).usable().stream()
-                .mapToLong(room -> room.slots(step.size()))
-                .max()
-                .orElse(0);
-        return (long) Math.ceil((double) step.tasksAtOnce() / Math.max(1, slots));
+        return gang.isolated() ? isolation.allowed(gang, poolOf(gang)) : mayReserveShared(gang);
     }
 
     private boolean mayReserveShared(ReadyStep gang) {
@@ -843,6 +838,7 @@
                     .setWorker(room.id().worker())
                     .setBornMillis(room.id().bornMillis()));
             proposed.accept(task.id());
+            quota.proposed(new RunId(task.id(), run), step, ready.size());
             workers.propose(
                     new RunId(task.id(), run),
                     room.worker(),
@@ -878,6 +874,8 @@
         if (!waits.begin(waiting.size(), nowMillis)) {
             return;
         }
+        waits.recordParked(
+                quota.parked().stream().map(WaitingStep::ready), quota.parked().size());
         waiting.stream().limit(WaitSampler.MAX_STEPS).map(WaitingStep::ready).forEach(ready -> {
             List<WorkerRoom> usable = new ArrayList<>(poolOf(ready).usable());
             waits.record(ready, usable, suitable(ready));
--- a/core/src/main/java/org/wasabimount/core/dispatch/WaitReason.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/WaitReason.java
@@ -4,6 +4,8 @@
 
 /** Why a ready step has tasks that are not placed. */
 public enum WaitReason {
+    /** The tasks of the job's organisation use so much of its quota that no task, or not all of a gang, fit into the rest. */
+    NO_QUOTA,
     /** No worker of the queue's pool is usable. */
     NO_USABLE_WORKER,
     /** The advice service has not yet named a worker that may run the step. */
--- a/core/src/main/java/org/wasabimount/core/dispatch/WaitSampler.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/WaitSampler.java
@@ -8,6 +8,7 @@
 import java.util.function.Consumer;
 import java.util.function.LongFunction;
 import java.util.function.Predicate;
+import java.util.stream.Stream;
 
 import org.wasabimount.core.job.StepId;
 
@@ -100,6 +101,18 @@
         }
         WaitReason reason = reason(step, inPool, suitable);
         reasons.merge(reason, 1L, Long::sum);
+        record(step, reason);
+    }
+
+    /** Records the steps that wait for the quota of their organisation; the first of them are reported like others. */
+    void recordParked(Stream<ReadyStep> steps, int count) {
+        if (sampling && count > 0) {
+            reasons.put(WaitReason.NO_QUOTA, (long) count);
+            steps.limit(MAX_STEPS).forEach(step -> record(step, WaitReason.NO_QUOTA));
+        }
+    }
+
+    private void record(ReadyStep step, WaitReason reason) {
         Wait previous = previousWaits.get(step.id());
         waits.put(
                 step.id(),
--- a/core/src/main/java/org/wasabimount/core/dispatch/WaitingStep.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/WaitingStep.java
@@ -4,10 +4,12 @@
 import java.util.LinkedHashSet;
 import java.util.Set;
 
+import org.wasabimount.core.cell.Capacity;
 import org.wasabimount.core.job.StepId;
+import org.wasabimount.core.quota.QuotaDemand;
 
 /** A ready step with waiting tasks, and where they may be placed as far as is known. */
-final class WaitingStep {
+final class WaitingStep implements QuotaDemand {
 
     /** Minimum time between two searches for further workers with room, in milliseconds; a part of a call. */
     private static final long SEARCH_INTERVAL_MILLIS = 250;
@@ -46,6 +48,21 @@
         ready = newer;
     }
 
+    @Override
+    public String organisation() {
+        return ready.job().organisation();
+    }
+
+    @Override
+    public Capacity unit() {
+        return ready.size().times(ready.gang() ? ready.step().getCount() : 1);
+    }
+
+    @Override
+    public int units() {
+        return ready.gang() ? 1 : ready.waiting().size();
+    }
+
     /** Returns whether the step is in the sets that are sorted by scheduling order. */
     boolean listed() {
         return listed;
--- a/core/src/main/java/org/wasabimount/core/dispatch/WorkerManager.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/WorkerManager.java
@@ -22,10 +22,12 @@
 import org.wasabimount.core.job.Job;
 import org.wasabimount.core.job.JobTable;
 import org.wasabimount.core.job.JobTask;
+import org.wasabimount.core.job.Organisations;
 import org.wasabimount.core.job.RunId;
 import org.wasabimount.core.job.StepId;
 import org.wasabimount.core.job.TaskId;
 import org.wasabimount.core.job.WorkerEntry;
+import org.wasabimount.core.quota.QuotaCheck;
 import org.wasabimount.protocol.job.Announce;
 import org.wasabimount.protocol.job.ConfirmCapacities;
 import org.wasabimount.protocol.job.End;
@@ -178,6 +180,10 @@
         begun = listener;
     }
 
+    Organisations organisations() {
+        return table.organisations();
+    }
+
     Collection<TrackedWorker> trackedWorkers() {
         return trackedWorkers.values();
     }
@@ -503,16 +509,22 @@
             stop(trackedRun, nowMillis);
             return;
         }
-        if (trackedWorker.draining() || !capacityAllowsStart(trackedWorker, trackedRun, nowMillis)) {
+        boolean quotaAllows = organisations()
+                .account(job.get().organisation())
+                .map(account -> QuotaCheck.mayStart(account, trackedRun.size()))
+                .orElse(true);
+        boolean allowed = quotaAllows && capacityAllowsStart(trackedWorker, trackedRun, nowMillis);
+        if (trackedWorker.draining() || !allowed) {
             LOG.log(
                     System.Logger.Level.INFO,
-                    "START withheld run={0} worker={1} capacity={2} used={3} known={4} draining={5}",
+                    "START withheld run={0} worker={1} capacity={2} used={3} known={4} draining={5} quotaAllows={6}",
                     trackedRun.id(),
                     trackedWorker.entry().id(),
                     trackedWorker.capacity(),
                     trackedWorker.usedCapacity(),
                     trackedWorker.capacityKnown(nowMillis),
-                    trackedWorker.draining());
+                    trackedWorker.draining(),
+                    quotaAllows);
             stop(trackedRun, nowMillis);
             if (trackedRun.step().getGang()) {
                 gangWithheld.run();
@@ -520,7 +532,7 @@
             }
             return;
         }
-        String saved = savedProgress(job.get(), trackedRun);
+        String saved = job.get().savedProgress(trackedRun.id().task());
         trackedRun.starting(!saved.isEmpty());
         actions.accept(new DispatchAction.Start(
                 trackedRun.id(),
@@ -547,19 +559,6 @@
                 .anyMatch(known -> known.getName().equals(pool) && known.getGuardsCapacity());
     }
 
-    private static String savedProgress(Job job, TrackedRun trackedRun) {
-        var id = trackedRun.id().task();
-        if (!trackedRun.step().getGang()) {
-            return job.tasks(id.occurrence(), id.step()).get(id.index()).saved();
-        }
-        // All tasks of a gang resume from the same saved progress.
-        return job.tasks(id.occurrence(), id.step()).stream()
-                .map(JobTask::saved)
-                .filter(saved -> !saved.isEmpty())
-                .findFirst()
-                .orElse("");
-    }
-
     void startCompleted(
             RunId run, IncarnationId incarnation, OrderOutcome result, OptionalLong clockMillis, long nowMillis) {
         TrackedWorker trackedWorker = trackedWorkers.get(incarnation);
--- a/core/src/main/java/org/wasabimount/core/job/Job.java
+++ b/core/src/main/java/org/wasabimount/core/job/Job.java
@@ -225,6 +225,23 @@
         return tasks(task.occurrence(), task.step()).get(task.index());
     }
 
+    /**
+     * Returns the saved progress from which a task resumes.
+     *
+     * @param id the task
+     * @return the progress as reported by a worker, for a task of a gang by the worker of any of its tasks; empty if there is
+     *     none
+     */
+    public String savedProgress(TaskId id) {
+        // All tasks of a gang resume from the same saved progress.
+        Stream<JobTask> tasks =
+                step(id.step()).getGang() ? tasks(id.occurrence(), id.step()).stream() : Stream.of(task(id));
+        return tasks.map(JobTask::saved)
+                .filter(saved -> !saved.isEmpty())
+                .findFirst()
+                .orElse("");
+    }
+
     void activate() {
         if (phase == JobPhase.QUEUED) {
             phase = JobPhase.ACTIVE;
--- a/core/src/main/java/org/wasabimount/core/job/JobTable.java
+++ b/core/src/main/java/org/wasabimount/core/job/JobTable.java
@@ -13,6 +13,7 @@
 import java.util.stream.Stream;
 
 import org.wasabimount.core.ResultCode;
+import org.wasabimount.core.cell.Capacity;
 import org.wasabimount.protocol.job.AcceptJob;
 import org.wasabimount.protocol.job.CancelJob;
 import org.wasabimount.protocol.job.ConfirmCapacities;
@@ -344,6 +345,11 @@
         if (known != null) {
             return known.organisation().equals(command.getOrganisation()) ? ResultCode.OK : ResultCode.KEY_REUSED;
         }
+        boolean anonymous = command.getOrganisation().isEmpty();
+        if (!anonymous && organisations.account(command.getOrganisation()).isEmpty()) {
+            // Its organisation was removed since the leader's decision; nothing would limit what the job may hold.
+            return ResultCode.UNAUTHENTICATED;
+        }
         Job job = new Job(command.getSpec(), command.getQueue(), command.getOrganisation(), nowMillis);
         jobs.put(job.id(), job);
         organisations.jobOpened(job);
@@ -380,6 +386,16 @@
         if (!valid) {
             return ResultCode.VERSION_CONFLICT;
         }
+        Map<String, Capacity> added = new HashMap<>();
+        command.getPlacementsList().stream()
+                .map(placement -> TaskId.of(placement.getTask()))
+                .forEach(id -> added.merge(
+                        jobs.get(id.job()).organisation(),
+                        Organisations.size(jobs.get(id.job()), id.step()),
+                        Capacity::plus));
+        if (!organisations.allow(added)) {
+            return ResultCode.OVER_QUOTA;
+        }
         for (Placement placement : command.getPlacementsList()) {
             TaskId id = TaskId.of(placement.getTask());
             IncarnationId incarnation = new IncarnationId(placement.getWorker(), placement.getBornMillis());
--- a/core/src/main/java/org/wasabimount/core/job/Organisations.java
+++ b/core/src/main/java/org/wasabimount/core/job/Organisations.java
@@ -102,6 +102,14 @@
         removeIfUnused(job.organisation());
     }
 
+    /** Returns whether sizes of tasks, added up for each organisation, fit into the quotas beside what is held. */
+    boolean allow(Map<String, Capacity> added) {
+        return added.entrySet().stream()
+                .allMatch(size -> account(size.getKey())
+                        .filter(account -> !account.allows(size.getValue()))
+                        .isEmpty());
+    }
+
     /** Adds the size of a task that has been placed. */
     void charge(Job job, int step) {
         account(job.organisation()).ifPresent(account -> account.charge(size(job, step)));
@@ -113,7 +121,7 @@
         removeIfUnused(job.organisation());
     }
 
-    private static Capacity size(Job job, int step) {
+    static Capacity size(Job job, int step) {
         return Capacity.of(job.step(step).getSize());
     }
 
--- a/core/src/test/java/org/wasabimount/core/dispatch/DispatcherFuzzTest.java
+++ b/core/src/test/java/org/wasabimount/core/dispatch/DispatcherFuzzTest.java
@@ -5,6 +5,8 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Random;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.LongStream;
 
 import org.testng.annotations.DataProvider;
@@ -21,6 +23,7 @@
 public class DispatcherFuzzTest {
 
     private static final int WORKERS = 8;
+    private static final List<String> ORGANISATIONS = List.of("red", "green", "blue");
     private static final int ROUNDS = 120;
     private static final long ROUND_MILLIS = 200;
     private static final long RECOVERY_MILLIS = 60_000;
@@ -56,7 +59,30 @@
 
     @Test(dataProvider = "seeds")
     public void keepsGuaranteesUnderRandomFaults(long seed) {
+        playRandomFaults(new SimulatedCell(seed), seed, () -> {});
+    }
+
+    /** Draws the organisation of each job, and quotas that rise and fall far below what runs. */
+    @Test(dataProvider = "seeds")
+    public void keepsQuotasUnderRandomFaults(long seed) {
         SimulatedCell cell = new SimulatedCell(seed);
+        Random quotas = new Random(seed);
+        Capacity largest = new Capacity(70_000, 70_000, 0);
+        ORGANISATIONS.forEach(organisation -> cell.putQuota(organisation, largest));
+        cell.organisationOf =
+                spec -> ORGANISATIONS.get(Math.floorMod(spec.getId().hashCode(), ORGANISATIONS.size()));
+        AtomicInteger rounds = new AtomicInteger();
+        playRandomFaults(cell, seed, () -> {
+            boolean last = rounds.incrementAndGet() == ROUNDS;
+            ORGANISATIONS.stream()
+                    .filter(organisation -> last || quotas.nextInt(10) == 0)
+                    .forEach(organisation -> cell.putQuota(
+                            organisation, last ? largest : new Capacity(quotas.nextInt(70_000), 70_000, 0)));
+        });
+    }
+
+    /** Has the load and the faults of a seed played, with a change of the caller's after each round. */
+    private static void playRandomFaults(SimulatedCell cell, long seed, Runnable change) {
         if (seed % 2 == 0) {
             cell.withAdvice();
         }
@@ -83,6 +109,7 @@
                 slowWorkerDown(cell, round);
             }
             cell.run(ROUND_MILLIS);
+            change.run();
         }
         cell.byAddress.values().forEach(SimulatedWorker::recover);
         cell.disconnectedAddresses.clear();
--- a/core/src/test/java/org/wasabimount/core/dispatch/SimulatedCell.java
+++ b/core/src/test/java/org/wasabimount/core/dispatch/SimulatedCell.java
@@ -13,6 +13,7 @@
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
+import java.util.function.Function;
 import java.util.function.Predicate;
 import java.util.stream.IntStream;
 
@@ -22,6 +23,7 @@
 import org.wasabimount.core.job.JobTable;
 import org.wasabimount.core.job.RunId;
 import org.wasabimount.core.job.TaskId;
+import org.wasabimount.protocol.cell.Organisation;
 import org.wasabimount.protocol.job.AcceptJob;
 import org.wasabimount.protocol.job.AdviceCost;
 import org.wasabimount.protocol.job.Announce;
@@ -138,6 +140,16 @@
     final Map<String, Integer> eligiblePercents = new HashMap<>();
 
     boolean leaderSuspended;
+
+    /** Selects the organisation of a job that is submitted. */
+    Function<JobSpec, String> organisationOf = spec -> "";
+
+    private final Map<String, Capacity> quotas = new LinkedHashMap<>();
+    private final List<QuotaChange> quotaChanges = new ArrayList<>();
+
+    /** When the order was sent that a worker is carrying out. */
+    private long orderSentMillis;
+
     private final SchedulingOrder order;
     private final PriorityQueue<Event> events =
             new PriorityQueue<>(Comparator.comparingLong(Event::atMillis).thenComparingLong(Event::number));
@@ -168,6 +180,8 @@
         void measure(String part, Runnable call);
     }
 
+    private record QuotaChange(String organisation, long atMillis, Capacity quota) {}
+
     private record Event(long atMillis, long number, Runnable run) {}
 
     SimulatedCell(long seed) {
@@ -203,12 +217,45 @@
     }
 
     private void put(Queue... changed) {
-        apply(JobCommand.newBuilder()
-                .setPutQueues(QueueTable.newBuilder()
-                        .setVersion(queueVersion)
-                        .addAllQueues(List.of(changed))
-                        .addPools(Pool.newBuilder().setName("pool")))
-                .build());
+        QueueTable.Builder queues = QueueTable.newBuilder()
+                .setVersion(queueVersion)
+                .addAllQueues(List.of(changed))
+                .addPools(Pool.newBuilder().setName("pool"));
+        quotas.forEach((organisation, quota) -> queues.addOrganisations(
+                Organisation.newBuilder().setName(organisation).setQuota(quota.toQuantity())));
+        apply(JobCommand.newBuilder().setPutQueues(queues).build());
+    }
+
+    /** Declares an organisation or changes its quota. */
+    void putQuota(String organisation, Capacity quota) {
+        quotas.put(organisation, quota);
+        quotaChanges.add(new QuotaChange(organisation, nowMillis, quota));
+        queueVersion++;
+        put(table.queues().getQueuesList().toArray(Queue[]::new));
+    }
+
+    /** Returns what the tasks of an organisation use on the workers, whatever the leader knows of them. */
+    Capacity used(String organisation) {
+        return alive().stream()
+                .flatMap(worker -> worker.activeRuns.keySet().stream())
+                .map(RunId::task)
+                .filter(task -> job(task).organisation().equals(organisation))
+                .map(this::size)
+                .reduce(Capacity.NONE, Capacity::plus);
+    }
+
+    /** Returns whether an organisation may use a capacity by any quota that was in force since an order was sent. */
+    private boolean mayUse(String organisation, Capacity used, Capacity size) {
+        List<QuotaChange> changes = quotaChanges.stream()
+                .filter(change -> change.organisation.equals(organisation))
+                .toList();
+        return changes.isEmpty()
+                || IntStream.range(0, changes.size())
+                        .filter(number ->
+                                number + 1 == changes.size() || changes.get(number + 1).atMillis >= orderSentMillis)
+                        .anyMatch(number -> size.timesIn(
+                                        changes.get(number).quota.minus(used).plus(size))
+                                > 0);
     }
 
     long nowMillis() {
@@ -359,14 +406,19 @@
 
     void submit(JobSpec spec, Queue acceptingQueue) {
         apply(JobCommand.newBuilder()
-                .setAccept(AcceptJob.newBuilder().setSpec(spec).setQueue(acceptingQueue))
+                .setAccept(AcceptJob.newBuilder()
+                        .setSpec(spec)
+                        .setQueue(acceptingQueue)
+                        .setOrganisation(organisationOf.apply(spec)))
                 .build());
     }
 
     void cancel(String job) {
         cancelled.put(job, nowMillis);
         apply(JobCommand.newBuilder()
-                .setCancel(CancelJob.newBuilder().setJob(job))
+                .setCancel(CancelJob.newBuilder()
+                        .setJob(job)
+                        .setOrganisation(table.job(job).orElseThrow().organisation()))
                 .build());
     }
 
@@ -485,10 +537,12 @@
         boolean unanswered =
                 delayed || random.nextDouble() < lostResponseShare || disconnectedAddresses.contains(address);
         SimulatedWorker initialWorker = byAddress.get(address);
+        long sentMillis = nowMillis;
         if (delayed && !disconnectedAddresses.contains(address)) {
             // A worker keeps an unanswered order until it carries it out, and loses it when it crashes.
             after(lateMillis.orElseGet(() -> 2_000L + random.nextInt(10_000)), () -> {
                 if (initialWorker != null && !initialWorker.crashed && initialWorker.id.equals(expected)) {
+                    orderSentMillis = sentMillis;
                     order.accept(initialWorker);
                     lateStarts += lateMillis.isPresent() ? 1 : 0;
                 }
@@ -499,6 +553,7 @@
                 if (worker == null || worker.crashed) {
                     return;
                 }
+                orderSentMillis = sentMillis;
                 OrderOutcome result = worker.id.equals(expected) ? order.accept(worker) : OrderOutcome.OTHER_LIFE;
                 OptionalLong clock = OptionalLong.of(worker.clockMillis());
                 if (!unanswered) {
@@ -697,6 +752,10 @@
                 .count();
         check(others == 1, "task " + task + " runs " + others + " times");
         check(worker.mayHold(worker.used()), "worker " + worker.id + " exceeds its capacity with " + run);
+        Capacity used = used(job.organisation());
+        check(
+                mayUse(job.organisation(), used, size(task)),
+                "organisation " + job.organisation() + " uses " + used + " with " + run);
         if (crashingTasks.test(task)) {
             startedCrashingTask(run, worker);
         }
--- a/daemon/src/main/java/org/wasabimount/daemon/job/JobLeader.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/job/JobLeader.java
@@ -29,6 +29,7 @@
 import org.wasabimount.core.job.JobTable;
 import org.wasabimount.core.job.QueueCheck;
 import org.wasabimount.core.log.Replica;
+import org.wasabimount.core.quota.QuotaCheck;
 import org.wasabimount.daemon.log.GroupThread;
 import org.wasabimount.daemon.metrics.NodeMetrics;
 import org.wasabimount.protocol.cell.Reply;
@@ -181,7 +182,11 @@
             return pending.reply();
         }
         Queue queue = caller.queue();
-        Optional<Refusal> refusal = JobCheck.check(spec).or(() -> dispatcher.admit(spec, queue));
+        Optional<Refusal> refusal = JobCheck.check(spec)
+                .or(() -> table().organisations()
+                        .account(caller.organisation())
+                        .flatMap(account -> QuotaCheck.check(spec, account)))
+                .or(() -> dispatcher.admit(spec, queue));
         LOG.log(
                 System.Logger.Level.INFO,
                 "SUBMIT request={0} job={1} queue={2} organisation={3} version={4} outcome={5}",
