--- a/daemon/src/main/java/org/wasabimount/daemon/settings/NodeSettingsFile.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/settings/NodeSettingsFile.java
@@ -1,8 +1,6 @@
 package org.wasabimount.daemon.settings;
 
-import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Arrays;
 import java.util.List;
@@ -133,18 +131,6 @@
         }
     }
 
-    /**
-     * Reads and validates a file.
-     *
-     * @param file the file
-     * @return the settings
-     * @throws IOException if the file can't be read
-     * @throws SettingsException if the file is invalid
-     */
-    public static NodeSettingsFile read(Path file) throws IOException, SettingsException {
-        return parse(Files.readString(file));
-    }
-
     /**
      * Parses and validates the text of a file.
      *
