Room is claimed only for tasks that the quota allows

Cause: in one round of offers a step whose organisation had just used up its quota still claimed room for a call. Change: offers leave such steps out and claim room only for the tasks that fit; parked steps are sampled in one call.

--- a/core/src/main/java/org/wasabimount/core/dispatch/StepPlacement.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/StepPlacement.java
@@ -486,6 +486,7 @@
             Capacity unclaimed = room.availableTo(ready, nowMillis).minus(claimed);
             boolean usable = room.usable()
                     && ready.size().fitsIn(unclaimed)
+                    && quota.tasksFitting(step) > 0
                     && suitable(ready).test(room);
             if (!usable) {
                 continue;
@@ -501,7 +502,9 @@
                 choose(step, List.of(room));
             } else {
                 advicePlan.add(step);
-                long tasks = Math.min(ready.waiting().size(), ready.size().timesIn(unclaimed));
+                long tasks = Math.min(
+                        ready.first(quota.tasksFitting(step)).waiting().size(),
+                        ready.size().timesIn(unclaimed));
                 claimed = claimed.plus(ready.size().times(tasks));
             }
         }
@@ -874,8 +877,7 @@
         if (!waits.begin(waiting.size(), nowMillis)) {
             return;
         }
-        waits.recordParked(
-                quota.parked().stream().map(WaitingStep::ready), quota.parked().size());
+        waits.recordParked(quota.parked());
         waiting.stream().limit(WaitSampler.MAX_STEPS).map(WaitingStep::ready).forEach(ready -> {
             List<WorkerRoom> usable = new ArrayList<>(poolOf(ready).usable());
             waits.record(ready, usable, suitable(ready));
--- a/core/src/main/java/org/wasabimount/core/dispatch/WaitSampler.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/WaitSampler.java
@@ -1,5 +1,6 @@
 package org.wasabimount.core.dispatch;
 
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.EnumMap;
 import java.util.LinkedHashMap;
@@ -8,7 +9,6 @@
 import java.util.function.Consumer;
 import java.util.function.LongFunction;
 import java.util.function.Predicate;
-import java.util.stream.Stream;
 
 import org.wasabimount.core.job.StepId;
 
@@ -105,10 +105,10 @@
     }
 
     /** Records the steps that wait for the quota of their organisation; the first of them are reported like others. */
-    void recordParked(Stream<ReadyStep> steps, int count) {
-        if (sampling && count > 0) {
-            reasons.put(WaitReason.NO_QUOTA, (long) count);
-            steps.limit(MAX_STEPS).forEach(step -> record(step, WaitReason.NO_QUOTA));
+    void recordParked(Collection<WaitingStep> steps) {
+        if (sampling && !steps.isEmpty()) {
+            reasons.put(WaitReason.NO_QUOTA, (long) steps.size());
+            steps.stream().limit(MAX_STEPS).forEach(step -> record(step.ready(), WaitReason.NO_QUOTA));
         }
     }
 
--- a/core/src/main/java/org/wasabimount/core/quota/QuotaGate.java
+++ b/core/src/main/java/org/wasabimount/core/quota/QuotaGate.java
@@ -21,7 +21,7 @@
  *
  * <p>Designed for organisations with hundreds of waiting steps at their quota, beside others that are below theirs: such steps
  * are parked and cost nothing until the free quota of their organisation grows. Then the first in scheduling order that fit
- * leave their parking place.
+ * may be placed again.
  *
  * @param <S> the type of the steps; their order must not change while they are parked
  */
