Shares of organisations at admission, and the order of refused jobs that return

Cause: admission knows queues and times, no organisations: one that sends at five times its rate takes everybody's room, accepted gangs starve, and refused clients return at the same moment. Change: where the table declares organisations, SharedAdmission decides: what exceeds the owed rate is lent room only and placed last, other organisations' backlogs count only up to a weighted max-min share, late work and the time in which gangs gather room count as time ahead, and returns are promised one after the other. Without declared organisations Admission decides as before.

--- a/core/src/main/java/org/wasabimount/core/ResultCode.java
+++ b/core/src/main/java/org/wasabimount/core/ResultCode.java
@@ -57,6 +57,8 @@
     RETRY_BUDGET_SPENT(1307, 503, Outcome.UNKNOWN, true),
     /** The deadline passed while the request was waiting. */
     DEADLINE_PASSED(1308, 504, Outcome.NOT_RUN, true),
+    /** The organisation sends more than it is owed, and there is no room to lend. */
+    SHARE_EXCEEDED(1309, 503, Outcome.NOT_RUN, true),
 
     /** The group has no reachable leader. */
     NO_LEADER(1401, 503, Outcome.NOT_RUN, true),
--- a/core/src/main/java/org/wasabimount/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/Dispatcher.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 
 import org.wasabimount.core.Refusal;
 import org.wasabimount.core.job.IncarnationId;
@@ -21,6 +22,8 @@
 import org.wasabimount.core.job.RunId;
 import org.wasabimount.core.job.TaskId;
 import org.wasabimount.core.job.WorkerEntry;
+import org.wasabimount.core.share.SharedAdmission;
+import org.wasabimount.protocol.cell.Organisation;
 import org.wasabimount.protocol.job.Announce;
 import org.wasabimount.protocol.job.BeginJobs;
 import org.wasabimount.protocol.job.ForgetJobs;
@@ -79,6 +82,7 @@
     private final IdleJobs idleJobs = new IdleJobs();
     private final StepPlacement placement;
     private final WorkAhead workAhead = new WorkAhead(examined);
+    private final SharedAdmission shares = new SharedAdmission();
     private final Map<String, JobPlan> plans = new LinkedHashMap<>();
 
     /** The steps whose tasks or dependencies have changed since the last pass. */
@@ -128,10 +132,11 @@
         this.workers.setBegunListener(this::begun);
         this.waits = new WaitSampler(workers, advice);
         this.placement = new StepPlacement(workers, advice, waits, order, this::add, this::proposed, examined);
+        workAhead.setListener(change -> shares.workChanged(change.organisation(), change.added()));
         this.waits.setIdleSampler(new IdleSampler(idleJobs, workers, advice, placement)::sample);
         table.jobs().stream().filter(Job::open).forEach(job -> {
             long ageMillis = Math.max(0, wallMillis - job.acceptedMillis());
-            plan(job, nowMillis - ageMillis);
+            plan(job, nowMillis - ageMillis, false);
         });
         table.setObserver(this);
     }
@@ -410,17 +415,52 @@
     }
 
     /**
-     * Decides whether a job may be accepted.
+     * Decides whether a job that belongs to no organisation may be accepted.
      *
      * @param spec the job
      * @param queue the queue to which it was submitted
      * @return the refusal, empty if the job is accepted
      */
     public Optional<Refusal> admit(JobSpec spec, Queue queue) {
+        return admit(spec, queue, "");
+    }
+
+    /**
+     * Decides whether a job may be accepted.
+     *
+     * @param spec the job
+     * @param queue the queue to which it was submitted
+     * @param organisation the organisation that submits it, empty if it belongs to none
+     * @return the refusal, empty if the job is accepted
+     */
+    public Optional<Refusal> admit(JobSpec spec, Queue queue, String organisation) {
+        readQueues();
         long usableCpuMillis = workers.cpuMillisForAdmission(queue.getPool());
+        boolean shared = usableCpuMillis > 0 && shares.appliesTo(organisation);
+        long arrivedMillis = shared ? shares.firstMillis(spec.getId(), nowMillis) : nowMillis;
+        long criticalPathMillis = JobPlan.criticalPathMillis(spec, queue);
         long objectiveMillis = JobPlan.objectiveMillis(spec, queue);
-        long latestStartMillis = nowMillis + objectiveMillis - JobPlan.criticalPathMillis(spec, queue);
-        return Admission.decide(spec, queue, workAhead.before(queue, nowMillis, latestStartMillis), usableCpuMillis);
+        long latestStartMillis = arrivedMillis + objectiveMillis - criticalPathMillis;
+        // Late work that can't be done meanwhile would never be done if newcomers were accepted all the same.
+        boolean countsLate = shared && queue.getPriority() > 0;
+        double ahead = workAhead.before(queue, countsLate ? Long.MIN_VALUE : nowMillis, latestStartMillis);
+        if (!shared) {
+            return Admission.decide(spec, queue, ahead, usableCpuMillis);
+        }
+        return shares.decide(
+                new SharedAdmission.Submission(
+                        spec.getId(),
+                        organisation,
+                        queue.getPriority() == 0,
+                        JobPlan.work(spec),
+                        criticalPathMillis,
+                        objectiveMillis),
+                new SharedAdmission.Load(
+                        ahead,
+                        workAhead.waitingWork(),
+                        queue.getPriority() > 0 && JobPlan.hasGang(spec) ? workAhead.gatherMillis(usableCpuMillis) : 0,
+                        usableCpuMillis),
+                nowMillis);
     }
 
     /**
@@ -477,6 +517,10 @@
             queuesVersion = table.queues().getVersion();
             queuesByName.clear();
             table.queues().getQueuesList().forEach(queue -> queuesByName.put(queue.getName(), queue));
+            shares.declare(
+                    table.queues().getOrganisationsList().stream()
+                            .collect(Collectors.toMap(Organisation::getName, Organisation::getWeight)),
+                    nowMillis);
             plans.values().forEach(plan -> changedSteps.addAll(plan.steps()));
         }
     }
@@ -516,14 +560,15 @@
                 plan.waiting(step),
                 latestStartMillis,
                 nowMillis > latestStartMillis,
+                plan.beyondShare(),
                 plan.isolated(step));
     }
 
-    private void plan(Job job, long arrivedMillis) {
+    private void plan(Job job, long arrivedMillis, boolean beyondShare) {
         if (excludedJobs.contains(job.id())) {
             return;
         }
-        JobPlan plan = new JobPlan(job, arrivedMillis);
+        JobPlan plan = new JobPlan(job, arrivedMillis, beyondShare);
         plans.put(job.id(), plan);
         idleJobs.opened(job);
         workAhead.update(plan);
@@ -561,7 +606,11 @@
 
     @Override
     public void accepted(Job job) {
-        plan(job, nowMillis);
+        Optional<SharedAdmission.Acceptance> acceptance = shares.committed(job.id());
+        plan(
+                job,
+                acceptance.map(SharedAdmission.Acceptance::firstMillis).orElse(nowMillis),
+                acceptance.map(SharedAdmission.Acceptance::beyondShare).orElse(false));
     }
 
     @Override
--- a/core/src/main/java/org/wasabimount/core/dispatch/JobPlan.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/JobPlan.java
@@ -23,9 +23,17 @@
     private final long[] criticalPathMillis;
     private final Set<OpenStep> suspectSteps = new LinkedHashSet<>();
     private final long arrivedMillis;
+    private final boolean beyondShare;
     private final long objectiveMillis;
 
-    JobPlan(Job job, long arrivedMillis) {
+    /**
+     * Plans a job.
+     *
+     * @param job the job
+     * @param arrivedMillis when it was first submitted, as monotonic time in milliseconds
+     * @param beyondShare whether it comes after the work within the organisations' shares
+     */
+    JobPlan(Job job, long arrivedMillis, boolean beyondShare) {
         this.job = job;
         this.steps = job.occurrences().stream()
                 .flatMap(occurrence -> IntStream.range(0, job.spec().getStepsCount())
@@ -33,6 +41,7 @@
                 .toList();
         this.steps.forEach(this::recordSuspects);
         this.arrivedMillis = arrivedMillis;
+        this.beyondShare = beyondShare;
         this.criticalPathMillis = criticalPathsMillis(job.spec(), job.queue());
         this.objectiveMillis = objectiveMillis(job.spec(), job.queue());
     }
@@ -41,6 +50,11 @@
         return job;
     }
 
+    /** Returns whether the job comes after the work within the organisations' shares. */
+    boolean beyondShare() {
+        return beyondShare;
+    }
+
     /** Returns the steps of all occurrences. */
     List<OpenStep> steps() {
         return steps;
@@ -82,6 +96,16 @@
         return steps.stream().mapToLong(OpenStep::unplacedWork).sum();
     }
 
+    /** Returns the work of the tasks that are not done, in thousandths of a core times milliseconds. */
+    long unfinishedWork() {
+        return steps.stream().mapToLong(OpenStep::unfinishedWork).sum();
+    }
+
+    /** Returns the cores that gangs that are not placed have to get, in thousandths of a core. */
+    long unplacedGangCpuMillis() {
+        return steps.stream().mapToLong(OpenStep::unplacedGangCpuMillis).sum();
+    }
+
     /** Returns the length of the critical path from a step to the end of the job, in milliseconds. */
     long criticalPathMillis(int step) {
         return criticalPathMillis[step];
@@ -115,6 +139,11 @@
                 .sum();
     }
 
+    /** Returns whether any step of a job is a gang. */
+    static boolean hasGang(JobSpec spec) {
+        return spec.getStepsList().stream().anyMatch(Step::getGang);
+    }
+
     private static long[] criticalPathsMillis(JobSpec spec, Queue queue) {
         long[] criticalPathsMillis = new long[spec.getStepsCount()];
         long adviceCallMillis = queue.hasAdvice() ? (long) adviceCallMillis(queue, ADVISED_WORKERS) : 0;
--- a/core/src/main/java/org/wasabimount/core/dispatch/OpenStep.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/OpenStep.java
@@ -90,6 +90,16 @@
         return unplaced.cardinality() * step.getSize().getCpuMillis() * step.getEstimateMillis();
     }
 
+    /** Returns the work of the tasks that are not done, in thousandths of a core times milliseconds. */
+    long unfinishedWork() {
+        return unfinished * step.getSize().getCpuMillis() * step.getEstimateMillis();
+    }
+
+    /** Returns the cores that the tasks have to get together if they are a gang that is not placed, in thousandths. */
+    long unplacedGangCpuMillis() {
+        return step.getGang() ? unplaced.cardinality() * step.getSize().getCpuMillis() : 0;
+    }
+
     /** Records that a placement of a task is being committed. */
     void proposed(JobTask task) {
         proposed.set(task.id().index());
--- a/core/src/main/java/org/wasabimount/core/dispatch/ReadyStep.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/ReadyStep.java
@@ -19,6 +19,7 @@
  * @param waiting the waiting tasks, which may be placed
  * @param latestStartMillis the monotonic time after which the job is late
  * @param late true if the latest start time has passed
+ * @param beyondShare true if the step comes after the work within the organisations' shares
  * @param isolated true if the tasks must run on workers of their own, because workers have crashed under them
  */
 record ReadyStep(
@@ -28,6 +29,7 @@
         List<JobTask> waiting,
         long latestStartMillis,
         boolean late,
+        boolean beyondShare,
         boolean isolated) {
 
     /** Time before its latest start from which an urgent task may use reserved room, in milliseconds. */
@@ -75,18 +77,18 @@
 
     /** Returns the same step after its latest start time has passed. */
     ReadyStep nowLate() {
-        return new ReadyStep(job, queue, id, waiting, latestStartMillis, true, isolated);
+        return new ReadyStep(job, queue, id, waiting, latestStartMillis, true, beyondShare, isolated);
     }
 
     /** Returns the same step without tasks that no longer wait. */
     ReadyStep without(Collection<JobTask> tasks) {
         List<JobTask> remaining =
                 waiting.stream().filter(task -> !tasks.contains(task)).toList();
-        return new ReadyStep(job, queue, id, remaining, latestStartMillis, late, isolated);
+        return new ReadyStep(job, queue, id, remaining, latestStartMillis, late, beyondShare, isolated);
     }
 
     /** Returns the same step with tasks that may share their workers with others. */
     ReadyStep shared() {
-        return new ReadyStep(job, queue, id, waiting, latestStartMillis, late, false);
+        return new ReadyStep(job, queue, id, waiting, latestStartMillis, late, beyondShare, false);
     }
 }
--- a/core/src/main/java/org/wasabimount/core/dispatch/SchedulingOrder.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/SchedulingOrder.java
@@ -14,11 +14,13 @@
     ARRIVAL(Comparator.comparingLong(step -> step.job().acceptedMillis())),
 
     /**
-     * Steps that can still meet their objective before late ones, then the most urgent priority, then by latest start
+     * Steps that can still meet their objective before late ones, then those within their organisations' shares before those
+     * beyond, then the most urgent priority, then by latest start
      * time. Jobs of all other priorities are ordered by latest start time alone, because their objectives already
      * define how long they can wait.
      */
     LATEST_START(Comparator.comparing(ReadyStep::late)
+            .thenComparing(ReadyStep::beyondShare)
             .thenComparing(step -> step.queue().getPriority() > 0)
             .thenComparingLong(ReadyStep::latestStartMillis));
 
--- a/core/src/main/java/org/wasabimount/core/dispatch/WorkAhead.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/WorkAhead.java
@@ -3,7 +3,9 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.NavigableMap;
+import java.util.Optional;
 import java.util.TreeMap;
+import java.util.function.Consumer;
 
 import org.wasabimount.protocol.job.Queue;
 
@@ -21,10 +23,27 @@
     /** Length of an interval for all other jobs, in milliseconds. */
     private static final long INTERVAL_MILLIS = 250;
 
+    /**
+     * Time for which a core waits until the others of its gang are free, in milliseconds: about as long as the tasks take
+     * that have to end first.
+     */
+    private static final double GATHER_MILLIS = 2_500;
+
     private final Intervals urgent = new Intervals(URGENT_INTERVAL_MILLIS);
     private final Intervals others = new Intervals(INTERVAL_MILLIS);
-    private final Map<JobPlan, Long> recorded = new HashMap<>();
+    private final Map<JobPlan, Amounts> recorded = new HashMap<>();
     private final ExaminedCounts examined;
+    private Consumer<OrganisationWork> listener = change -> {};
+    private long waitingWork;
+    private long gangCpuMillis;
+
+    /** What a job has open: work that is not placed, work that is not done, and cores of gangs that are not placed. */
+    private record Amounts(long unplacedWork, long unfinishedWork, long gangCpuMillis) {
+        private static final Amounts NONE = new Amounts(0, 0, 0);
+    }
+
+    /** A change of the work of an organisation that is not done, in thousandths of a core times milliseconds. */
+    record OrganisationWork(String organisation, long added) {}
 
     private static final class Intervals {
         private final long lengthMillis;
@@ -57,23 +76,53 @@
         this.examined = examined;
     }
 
-    /** Records the current unplaced work of a job. */
+    /** Sets the listener for the work of organisations that is not done. */
+    void setListener(Consumer<OrganisationWork> newListener) {
+        listener = newListener;
+    }
+
+    /** Records the current work of a job. */
     void update(JobPlan plan) {
-        record(plan, plan.unplacedWork());
+        record(
+                plan,
+                new Amounts(
+                        plan.unplacedWork(),
+                        plan.unfinishedWork(),
+                        urgent(plan.job().queue()) ? 0 : plan.unplacedGangCpuMillis()));
     }
 
     /** Removes a job that has ended. */
     void remove(JobPlan plan) {
-        record(plan, 0);
+        record(plan, Amounts.NONE);
         recorded.remove(plan);
     }
 
-    private void record(JobPlan plan, long work) {
-        Long previous = recorded.put(plan, work);
-        long added = work - (previous == null ? 0 : previous);
-        if (added != 0) {
+    private void record(JobPlan plan, Amounts amounts) {
+        Amounts previous = Optional.ofNullable(recorded.put(plan, amounts)).orElse(Amounts.NONE);
+        long added = amounts.unplacedWork - previous.unplacedWork;
+        waitingWork += added;
+        gangCpuMillis += amounts.gangCpuMillis - previous.gangCpuMillis;
+        if (added != 0 && !plan.beyondShare()) {
             intervals(urgent(plan.job().queue())).add(latestStartMillis(plan), added);
         }
+        if (amounts.unfinishedWork != previous.unfinishedWork) {
+            listener.accept(
+                    new OrganisationWork(plan.job().organisation(), amounts.unfinishedWork - previous.unfinishedWork));
+        }
+    }
+
+    /** Returns all work that is not placed, in thousandths of a core times milliseconds. */
+    long waitingWork() {
+        return waitingWork;
+    }
+
+    /**
+     * Returns how long a further gang waits until the room of those that wait already has come together, in milliseconds.
+     *
+     * @param usableCpuMillis the cores of the usable workers, in thousandths of a core
+     */
+    double gatherMillis(long usableCpuMillis) {
+        return GATHER_MILLIS * gangCpuMillis / usableCpuMillis;
     }
 
     private static long latestStartMillis(JobPlan plan) {
@@ -91,7 +140,7 @@
     /**
      * Returns the work that is scheduled before a new job, in thousandths of a core times milliseconds: the urgent work if
      * the job is not urgent, and the work of its own kind that has to start earlier. Work that is late is scheduled after
-     * the job, whether it is urgent or not.
+     * the job, whether it is urgent or not, and so is work beyond the organisations' shares.
      *
      * @param queue the queue of the new job
      * @param nowMillis the current monotonic time, in milliseconds
--- a/core/src/test/java/org/wasabimount/core/dispatch/DeploymentLoad.java
+++ b/core/src/test/java/org/wasabimount/core/dispatch/DeploymentLoad.java
@@ -173,7 +173,7 @@
     }
 
     /** A log-normal distribution by its mean and its standard deviation as a share of the mean, within limits. */
-    private record Amount(double mean, double spread, long min, long max) {
+    record Amount(double mean, double spread, long min, long max) {
 
         static Amount fixed(long value) {
             return new Amount(value, 0, value, value);
@@ -190,7 +190,7 @@
     }
 
     /** One kind of job of a deployment. */
-    private record JobClass(
+    record JobClass(
             Queue queue,
             double perSecond,
             double secondStepShare,
@@ -242,7 +242,7 @@
                 deployment.classes.stream().mapToDouble(this::nextArrivalMillis).toArray();
     }
 
-    private static Queue queue(String name, int priority, long objectiveMillis, double stretch, AdviceCost advice) {
+    static Queue queue(String name, int priority, long objectiveMillis, double stretch, AdviceCost advice) {
         return Queue.newBuilder()
                 .setName(name)
                 .setHost(name)
@@ -257,7 +257,7 @@
                 .build();
     }
 
-    private static AdviceCost advice(double callMillis, double workerMillis, int validMillis) {
+    static AdviceCost advice(double callMillis, double workerMillis, int validMillis) {
         return AdviceCost.newBuilder()
                 .setCallMillis(callMillis)
                 .setWorkerMillis(workerMillis)
--- a/core/src/test/java/org/wasabimount/core/dispatch/SimulatedCell.java
+++ b/core/src/test/java/org/wasabimount/core/dispatch/SimulatedCell.java
@@ -22,6 +22,7 @@
 import org.wasabimount.core.job.JobTable;
 import org.wasabimount.core.job.RunId;
 import org.wasabimount.core.job.TaskId;
+import org.wasabimount.protocol.cell.Organisation;
 import org.wasabimount.protocol.job.AcceptJob;
 import org.wasabimount.protocol.job.AdviceCost;
 import org.wasabimount.protocol.job.Announce;
@@ -195,6 +196,9 @@
 
     private long queueVersion = 1;
 
+    /** The organisations that the table declares with its queues. */
+    List<Organisation> organisations = List.of();
+
     /** Replaces the queues of the table; jobs are submitted to the first unless another queue is named. */
     void putQueues(List<Queue> changed) {
         queue = changed.get(0);
@@ -207,6 +211,7 @@
                 .setPutQueues(QueueTable.newBuilder()
                         .setVersion(queueVersion)
                         .addAllQueues(List.of(changed))
+                        .addAllOrganisations(organisations)
                         .addPools(Pool.newBuilder().setName("pool")))
                 .build());
     }
@@ -358,8 +363,15 @@
     }
 
     void submit(JobSpec spec, Queue acceptingQueue) {
+        submit(spec, acceptingQueue, "");
+    }
+
+    void submit(JobSpec spec, Queue acceptingQueue, String organisation) {
         apply(JobCommand.newBuilder()
-                .setAccept(AcceptJob.newBuilder().setSpec(spec).setQueue(acceptingQueue))
+                .setAccept(AcceptJob.newBuilder()
+                        .setSpec(spec)
+                        .setQueue(acceptingQueue)
+                        .setOrganisation(organisation))
                 .build());
     }
 
--- a/daemon/src/main/java/org/wasabimount/daemon/job/JobLeader.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/job/JobLeader.java
@@ -181,7 +181,7 @@
             return pending.reply();
         }
         Queue queue = caller.queue();
-        Optional<Refusal> refusal = JobCheck.check(spec).or(() -> dispatcher.admit(spec, queue));
+        Optional<Refusal> refusal = JobCheck.check(spec).or(() -> dispatcher.admit(spec, queue, caller.organisation()));
         LOG.log(
                 System.Logger.Level.INFO,
                 "SUBMIT request={0} job={1} queue={2} organisation={3} version={4} outcome={5}",
