--- a/core/src/test/java/org/wasabimount/core/dispatch/SimulatedCell.java
+++ b/core/src/test/java/org/wasabimount/core/dispatch/SimulatedCell.java
@@ -209,6 +209,9 @@
 
     private long queueVersion = 1;
 
+    /** The organisations that the table declares with its queues. */
+    List<Organisation> organisations = List.of();
+
     /** Replaces the queues of the table; jobs are submitted to the first unless another queue is named. */
     void putQueues(List<Queue> changed) {
         queue = changed.get(0);
@@ -220,6 +223,7 @@
         QueueTable.Builder queues = QueueTable.newBuilder()
                 .setVersion(queueVersion)
                 .addAllQueues(List.of(changed))
+                .addAllOrganisations(organisations)
                 .addPools(Pool.newBuilder().setName("pool"));
         quotas.forEach((organisation, quota) -> queues.addOrganisations(
                 Organisation.newBuilder().setName(organisation).setQuota(quota.toQuantity())));
@@ -405,11 +409,15 @@
     }
 
     void submit(JobSpec spec, Queue acceptingQueue) {
+        submit(spec, acceptingQueue, organisationOf.apply(spec));
+    }
+
+    void submit(JobSpec spec, Queue acceptingQueue, String organisation) {
         apply(JobCommand.newBuilder()
                 .setAccept(AcceptJob.newBuilder()
                         .setSpec(spec)
                         .setQueue(acceptingQueue)
-                        .setOrganisation(organisationOf.apply(spec)))
+                        .setOrganisation(organisation))
                 .build());
     }
 
--- a/daemon/src/main/java/org/wasabimount/daemon/job/JobLeader.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/job/JobLeader.java
@@ -186,7 +186,7 @@
                 .or(() -> table().organisations()
                         .account(caller.organisation())
                         .flatMap(account -> QuotaCheck.check(spec, account)))
-                .or(() -> dispatcher.admit(spec, queue));
+                .or(() -> dispatcher.admit(spec, queue, caller.organisation()));
         LOG.log(
                 System.Logger.Level.INFO,
                 "SUBMIT request={0} job={1} queue={2} organisation={3} version={4} outcome={5}",
