Keep kinds of tasks apart that slow each other, and pace fillers beside targets

Cause: tasks of unlike kinds share workers and slow each other by amounts that nobody declares; nothing noticed it.

Change: package core.interference. InterferenceLearner compares the paces of a run before and after one kind came or left beside it, and of two tasks of one step on workers whose usual pace is known; pairs are a median of means over groups of workers, bounded and decaying. dispatch.Interference is a WorkerPreference: never a condition of a start. FillerPacing cuts the fillers of a worker with the first list that shows a missed target and lets them up in steps; orders are DispatchAction.Pace. The load figure of a worker's list is decoded. Switched on by harmMillis of the node's settings.

Existing tests: the three fakes of WorkerCalls in daemon have the new method; the stand-in worker accepts and checks pace.

--- a/core/src/main/java/org/wasabimount/core/dispatch/DispatchAction.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/DispatchAction.java
@@ -47,6 +47,16 @@
      */
     record Stop(RunId run, WorkerEntry worker, long fence) implements DispatchAction {}
 
+    /**
+     * Orders a worker to let a run work at a share of its speed. The order neither starts nor stops anything.
+     *
+     * @param run the run
+     * @param worker the worker
+     * @param percent the share, 0 to 100 percent
+     * @param fence the leader's term
+     */
+    record Pace(RunId run, WorkerEntry worker, int percent, long fence) implements DispatchAction {}
+
     /**
      * Renews a worker's lease and requests the list of its runs.
      *
--- a/core/src/main/java/org/wasabimount/core/dispatch/DispatchSettings.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/DispatchSettings.java
@@ -1,6 +1,7 @@
 package org.wasabimount.core.dispatch;
 
 import org.wasabimount.core.Validate;
+import org.wasabimount.core.interference.SharingTerms;
 
 /**
  * Fixed parameters of the dispatcher, from the deployment's settings.
@@ -13,6 +14,7 @@
  * @param announceMillis the interval between two announcements of a worker, in milliseconds
  * @param contactMillis how long an undisturbed node may take to notice a change of a worker, in milliseconds, beside the
  *     interval of its announcements
+ * @param sharing what the contract says about tasks that share a worker
  */
 public record DispatchSettings(
         long leaseMillis,
@@ -21,7 +23,8 @@
         long checkpointMillis,
         long stopMillis,
         long announceMillis,
-        long contactMillis) {
+        long contactMillis,
+        SharingTerms sharing) {
 
     /** Longest time from the sending of an announcement to its receipt; later ones are not acknowledged. */
     private static final long MAX_DELIVERY_MILLIS = 1_000;
@@ -29,6 +32,36 @@
     /** Longest time from the decision to send a start to its execution by a worker that answers. */
     private static final long MAX_START_MILLIS = 300;
 
+    /**
+     * Creates parameters for a contract that says nothing about tasks that share a worker.
+     *
+     * @param leaseMillis the length of a lease
+     * @param gangMillis how long a task of a gang waits
+     * @param statusMillis how long the status of an ended job can be queried
+     * @param checkpointMillis the interval at which a task saves its progress
+     * @param stopMillis the maximum duration of a stop
+     * @param announceMillis the interval between two announcements
+     * @param contactMillis how long a change of a worker may go unnoticed
+     */
+    public DispatchSettings(
+            long leaseMillis,
+            long gangMillis,
+            long statusMillis,
+            long checkpointMillis,
+            long stopMillis,
+            long announceMillis,
+            long contactMillis) {
+        this(
+                leaseMillis,
+                gangMillis,
+                statusMillis,
+                checkpointMillis,
+                stopMillis,
+                announceMillis,
+                contactMillis,
+                SharingTerms.NONE);
+    }
+
     /** Validates the parameters. */
     public DispatchSettings {
         Validate.positive(leaseMillis, "leaseMillis");
@@ -37,6 +70,25 @@
         Validate.positive(checkpointMillis, "checkpointMillis");
         Validate.positive(announceMillis, "announceMillis");
         Validate.positive(contactMillis, "contactMillis");
+        Validate.notNull(sharing, "sharing");
+    }
+
+    /**
+     * Returns the same parameters with what the contract says about tasks that share a worker.
+     *
+     * @param terms the terms
+     * @return the parameters
+     */
+    public DispatchSettings withSharing(SharingTerms terms) {
+        return new DispatchSettings(
+                leaseMillis,
+                gangMillis,
+                statusMillis,
+                checkpointMillis,
+                stopMillis,
+                announceMillis,
+                contactMillis,
+                terms);
     }
 
     /**
--- a/core/src/main/java/org/wasabimount/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/Dispatcher.java
@@ -128,6 +128,7 @@
         this.workers.setBegunListener(this::begun);
         this.waits = new WaitSampler(workers, advice);
         this.placement = new StepPlacement(workers, advice, waits, order, this::add, this::proposed, examined);
+        this.placement.prefer(workers.interference());
         this.waits.setIdleSampler(new IdleSampler(idleJobs, workers, advice, placement)::sample);
         table.jobs().stream().filter(Job::open).forEach(job -> {
             long ageMillis = Math.max(0, wallMillis - job.acceptedMillis());
@@ -173,6 +174,15 @@
         workers.setGangWithheldListener(listener);
     }
 
+    /**
+     * Sets the listener for decisions about tasks that slow each other.
+     *
+     * @param listener receives each decision
+     */
+    public void setInterferenceListener(Consumer<InterferenceEvent> listener) {
+        workers.interference().setListener(listener);
+    }
+
     /**
      * Sets the listener for completed advice calls.
      *
@@ -350,6 +360,17 @@
         workers.stopCompleted(run, incarnation, result, clockMillis, nowMillis);
     }
 
+    /**
+     * Receives the outcome of a pacing order.
+     *
+     * @param order the order
+     * @param result the outcome of the call
+     * @param clockMillis the worker's clock in milliseconds, if the response carried it
+     */
+    public void paceCompleted(DispatchAction.Pace order, OrderOutcome result, OptionalLong clockMillis) {
+        workers.paceCompleted(order, result, clockMillis, nowMillis);
+    }
+
     /**
      * Receives the result of a lease renewal.
      *
--- a/core/src/main/java/org/wasabimount/core/dispatch/LeaseRenewalResult.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/LeaseRenewalResult.java
@@ -24,8 +24,22 @@
      * @param run the run
      * @param saved the latest saved progress, empty if there is none
      * @param percent the completed share of the run, in percent
+     * @param load a rough figure for the last half second, zero if there is none: for a task that serves the tail of its
+     *     response times in milliseconds, for any other the processors in use in thousandths of a core
      */
-    public record RunProgress(RunId run, String saved, int percent) {}
+    public record RunProgress(RunId run, String saved, int percent, int load) {
+
+        /**
+         * Creates the progress of a run without a load figure.
+         *
+         * @param run the run
+         * @param saved the latest saved progress, empty if there is none
+         * @param percent the completed share of the run, in percent
+         */
+        public RunProgress(RunId run, String saved, int percent) {
+            this(run, saved, percent, 0);
+        }
+    }
 
     /**
      * The end of a run.
--- a/core/src/main/java/org/wasabimount/core/dispatch/Placer.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/Placer.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Function;
+import java.util.stream.Stream;
 
 import org.wasabimount.core.cell.Capacity;
 import org.wasabimount.core.job.JobTask;
@@ -23,6 +24,9 @@
     /** Slowdowns that differ by less than this are equal, so that they do not decide over best fit. */
     private static final double SLOWDOWN_STEP = 0.25;
 
+    /** Number of the fullest workers compared where some are worse for a step; half of what a step compares. */
+    private static final int MAX_FULLEST = 12;
+
     private final ExaminedCounts examined;
     private WorkerPreference preference = WorkerPreference.NONE;
 
@@ -35,6 +39,17 @@
         preference = newPreference;
     }
 
+    /**
+     * Returns the rooms in which a task of a step fits, best fit first. Where some workers are worse for the step, the fullest
+     * ones may all be, so the emptiest ones follow.
+     */
+    Stream<WorkerRoom> fitting(ReadyStep step, PoolRooms pool) {
+        Stream<WorkerRoom> leastFreeFirst = pool.leastFreeFirst(step.size());
+        return preference.distinguishes(step)
+                ? Stream.concat(leastFreeFirst.limit(MAX_FULLEST), pool.mostFreeFirst(step.size()))
+                : leastFreeFirst;
+    }
+
     /**
      * Chooses workers for as many waiting tasks as fit.
      *
--- a/core/src/main/java/org/wasabimount/core/dispatch/StepPlacement.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/StepPlacement.java
@@ -567,7 +567,7 @@
         } else {
             PoolRooms pool = poolOf(ready);
             Stream<WorkerRoom> reserved = ready.mayUseReservedRoom(nowMillis) ? pool.usable().stream() : Stream.empty();
-            candidates = Stream.of(pool.onRack(ready.step().getDataRack()), pool.leastFreeFirst(ready.size()), reserved)
+            candidates = Stream.of(pool.onRack(ready.step().getDataRack()), placer.fitting(ready, pool), reserved)
                     .flatMap(found -> found)
                     .peek(room -> examined.add(ExaminedCounts.Part.ROUND, 1))
                     .filter(possible)
--- a/core/src/main/java/org/wasabimount/core/dispatch/TrackedRun.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/TrackedRun.java
@@ -3,6 +3,7 @@
 import java.util.OptionalDouble;
 
 import org.wasabimount.core.cell.Capacity;
+import org.wasabimount.core.interference.TaskKind;
 import org.wasabimount.core.job.IncarnationId;
 import org.wasabimount.core.job.RunId;
 import org.wasabimount.protocol.job.Step;
@@ -54,6 +55,7 @@
     private final Step step;
     private final Capacity size;
     private State state;
+    private TaskKind kind;
     private boolean suspect;
     private boolean isolated;
     private String ticket = "";
@@ -133,6 +135,22 @@
         return this;
     }
 
+    TrackedRun withKind(TaskKind newKind) {
+        kind = newKind;
+        return this;
+    }
+
+    /** Returns the kind of the task, by which its neighbours on a worker are told apart. */
+    TaskKind kind() {
+        return kind;
+    }
+
+    /** Returns when the run began its work without any progress, as monotonic time in milliseconds; negative if not known. */
+    long workStartedMillis() {
+        boolean known = state == State.RUNNING && startAttempts > 0 && !resumesFromSaved && !step.getGang();
+        return known ? startedMillis : -1;
+    }
+
     /** Marks the run by what is known of its task's earlier runs. */
     TrackedRun withSuspicion(boolean workersCrashed, boolean runsAlone) {
         suspect = workersCrashed;
--- a/core/src/main/java/org/wasabimount/core/dispatch/TrackedWorker.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/TrackedWorker.java
@@ -15,6 +15,7 @@
     private final Map<RunId, TrackedRun> runs = new LinkedHashMap<>();
     private final LeaseClock clock;
     private final WorkerHealth health = new WorkerHealth();
+    private final WorkerSharing sharing = new WorkerSharing();
     private WorkerEntry entry;
     private Capacity usedCapacity = Capacity.NONE;
     private int suspectRuns;
@@ -61,6 +62,10 @@
         return health;
     }
 
+    WorkerSharing sharing() {
+        return sharing;
+    }
+
     Collection<TrackedRun> runs() {
         return runs.values();
     }
@@ -71,6 +76,7 @@
 
     void add(TrackedRun run) {
         runs.put(run.id(), run);
+        sharing.add(run);
         usedCapacity = usedCapacity.plus(run.size());
         suspectRuns += run.suspect() ? 1 : 0;
         isolatedRuns += run.isolated() ? 1 : 0;
@@ -79,6 +85,7 @@
     void remove(RunId id) {
         TrackedRun removed = runs.remove(id);
         if (removed != null) {
+            sharing.remove(removed);
             usedCapacity = usedCapacity.minus(removed.size());
             suspectRuns -= removed.suspect() ? 1 : 0;
             isolatedRuns -= removed.isolated() ? 1 : 0;
--- a/core/src/main/java/org/wasabimount/core/dispatch/WorkerManager.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/WorkerManager.java
@@ -17,6 +17,7 @@
 import java.util.stream.Stream;
 
 import org.wasabimount.core.cell.Capacity;
+import org.wasabimount.core.interference.TaskKind;
 import org.wasabimount.core.job.CrashLimit;
 import org.wasabimount.core.job.IncarnationId;
 import org.wasabimount.core.job.Job;
@@ -51,12 +52,6 @@
 
     private static final System.Logger LOG = System.getLogger("wasabimount.worker");
 
-    /**
-     * How long a worker may delay its list until a run ends, in milliseconds; bounds how late a lost connection is
-     * detected.
-     */
-    private static final long LIST_WAIT_MILLIS = 1_000;
-
     /** Maximum number of run ends in one list; a list of that length may omit others. */
     private static final int MAX_LISTED_ENDS = 500;
 
@@ -78,12 +73,6 @@
     /** Interval between two checks of the gangs with a task on a silent worker, in milliseconds; a part of a stop. */
     private static final long GANG_CHECK_INTERVAL_MILLIS = 100;
 
-    /**
-     * How long a task avoids a worker on which it failed, in milliseconds; after that it may run on any worker again,
-     * rather than keep waiting.
-     */
-    private static final long FAILED_WORKER_AVOIDANCE_MILLIS = 1_500;
-
     /**
      * Time without contact after which a worker with an expired lease is removed, in milliseconds; several announcement
      * intervals.
@@ -124,7 +113,9 @@
     /** The cores of the workers that count for admission and are not awake, by pool, in thousandths of a core. */
     private final Map<String, Long> restingCpuMillis = new HashMap<>();
 
-    private final Map<StepId, List<RunFailure>> failures = new HashMap<>();
+    private final RecentFailures failures = new RecentFailures();
+    private final Interference interference;
+
     /** The workers whose capacity is known, that with the oldest announcement first. */
     private final Set<TrackedWorker> capacitiesByAge = new LinkedHashSet<>();
 
@@ -137,8 +128,6 @@
     private Runnable gangWithheld = () -> {};
     private Consumer<TaskId> begun = task -> {};
 
-    private record RunFailure(TaskId task, IncarnationId incarnation, long atMillis) {}
-
     WorkerManager(
             DispatchSettings settings,
             JobTable table,
@@ -151,6 +140,7 @@
         this.fence = fence;
         this.actions = actions;
         this.examined = examined;
+        this.interference = new Interference(settings.sharing(), fence, actions, examined);
         table.workers().forEach(worker -> adopt(worker, nowMillis));
     }
 
@@ -178,6 +168,10 @@
         begun = listener;
     }
 
+    Interference interference() {
+        return interference;
+    }
+
     Collection<TrackedWorker> trackedWorkers() {
         return trackedWorkers.values();
     }
@@ -357,14 +351,17 @@
 
     /** Reserves capacity for a run whose placement is being committed. */
     void propose(RunId run, TrackedWorker trackedWorker, String ticket) {
-        trackedWorker.add(trackedRun(run, trackedWorker.entry().id(), TrackedRun.State.PROPOSED)
-                .withTicket(ticket));
+        TrackedRun trackedRun = trackedRun(run, trackedWorker.entry().id(), TrackedRun.State.PROPOSED);
+        interference.placed(trackedRun, trackedWorker);
+        trackedWorker.add(trackedRun.withTicket(ticket));
     }
 
     private TrackedRun trackedRun(RunId run, IncarnationId incarnation, TrackedRun.State state) {
         Job job = table.job(run.task().job()).orElseThrow();
         JobTask task = table.task(run.task()).orElseThrow();
-        return new TrackedRun(run, incarnation, step(run.task().stepId()), state)
+        Step step = job.step(run.task().step());
+        return new TrackedRun(run, incarnation, step, state)
+                .withKind(TaskKind.of(job.queue().getName(), step))
                 .withSuspicion(task.suspicions() > 0, CrashLimit.requiresIsolation(job, task));
     }
 
@@ -381,13 +378,7 @@
 
     /** Returns the workers on which one of the step's waiting tasks has recently failed. */
     Set<IncarnationId> failedRecently(ReadyStep step, long nowMillis) {
-        List<RunFailure> stepFailures = failures.getOrDefault(step.id(), List.of());
-        return stepFailures.stream()
-                .filter(failure -> nowMillis - failure.atMillis < FAILED_WORKER_AVOIDANCE_MILLIS)
-                .filter(failure ->
-                        step.waiting().stream().anyMatch(task -> task.id().equals(failure.task)))
-                .map(RunFailure::incarnation)
-                .collect(Collectors.toSet());
+        return failures.workers(step, nowMillis);
     }
 
     void placed(RunId run, IncarnationId incarnation, long nowMillis) {
@@ -414,7 +405,7 @@
     }
 
     void jobEnded(Job job, long nowMillis) {
-        failures.keySet().removeIf(step -> step.job().equals(job.id()));
+        failures.forgetJob(job.id());
         placedRuns(job.tasks().filter(task -> !task.done())).forEach(trackedRun -> stop(trackedRun, nowMillis));
     }
 
@@ -469,7 +460,7 @@
             return;
         }
         // The first list is requested without delay: until it arrives, nothing may be placed on the worker.
-        long waitMillis = trackedWorker.runsListed() ? LIST_WAIT_MILLIS : 0;
+        long waitMillis = trackedWorker.runsListed() ? interference.listWaitMillis(trackedWorker) : 0;
         // A later incarnation with the same id restarts the numbering of its ends, so nothing is acknowledged while one
         // may respond.
         long offset = trackedWorker.runsListed() && trackedWorker.unansweredCalls() == 0
@@ -562,20 +553,11 @@
 
     void startCompleted(
             RunId run, IncarnationId incarnation, OrderOutcome result, OptionalLong clockMillis, long nowMillis) {
-        TrackedWorker trackedWorker = trackedWorkers.get(incarnation);
-        if (trackedWorker == null) {
-            return;
-        }
-        wake(trackedWorker);
-        clockMillis.ifPresent(clock -> trackedWorker.clock().recordReading(clock, nowMillis));
-        TrackedRun trackedRun = trackedWorker.run(run);
-        if (result == OrderOutcome.OTHER_LIFE) {
-            endIncarnation(trackedWorker, WorkerEndCause.REPLACED, "another incarnation responds at its address");
-            return;
-        }
+        TrackedRun trackedRun = runOfResponse(run, incarnation, result, clockMillis, nowMillis);
         if (trackedRun == null || trackedRun.state() != TrackedRun.State.STARTING) {
             return;
         }
+        TrackedWorker trackedWorker = trackedWorkers.get(incarnation);
         trackedRun.unanswered(result == OrderOutcome.NO_ANSWER);
         switch (result) {
             case DONE -> {
@@ -620,20 +602,11 @@
 
     void stopCompleted(
             RunId run, IncarnationId incarnation, OrderOutcome result, OptionalLong clockMillis, long nowMillis) {
-        TrackedWorker trackedWorker = trackedWorkers.get(incarnation);
-        if (trackedWorker == null) {
-            return;
-        }
-        wake(trackedWorker);
-        clockMillis.ifPresent(clock -> trackedWorker.clock().recordReading(clock, nowMillis));
-        if (result == OrderOutcome.OTHER_LIFE) {
-            endIncarnation(trackedWorker, WorkerEndCause.REPLACED, "another incarnation responds at its address");
-            return;
-        }
-        TrackedRun trackedRun = trackedWorker.run(run);
+        TrackedRun trackedRun = runOfResponse(run, incarnation, result, clockMillis, nowMillis);
         if (trackedRun == null || trackedRun.state() != TrackedRun.State.STOPPING) {
             return;
         }
+        TrackedWorker trackedWorker = trackedWorkers.get(incarnation);
         if (result == OrderOutcome.DONE || result == OrderOutcome.SUPERSEDED) {
             trackedRun.awaitList(nowMillis);
             if (trackedWorker.replaced()) {
@@ -644,6 +617,29 @@
         }
     }
 
+    void paceCompleted(DispatchAction.Pace order, OrderOutcome result, OptionalLong clockMillis, long nowMillis) {
+        IncarnationId incarnation = order.worker().id();
+        if (runOfResponse(order.run(), incarnation, result, clockMillis, nowMillis) != null) {
+            interference.paceCompleted(trackedWorkers.get(incarnation), order, result, nowMillis);
+        }
+    }
+
+    /** Takes over the response to an order; returns the run, or null if the incarnation or the run has ended. */
+    private TrackedRun runOfResponse(
+            RunId run, IncarnationId incarnation, OrderOutcome result, OptionalLong clockMillis, long nowMillis) {
+        TrackedWorker trackedWorker = trackedWorkers.get(incarnation);
+        if (trackedWorker == null) {
+            return null;
+        }
+        wake(trackedWorker);
+        clockMillis.ifPresent(clock -> trackedWorker.clock().recordReading(clock, nowMillis));
+        if (result == OrderOutcome.OTHER_LIFE) {
+            endIncarnation(trackedWorker, WorkerEndCause.REPLACED, "another incarnation responds at its address");
+            return null;
+        }
+        return trackedWorker.run(run);
+    }
+
     void leaseRenewalCompleted(
             IncarnationId incarnation, LeaseRenewalResult result, long requestedMillis, long nowMillis) {
         TrackedWorker trackedWorker = trackedWorkers.get(incarnation);
@@ -683,6 +679,7 @@
         trackedWorker.leaseRenewalCompleted(true, nowMillis, nowMillis);
         trackedWorker.answered(requestedMillis);
         trackedWorker.runsListed(true);
+        interference.listed(trackedWorker, result, nowMillis);
         recordEnds(trackedWorker, result.ended(), nowMillis);
         reconcileRuns(trackedWorker, result, requestedMillis, nowMillis);
     }
@@ -843,8 +840,7 @@
         } else if (end.kind() == EndKind.FAILED) {
             boolean failedElsewhere =
                     table.task(end.run().task()).map(JobTask::failures).orElse(0) > 0;
-            failures.computeIfAbsent(end.run().task().stepId(), absent -> new ArrayList<>())
-                    .add(new RunFailure(end.run().task(), trackedWorker.entry().id(), nowMillis));
+            failures.record(end.run().task(), trackedWorker.entry().id(), nowMillis);
             if (!failedElsewhere) {
                 trackedWorker.health().failed(nowMillis);
             }
--- a/core/src/main/java/org/wasabimount/core/dispatch/WorkerPreference.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/WorkerPreference.java
@@ -14,8 +14,24 @@
      */
     double slowdown(ReadyStep step, TrackedWorker worker);
 
+    /** Returns whether some workers are known to be worse for a step, so that more of them are worth comparing. */
+    default boolean distinguishes(ReadyStep step) {
+        return false;
+    }
+
     /** Returns a preference that multiplies this slowdown by another one. */
     default WorkerPreference and(WorkerPreference other) {
-        return (step, worker) -> slowdown(step, worker) * other.slowdown(step, worker);
+        WorkerPreference first = this;
+        return new WorkerPreference() {
+            @Override
+            public double slowdown(ReadyStep step, TrackedWorker worker) {
+                return first.slowdown(step, worker) * other.slowdown(step, worker);
+            }
+
+            @Override
+            public boolean distinguishes(ReadyStep step) {
+                return first.distinguishes(step) || other.distinguishes(step);
+            }
+        };
     }
 }
--- a/core/src/main/java/org/wasabimount/core/dispatch/package-info.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/package-info.java
@@ -15,6 +15,7 @@
  *   <li>{@link org.wasabimount.core.dispatch.AdviceManager}: every step requires a slow call before it may be placed.
  *   <li>{@link org.wasabimount.core.dispatch.Placer}: tasks differ in size, and gangs need capacity on several workers
  *       at the same moment.
+ *   <li>{@link org.wasabimount.core.dispatch.Interference}: tasks of unlike kinds slow each other on shared workers.
  * </ul>
  */
 package org.wasabimount.core.dispatch;
--- a/core/src/test/java/org/wasabimount/core/dispatch/SimulatedCell.java
+++ b/core/src/test/java/org/wasabimount/core/dispatch/SimulatedCell.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -14,10 +15,13 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.function.Predicate;
+import java.util.function.ToDoubleBiFunction;
+import java.util.function.ToLongFunction;
 import java.util.stream.IntStream;
 
 import org.wasabimount.core.ResultCode;
 import org.wasabimount.core.cell.Capacity;
+import org.wasabimount.core.interference.SharingTerms;
 import org.wasabimount.core.job.Job;
 import org.wasabimount.core.job.JobTable;
 import org.wasabimount.core.job.RunId;
@@ -75,6 +79,18 @@
 
     final Map<String, Integer> starts = new HashMap<>();
 
+    /** Factor by which a task takes longer while another one runs on its worker. */
+    ToDoubleBiFunction<TaskId, TaskId> slowdown = (task, neighbour) -> 1;
+
+    /** Tail of the response times of a task that serves, in milliseconds, without what fills beside it. */
+    ToLongFunction<TaskId> tailMillis = task -> 0;
+
+    /** What the contract says about tasks that share a worker. */
+    SharingTerms sharing = SharingTerms.NONE;
+
+    /** Receives the decisions about tasks that slow each other. */
+    final Map<InterferenceEvent, Integer> interferenceEvents = new EnumMap<>(InterferenceEvent.class);
+
     /** Whether the failure of one task of a gang ends the others before they can fail themselves. */
     boolean failureBreaksGang = true;
 
@@ -379,7 +395,8 @@
         term++;
         table = JobTable.restore(table.snapshot());
         dispatcher = new Dispatcher(
-                new DispatchSettings(LEASE_MILLIS, GANG_MILLIS, 120_000, 2_000, 200, ANNOUNCE_MILLIS, CONTACT_MILLIS),
+                new DispatchSettings(LEASE_MILLIS, GANG_MILLIS, 120_000, 2_000, 200, ANNOUNCE_MILLIS, CONTACT_MILLIS)
+                        .withSharing(sharing),
                 table,
                 order,
                 term,
@@ -387,6 +404,7 @@
                 nowMillis,
                 EPOCH_MILLIS + nowMillis);
         dispatcher.callers(List.of("vm1", "vm2", "vm3", "vm4"));
+        dispatcher.setInterferenceListener(event -> interferenceEvents.merge(event, 1, Integer::sum));
     }
 
     void run(long millis) {
@@ -455,6 +473,14 @@
                     },
                     sender,
                     Optional.empty());
+        } else if (action instanceof DispatchAction.Pace pace) {
+            order(
+                    pace.worker().incarnation().getAddress(),
+                    pace.worker().incarnation().getWorker(),
+                    worker -> worker.pace(pace),
+                    (result, clock) -> sender.paceCompleted(pace, result, clock),
+                    sender,
+                    Optional.empty());
         } else if (action instanceof DispatchAction.RenewLease renewLease) {
             renewLease(
                     renewLease,
@@ -650,6 +676,18 @@
         return slowJobs.contains(task.job()) ? 6 * workMillis : workMillis;
     }
 
+    /** Returns the load figure of a task: its tail, which grows with what works at full pace beside it. */
+    int load(TaskId task, SimulatedWorker worker) {
+        long tail = tailMillis.applyAsLong(task);
+        int fillersPercent = worker.activeRuns.entrySet().stream()
+                .filter(run -> job(run.getKey().task())
+                        .step(run.getKey().task().step())
+                        .getFiller())
+                .mapToInt(run -> run.getValue().pacePercent)
+                .sum();
+        return (int) (tail + tail * fillersPercent / PERCENT);
+    }
+
     private void startCompleteGangs() {
         Map<String, List<RunId>> gangs = new LinkedHashMap<>();
         alive().forEach(worker -> worker.activeRuns.forEach((run, state) -> {
--- a/core/src/test/java/org/wasabimount/core/dispatch/SimulatedWorker.java
+++ b/core/src/test/java/org/wasabimount/core/dispatch/SimulatedWorker.java
@@ -57,6 +57,8 @@
     /** Factor by which tasks that start here take longer than on other workers. */
     double slowdownFactor = 1;
 
+    private long tickedMillis;
+
     private record EarlierCapacity(Capacity capacity, long untilMillis) {}
 
     /** The state of an active run. */
@@ -66,6 +68,7 @@
         long arrivedMillis;
         EndKind endKind = EndKind.DONE;
         boolean stopping;
+        int pacePercent = 100;
     }
 
     SimulatedWorker(SimulatedCell cell, String id, long bornMillis, String address, Capacity capacity, boolean slow) {
@@ -200,6 +203,36 @@
         return OrderOutcome.DONE;
     }
 
+    OrderOutcome pace(DispatchAction.Pace order) {
+        if (order.fence() < fence) {
+            return OrderOutcome.FENCED;
+        }
+        fence = order.fence();
+        if (!activeRuns.containsKey(order.run())) {
+            return OrderOutcome.SUPERSEDED;
+        }
+        activeRuns.get(order.run()).pacePercent = order.percent();
+        return OrderOutcome.DONE;
+    }
+
+    /** Delays the work of runs that others here slow down. */
+    private void slowDown() {
+        long elapsedMillis = cell.nowMillis() - tickedMillis;
+        tickedMillis = cell.nowMillis();
+        activeRuns.forEach((id, run) -> {
+            double factor = activeRuns.keySet().stream()
+                    .filter(other -> !other.equals(id))
+                    .mapToDouble(other -> cell.slowdown.applyAsDouble(id.task(), other.task()))
+                    .max()
+                    .orElse(1);
+            if (factor > 1 && !run.stopping && run.endsMillis < Long.MAX_VALUE / 2) {
+                long delayMillis = Math.round(elapsedMillis * (1 - 1 / factor));
+                run.workStartedMillis += delayMillis;
+                run.endsMillis += delayMillis;
+            }
+        });
+    }
+
     LeaseRenewalResult renewLease(DispatchAction.RenewLease order) {
         if (order.fence() < fence) {
             return LeaseRenewalResult.withoutList(OrderOutcome.FENCED);
@@ -215,7 +248,11 @@
 
     LeaseRenewalResult listRuns() {
         List<LeaseRenewalResult.RunProgress> running = activeRuns.entrySet().stream()
-                .map(run -> new LeaseRenewalResult.RunProgress(run.getKey(), "", percent(run.getValue())))
+                .map(run -> new LeaseRenewalResult.RunProgress(
+                        run.getKey(),
+                        "",
+                        percent(run.getValue()),
+                        cell.load(run.getKey().task(), this)))
                 .toList();
         return new LeaseRenewalResult(
                 OrderOutcome.DONE,
@@ -227,6 +264,7 @@
 
     /** Ends the runs that are due, and all runs when the lease has expired. */
     void tick() {
+        slowDown();
         if (clockMillis() >= leaseUntilMillis) {
             lapsedUpTo = nextEnd - 1;
             List.copyOf(activeRuns.keySet()).forEach(run -> end(run, EndKind.LAPSED));
--- a/daemon/src/main/java/org/wasabimount/daemon/job/JobLeader.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/job/JobLeader.java
@@ -400,6 +400,7 @@
             dispatcher.setStatusListener(monitor::statusSampled);
             dispatcher.setReservationListener(metrics::reservationEnded);
             dispatcher.setGangWithheldListener(metrics::gangWithheld);
+            dispatcher.setInterferenceListener(metrics::interferenceDecided);
             LOG.log(
                     System.Logger.Level.INFO,
                     "LEAD term={0} jobs={1} workers={2}",
@@ -446,6 +447,10 @@
                             current,
                             () -> current.stopCompleted(
                                     stop.run(), incarnation, result.orderOutcome(), result.clockMillis())));
+        } else if (action instanceof DispatchAction.Pace pace) {
+            sendOrder("pace", () -> workers.pace(pace))
+                    .thenAccept(result -> submitInTerm(
+                            current, () -> current.paceCompleted(pace, result.orderOutcome(), result.clockMillis())));
         } else if (action instanceof DispatchAction.RenewLease renewal) {
             long requestedMillis = clock.millis();
             // A lease renewed by a deposed leader would last beyond the time that its successor waits for.
--- a/daemon/src/main/java/org/wasabimount/daemon/job/WorkerCalls.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/job/WorkerCalls.java
@@ -24,6 +24,14 @@
      */
     CompletableFuture<OrderResult> stop(DispatchAction.Stop order);
 
+    /**
+     * Orders a worker to let a run work at a share of its speed.
+     *
+     * @param order the order
+     * @return the outcome of the call
+     */
+    CompletableFuture<OrderResult> pace(DispatchAction.Pace order);
+
     /**
      * Renews a worker's lease and requests the list of its runs.
      *
--- a/daemon/src/main/java/org/wasabimount/daemon/metrics/NodeMetrics.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/metrics/NodeMetrics.java
@@ -9,6 +9,7 @@
 import org.wasabimount.core.dispatch.DispatchStatus;
 import org.wasabimount.core.dispatch.IdleReason;
 import org.wasabimount.core.dispatch.IdleStatus;
+import org.wasabimount.core.dispatch.InterferenceEvent;
 import org.wasabimount.core.dispatch.OrderOutcome;
 import org.wasabimount.core.dispatch.ReservationEnd;
 import org.wasabimount.core.dispatch.WaitReason;
@@ -114,6 +115,11 @@
             .name("wasabimount_gang_starts_withheld")
             .help("Gangs that were placed and not started while this node led, as a worker had no room for certain")
             .register(registry());
+    private final Counter interference = counter()
+            .name("wasabimount_interference_decisions")
+            .help("Decisions about tasks that slow each other, taken while this node led")
+            .labelNames("decision")
+            .register(registry());
     private final Histogram jobs = histogram()
             .name("wasabimount_job_seconds")
             .help("Time from a job's acceptance to its completion")
@@ -128,6 +134,7 @@
                 .forEach(workerEnds::initLabelValues);
         Arrays.stream(AdviceOutcome.values()).map(AdviceOutcome::name).forEach(adviceCalls::initLabelValues);
         Arrays.stream(ReservationEnd.values()).map(ReservationEnd::label).forEach(reservationEnds::initLabelValues);
+        Arrays.stream(InterferenceEvent.values()).map(InterferenceEvent::label).forEach(interference::initLabelValues);
         dispatchSampled(DispatchStatus.NONE);
     }
 
@@ -165,7 +172,7 @@
     /**
      * Counts an order to a worker.
      *
-     * @param order the kind of order: start, stop or hold
+     * @param order the kind of order: start, stop, pace or hold
      * @param outcome the outcome of the order
      */
     public void orderCompleted(String order, OrderOutcome outcome) {
@@ -240,6 +247,15 @@
         gangsWithheld.inc();
     }
 
+    /**
+     * Counts a decision about tasks that slow each other.
+     *
+     * @param decision the decision
+     */
+    public void interferenceDecided(InterferenceEvent decision) {
+        interference.labelValues(decision.label()).inc();
+    }
+
     /**
      * Records the end of a job.
      *
--- a/daemon/src/main/java/org/wasabimount/daemon/settings/NodeSettingsFile.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/settings/NodeSettingsFile.java
@@ -13,6 +13,7 @@
 import org.wasabimount.core.FailureDomainId;
 import org.wasabimount.core.VmId;
 import org.wasabimount.core.dispatch.DispatchSettings;
+import org.wasabimount.core.interference.SharingTerms;
 import org.wasabimount.daemon.node.NodeSettings;
 
 /**
@@ -88,6 +89,10 @@
         ANNOUNCE("announceMillis", "100 to 3600000 milliseconds", "1500"),
         /** How long a change of a worker may go unnoticed, beside the interval of its announcements. */
         CONTACT("contactMillis", "100 to 3600000 milliseconds", "3000"),
+        /** How long a serving task may miss its target on end because of fillers beside it. */
+        HARM("harmMillis", "0 to 3600000 milliseconds", "0"),
+        /** The time after which a worker has carried out a pacing order. */
+        PACE("paceMillis", "0 to 3600000 milliseconds", "0"),
         /** Maximum time for a graceful stop of this VM. */
         DRAIN("drainSeconds", "1 to 3600 seconds", "6"),
         /** The format of log lines. */
@@ -175,7 +180,9 @@
                         1_000 * number(root, Key.CHECKPOINT, 2, 1, 3_600),
                         number(root, Key.STOP, 1_000, 0, MAX_MILLIS),
                         number(root, Key.ANNOUNCE, 1_500, 100, MAX_MILLIS),
-                        number(root, Key.CONTACT, 3_000, 100, MAX_MILLIS)));
+                        number(root, Key.CONTACT, 3_000, 100, MAX_MILLIS),
+                        new SharingTerms(
+                                number(root, Key.HARM, 0, 0, MAX_MILLIS), number(root, Key.PACE, 0, 0, MAX_MILLIS))));
         ListenAddresses listenAddresses = new ListenAddresses(
                 address(root, Key.ENTRY_ADDRESS),
                 address(root, Key.READY_ADDRESS),
--- a/daemon/src/test/java/org/wasabimount/daemon/job/FullRingTest.java
+++ b/daemon/src/test/java/org/wasabimount/daemon/job/FullRingTest.java
@@ -47,6 +47,11 @@
                 return CompletableFuture.completedFuture(OrderResult.of(OrderOutcome.DONE));
             }
 
+            @Override
+            public CompletableFuture<OrderResult> pace(DispatchAction.Pace order) {
+                return CompletableFuture.completedFuture(OrderResult.of(OrderOutcome.DONE));
+            }
+
             @Override
             public CompletableFuture<LeaseRenewalResult> renewLease(DispatchAction.RenewLease order) {
                 if (!confirmed) {
--- a/daemon/src/test/java/org/wasabimount/daemon/job/UnexpectedErrorTest.java
+++ b/daemon/src/test/java/org/wasabimount/daemon/job/UnexpectedErrorTest.java
@@ -65,6 +65,11 @@
                 return CompletableFuture.completedFuture(OrderResult.of(OrderOutcome.DONE));
             }
 
+            @Override
+            public CompletableFuture<OrderResult> pace(DispatchAction.Pace order) {
+                return CompletableFuture.completedFuture(OrderResult.of(OrderOutcome.DONE));
+            }
+
             @Override
             public CompletableFuture<LeaseRenewalResult> renewLease(DispatchAction.RenewLease order) {
                 return renewal.get();
--- a/daemon/src/test/java/org/wasabimount/daemon/job/WaitingJobsTest.java
+++ b/daemon/src/test/java/org/wasabimount/daemon/job/WaitingJobsTest.java
@@ -63,6 +63,11 @@
                 return later(OrderResult.of(OrderOutcome.NO_ANSWER));
             }
 
+            @Override
+            public CompletableFuture<OrderResult> pace(DispatchAction.Pace order) {
+                return later(OrderResult.of(OrderOutcome.NO_ANSWER));
+            }
+
             @Override
             public CompletableFuture<LeaseRenewalResult> renewLease(DispatchAction.RenewLease order) {
                 return later(new LeaseRenewalResult(OrderOutcome.DONE, 1_000, 1, List.of(), List.of()));
