--- a/core/src/main/java/org/wasabimount/core/dispatch/ReadyStep.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/ReadyStep.java
@@ -92,7 +92,14 @@
         return count >= waiting.size()
                 ? this
                 : new ReadyStep(
-                        job, queue, id, waiting.subList(0, (int) count), latestStartMillis, late, beyondShare, isolated);
+                        job,
+                        queue,
+                        id,
+                        waiting.subList(0, (int) count),
+                        latestStartMillis,
+                        late,
+                        beyondShare,
+                        isolated);
     }
 
     /** Returns the same step with tasks that may share their workers with others. */
--- a/core/src/test/java/org/wasabimount/core/dispatch/SharedLoad.java
+++ b/core/src/test/java/org/wasabimount/core/dispatch/SharedLoad.java
@@ -35,8 +35,7 @@
     /** Numbers of the workers of the deployment and of the VMs that call for advice. */
     static final int WORKERS = 246;
 
-    private static final Capacity UNLIMITED =
-            new Capacity(Capacity.UNLIMITED, Capacity.UNLIMITED, Capacity.UNLIMITED);
+    private static final Capacity UNLIMITED = new Capacity(Capacity.UNLIMITED, Capacity.UNLIMITED, Capacity.UNLIMITED);
 
     private static final int CALLERS = 32;
     private static final int MAX_GANG = 120;
--- a/daemon/src/test/java/org/wasabimount/daemon/job/OrganisationJobsTest.java
+++ b/daemon/src/test/java/org/wasabimount/daemon/job/OrganisationJobsTest.java
@@ -61,6 +61,11 @@
                 return CompletableFuture.completedFuture(OrderResult.of(OrderOutcome.NO_ANSWER));
             }
 
+            @Override
+            public CompletableFuture<OrderResult> pace(DispatchAction.Pace order) {
+                return CompletableFuture.completedFuture(OrderResult.of(OrderOutcome.NO_ANSWER));
+            }
+
             @Override
             public CompletableFuture<LeaseRenewalResult> renewLease(DispatchAction.RenewLease order) {
                 return CompletableFuture.completedFuture(
