Learn the workers' speeds and prefer fast workers for steps that slow ones would make late

Cause: workers of unlike speed were filled by best fit alone, so a step without time to spare came late wherever a slow worker took one of its tasks; and a worker of a slow kind could be taken for a stalled one.

SpeedTracker makes of it the preference among workers that fit, only for steps that would be late otherwise. SlowWorkerDetector compares a worker with its own usual pace.

--- a/core/src/main/java/org/wasabimount/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/Dispatcher.java
@@ -128,6 +128,7 @@
         this.workers.setBegunListener(this::begun);
         this.waits = new WaitSampler(workers, advice);
         this.placement = new StepPlacement(workers, advice, waits, order, this::add, this::proposed, examined);
+        this.placement.prefer(workers.speeds().preference(() -> this.nowMillis));
         this.waits.setIdleSampler(new IdleSampler(idleJobs, workers, advice, placement)::sample);
         table.jobs().stream().filter(Job::open).forEach(job -> {
             long ageMillis = Math.max(0, wallMillis - job.acceptedMillis());
@@ -136,6 +137,11 @@
         table.setObserver(this);
     }
 
+    /** Replaces the preference among workers that fit. */
+    void prefer(WorkerPreference preference) {
+        placement.prefer(preference);
+    }
+
     /**
      * Sets the listener for ended jobs.
      *
--- a/core/src/main/java/org/wasabimount/core/dispatch/SlowWorkerDetector.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/SlowWorkerDetector.java
@@ -3,17 +3,21 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
+import java.util.Locale;
 
 /**
  * Distinguishes workers on which tasks stall or run slowly from tasks that merely take longer than declared.
  *
  * <p>Designed for workers that become several times slower or stop working for seconds, while they still renew their
  * leases and accept orders. Declared run times are rough, so the pace of a run relative to its declared time is
- * compared with the median pace of recent samples. A worker counts as slow only if all its sampled runs are slow, and
- * either they belong to at least two jobs or one of them has stalled.
+ * compared with the median pace of recent samples. The pace is that on a worker of the usual speed, so that a worker of a
+ * slow kind is compared with its own usual pace. A worker counts as slow only if all its sampled runs are slow, and either
+ * they belong to at least two jobs or one of them has stalled.
  */
 final class SlowWorkerDetector {
 
+    private static final System.Logger LOG = System.getLogger("wasabimount.dispatch");
+
     /**
      * Share of the median pace below which a run counts as slow; declared times and workers differ by less than this.
      */
@@ -29,6 +33,16 @@
     private static final int MIN_SAMPLES = 16;
 
     private final Deque<Double> recentPaces = new ArrayDeque<>();
+    private final SpeedTracker speeds;
+
+    /**
+     * Creates the detector.
+     *
+     * @param speeds the workers' usual speeds, to which the detector adds its samples
+     */
+    SlowWorkerDetector(SpeedTracker speeds) {
+        this.speeds = speeds;
+    }
 
     /**
      * The pace of one run, taken from one list.
@@ -39,7 +53,26 @@
     record PaceSample(TrackedRun run, double pace) {}
 
     /** Returns the slow runs among the samples of one worker's list, empty if the worker is not slower than others. */
-    List<TrackedRun> slowRuns(List<PaceSample> paceSamples) {
+    List<TrackedRun> slowRuns(TrackedWorker worker, List<PaceSample> listedSamples, long nowMillis) {
+        double speed = speeds.speed(worker, nowMillis);
+        List<PaceSample> paceSamples = listedSamples.stream()
+                .map(sample -> new PaceSample(sample.run, sample.pace / speed))
+                .toList();
+        List<TrackedRun> slowRuns = slowRuns(paceSamples);
+        if (slowRuns.isEmpty()) {
+            listedSamples.forEach(sample -> speeds.record(worker, sample.run, sample.pace, nowMillis));
+        } else {
+            LOG.log(
+                    System.Logger.Level.INFO,
+                    "WORKER slow worker={0} speed={1} runs={2}",
+                    worker.entry().id(),
+                    String.format(Locale.ROOT, "%.2f", speed),
+                    slowRuns.stream().map(TrackedRun::id).toList());
+        }
+        return slowRuns;
+    }
+
+    private List<TrackedRun> slowRuns(List<PaceSample> paceSamples) {
         paceSamples.forEach(sample -> addSample(sample.pace));
         if (paceSamples.isEmpty() || recentPaces.size() < MIN_SAMPLES) {
             return List.of();
--- a/core/src/main/java/org/wasabimount/core/dispatch/WorkerManager.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/WorkerManager.java
@@ -133,7 +133,8 @@
 
     private long gangCheckMillis;
     private final SilenceLog silences = new SilenceLog();
-    private final SlowWorkerDetector slowWorkerDetector = new SlowWorkerDetector();
+    private final SpeedTracker speeds = new SpeedTracker();
+    private final SlowWorkerDetector slowWorkerDetector = new SlowWorkerDetector(speeds);
     private Runnable gangWithheld = () -> {};
     private Consumer<TaskId> begun = task -> {};
 
@@ -178,6 +179,10 @@
         begun = listener;
     }
 
+    SpeedTracker speeds() {
+        return speeds;
+    }
+
     Collection<TrackedWorker> trackedWorkers() {
         return trackedWorkers.values();
     }
@@ -876,7 +881,7 @@
             }
         }
         lose(absent, LossCause.NOT_LISTED);
-        relocateSlowRuns(trackedWorker, slowWorkerDetector.slowRuns(paceSamples), nowMillis);
+        relocateSlowRuns(trackedWorker, slowWorkerDetector.slowRuns(trackedWorker, paceSamples, nowMillis), nowMillis);
         List<RunId> strays = running.keySet().stream()
                 .filter(run -> trackedWorker.run(run) == null)
                 .toList();
@@ -892,11 +897,6 @@
         if (slowRuns.isEmpty()) {
             return;
         }
-        LOG.log(
-                System.Logger.Level.INFO,
-                "WORKER slow worker={0} runs={1}",
-                trackedWorker.entry().id(),
-                slowRuns.stream().map(TrackedRun::id).toList());
         trackedWorker.health().quarantine(nowMillis);
         slowRuns.stream()
                 .filter(trackedRun -> trackedRun.id().number() < RELOCATION_RUN_LIMIT)
--- /dev/null
+++ b/core/src/main/java/org/wasabimount/core/speed/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The speeds of workers, learnt from the progress of their runs.
+ */
+package org.wasabimount.core.speed;
