Slow worker detection learns from flagged lists, too

Cause: the pace of a worker that was taken for a slow one taught nothing, so a worker of a slow kind among fast ones would have stayed one. SlowWorkerDetectorTest failed with the pace compared as before (a worker at its usual third of the others' pace counts as slow) and passes now; a worker that becomes five times slower is still found. TroubledLoadTest and UnlikeWorkersTest passed with it.

--- a/core/src/main/java/org/wasabimount/core/dispatch/SlowWorkerDetector.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/SlowWorkerDetector.java
@@ -59,9 +59,8 @@
                 .map(sample -> new PaceSample(sample.run, sample.pace / speed))
                 .toList();
         List<TrackedRun> slowRuns = slowRuns(paceSamples);
-        if (slowRuns.isEmpty()) {
-            listedSamples.forEach(sample -> speeds.record(worker, sample.run, sample.pace, nowMillis));
-        } else {
+        listedSamples.forEach(sample -> speeds.record(worker, sample.run, sample.pace, nowMillis));
+        if (!slowRuns.isEmpty()) {
             LOG.log(
                     System.Logger.Level.INFO,
                     "WORKER slow worker={0} speed={1} runs={2}",
