Connections, headers, bodies and unread responses are bounded for each process

Cause: a body was read whole into memory, whatever its size, and as many at once as connected; Undertow's receiver allocates the announced size at once. Headers could take 1 MiB each without a time limit, connections were not bounded, and an OutOfMemoryError on the I/O thread was logged and swallowed.

Change: core.intake decides without I/O whose bytes are given up (IntakeBudget: those without progress first, then the largest) and which connection is closed for a new one (ConnectionTable). OpenRequest reads bodies itself, counts bytes as they arrive, and responds 413 (1002) or 503 (1309, 1310, Retry-After) before a handler has seen the request; the rest of the body is dropped for a bounded time, so that the response arrives. A planned stop does not wait for bodies older than a second. Large responses count until they are read; the configuration is not copied for them. JSON has at most 600,000 tokens and 50,000 objects in a list. The Java machine ends on OutOfMemoryError, and so does a process without memory for a buffer. Seven settings with defaults from the heap, three metrics, one line a second for each reason.

PlatformHttpServerTest: the constructor has the new limits; its two tests are unchanged.

--- a/core/src/main/java/org/wasabimount/core/ResultCode.java
+++ b/core/src/main/java/org/wasabimount/core/ResultCode.java
@@ -57,6 +57,10 @@
     RETRY_BUDGET_SPENT(1307, 503, Outcome.UNKNOWN, true),
     /** The deadline passed while the request was waiting. */
     DEADLINE_PASSED(1308, 504, Outcome.NOT_RUN, true),
+    /** This VM holds too many bytes of unfinished requests. */
+    INTAKE_FULL(1309, 503, Outcome.NOT_RUN, true),
+    /** The body of the request has not arrived in time. */
+    BODY_STALLED(1310, 503, Outcome.NOT_RUN, true),
 
     /** The group has no reachable leader. */
     NO_LEADER(1401, 503, Outcome.NOT_RUN, true),
--- a/daemon/src/main/java/org/wasabimount/daemon/json/JsonFields.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/json/JsonFields.java
@@ -9,7 +9,9 @@
 
 import org.wasabimount.core.ResultCode;
 
+import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.StreamReadConstraints;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -18,8 +20,18 @@
 /** Reads the fields of a JSON object and rejects fields that are missing, of the wrong type or unknown. */
 public final class JsonFields {
 
-    /** Reads and writes JSON; duplicate field names and content after the value are rejected. */
-    public static final ObjectMapper MAPPER = new ObjectMapper()
+    /** Fields, values and brackets of a text; a configuration of 4 MiB has fewer, as a route's take 8 bytes each. */
+    private static final long MAX_TOKENS = 600_000;
+
+    /** Objects in one list; a configuration of 4 MiB has fewer routes, as each takes more than 100 bytes. */
+    private static final int MAX_OBJECTS = 50_000;
+
+    /** Reads and writes JSON; duplicate field names, content after the value and too many values are rejected. */
+    public static final ObjectMapper MAPPER = new ObjectMapper(JsonFactory.builder()
+                    .streamReadConstraints(StreamReadConstraints.builder()
+                            .maxTokenCount(MAX_TOKENS)
+                            .build())
+                    .build())
             .enable(DeserializationFeature.FAIL_ON_READING_DUP_TREE_KEY)
             .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS);
 
@@ -219,8 +231,12 @@
     public List<JsonFields> objects(String name) {
         List<JsonFields> objects = new ArrayList<>();
         if (has(name)) {
-            required(name, JsonNode::isArray, "a list")
-                    .forEach(item -> objects.add(of(path + "." + name + "[" + objects.size() + "]", item)));
+            JsonNode list = required(name, JsonNode::isArray, "a list");
+            if (list.size() > MAX_OBJECTS) {
+                throw new BadRequestException(
+                        ResultCode.TOO_LARGE, path + "." + name + " has more than " + MAX_OBJECTS + " objects");
+            }
+            list.forEach(item -> objects.add(of(path + "." + name + "[" + objects.size() + "]", item)));
         }
         return objects;
     }
--- a/daemon/src/main/java/org/wasabimount/daemon/settings/NodeSettingsFile.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/settings/NodeSettingsFile.java
@@ -13,6 +13,7 @@
 import org.wasabimount.core.FailureDomainId;
 import org.wasabimount.core.VmId;
 import org.wasabimount.core.dispatch.DispatchSettings;
+import org.wasabimount.core.intake.IntakeLimits;
 import org.wasabimount.daemon.node.NodeSettings;
 
 /**
@@ -22,6 +23,7 @@
  * @param listenAddresses the addresses on which the node accepts connections
  * @param adviceAddress the address of the advice service, empty if there is none
  * @param drainMillis the maximum time for a graceful stop, in milliseconds
+ * @param intake the limits of what the node accepts from clients, workers and the operator
  * @param logging the format and level of the log
  */
 public record NodeSettingsFile(
@@ -29,10 +31,12 @@
         ListenAddresses listenAddresses,
         Optional<InetSocketAddress> adviceAddress,
         long drainMillis,
+        IntakeLimits intake,
         DaemonSettings.Logging logging) {
 
     private static final int MAX_PORT = 65_535;
     private static final long MAX_MILLIS = 3_600_000;
+    private static final long MAX_BODY_BYTES = 16 << 20;
 
     /**
      * The addresses on which a node listens.
@@ -90,6 +94,20 @@
         CONTACT("contactMillis", "100 to 3600000 milliseconds", "3000"),
         /** Maximum time for a graceful stop of this VM. */
         DRAIN("drainSeconds", "1 to 3600 seconds", "6"),
+        /** The largest request body of a client. */
+        MAX_ENTRY_BODY("maxEntryBodyBytes", "1024 to 16777216 bytes", "1048576"),
+        /** The largest request body of a worker or of the operator. */
+        MAX_CONTROL_BODY("maxControlBodyBytes", "1024 to 16777216 bytes", "4194304"),
+        /** What all open requests may hold. */
+        OPEN_BYTES("openBytes", "65536 to 1073741824 bytes", "a quarter of the heap"),
+        /** How long an unfinished body or an unread response may stay without progress. */
+        PROGRESS_TIMEOUT("progressTimeoutMillis", "1000 to 3600000 milliseconds", "10000"),
+        /** How many connections may be open at the same time. */
+        MAX_CONNECTIONS("maxConnections", "16 to 65535", "one for each 64 KiB of the heap, at most 2000"),
+        /** The largest request line and headers. */
+        MAX_HEADER("maxHeaderBytes", "1024 to 1048576 bytes", "20480"),
+        /** How long a request line and headers may take to arrive. */
+        HEADER_TIMEOUT("headerTimeoutMillis", "1000 to 3600000 milliseconds", "10000"),
         /** The format of log lines. */
         LOG_FORMAT("logFormat", "PLAIN or JSON", "JSON"),
         /** The lowest log level that is written. */
@@ -186,11 +204,24 @@
                 listenAddresses,
                 address(root, Key.ADVICE_ADDRESS),
                 1_000 * number(root, Key.DRAIN, 6, 1, 3_600),
+                intake(root),
                 new DaemonSettings.Logging(
                         root.enumConstant(Key.LOG_FORMAT.text(), DaemonSettings.LogFormat.JSON),
                         root.enumConstant(Key.LOG_LEVEL.text(), DaemonSettings.LogLevel.INFO)));
     }
 
+    private static IntakeLimits intake(SettingsNode root) throws SettingsException {
+        long heapBytes = Runtime.getRuntime().maxMemory();
+        return new IntakeLimits(
+                number(root, Key.MAX_ENTRY_BODY, IntakeLimits.DEFAULT_ENTRY_BODY_BYTES, 1_024, MAX_BODY_BYTES),
+                number(root, Key.MAX_CONTROL_BODY, IntakeLimits.DEFAULT_CONTROL_BODY_BYTES, 1_024, MAX_BODY_BYTES),
+                number(root, Key.OPEN_BYTES, IntakeLimits.defaultOpenBytes(heapBytes), 1 << 16, 1 << 30),
+                number(root, Key.PROGRESS_TIMEOUT, IntakeLimits.DEFAULT_TIMEOUT_MILLIS, 1_000, MAX_MILLIS),
+                (int) number(root, Key.MAX_CONNECTIONS, IntakeLimits.defaultConnections(heapBytes), 16, MAX_PORT),
+                (int) number(root, Key.MAX_HEADER, IntakeLimits.DEFAULT_HEADER_BYTES, 1_024, 1 << 20),
+                number(root, Key.HEADER_TIMEOUT, IntakeLimits.DEFAULT_TIMEOUT_MILLIS, 1_000, MAX_MILLIS));
+    }
+
     private static long requiredNumber(SettingsNode root, Key key, long max) throws SettingsException {
         root.text(key.text());
         return root.number(key.text(), 0, 1, max);
