--- a/core/src/main/java/org/wasabimount/core/ResultCode.java
+++ b/core/src/main/java/org/wasabimount/core/ResultCode.java
@@ -59,6 +59,10 @@
     DEADLINE_PASSED(1308, 504, Outcome.NOT_RUN, true),
     /** The organisation sends more than it is owed, and there is no room to lend. */
     SHARE_EXCEEDED(1309, 503, Outcome.NOT_RUN, true),
+    /** This VM holds too many bytes of unfinished requests. */
+    INTAKE_FULL(1310, 503, Outcome.NOT_RUN, true),
+    /** The body of the request has not arrived in time. */
+    BODY_STALLED(1311, 503, Outcome.NOT_RUN, true),
 
     /** The group has no reachable leader. */
     NO_LEADER(1401, 503, Outcome.NOT_RUN, true),
