Explain to an operator where a job would go now, and why

Cause: an operator could not ask what would become of a job without sending it, nor what an accepted one waits for, but from log lines.

--- a/cli/src/main/java/org/wasabimount/cli/Command.java
+++ b/cli/src/main/java/org/wasabimount/cli/Command.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Arrays;
 import java.util.List;
@@ -101,14 +102,46 @@
         }
     },
     /** Explains why tasks are waiting. */
-    EXPLAIN("explain KIND NAME", 2, "explains why a resource's tasks are waiting") {
+    EXPLAIN(
+            "explain KIND NAME | explain --host HOST --path PATH [-f JOB.json] [--organisation NAME]",
+            2,
+            "explains why a resource's tasks are waiting; or, on nodes that run jobs, where a job would go now and why,"
+                    + " without sending it (operator's secret)") {
+        @Override
+        Options options() {
+            Options options = new Options()
+                    .addOption(Option.builder("f").longOpt("file").hasArg().get());
+            for (String name : List.of("host", "path", "organisation")) {
+                options.addOption(Option.builder().longOpt(name).hasArg().get());
+            }
+            return options;
+        }
+
         @Override
         void run(Invocation invocation) throws CliException, IOException {
+            if (invocation.line().hasOption("host")) {
+                explainJob(invocation);
+                return;
+            }
             List<String> names = invocation.exactArguments(2);
             JsonNode resource = invocation.read(path(names.get(0), names.get(1)));
             String reason = resource.path("reason").asText();
             invocation.out().println(reason.isEmpty() ? "no task is waiting" : reason);
         }
+
+        private void explainJob(Invocation invocation) throws CliException, IOException {
+            CommandLine line = invocation.line();
+            ObjectNode body = new ObjectMapper()
+                    .createObjectNode()
+                    .put("host", invocation.requiredOption("host"))
+                    .put("path", invocation.requiredOption("path"))
+                    .put("organisation", line.getOptionValue("organisation", ""));
+            if (line.hasOption("f")) {
+                body.set("job", new ObjectMapper().readTree(Files.readAllBytes(Path.of(line.getOptionValue("f")))));
+            }
+            HttpRequest request = json("POST", "/v1/explain", body);
+            invocation.print(invocation.api().sendRepeatable(request, REQUEST_TIMEOUT_MILLIS));
+        }
     },
     /** Shows the state of the cell. */
     STATUS("status", 0, "shows workers, tasks, leaders and the contacted VM (platform's secret)") {
--- a/core/src/main/java/org/wasabimount/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/Dispatcher.java
@@ -23,6 +23,7 @@
 import org.wasabimount.core.job.WorkerEntry;
 import org.wasabimount.protocol.job.Announce;
 import org.wasabimount.protocol.job.BeginJobs;
+import org.wasabimount.protocol.job.ExplainedStep;
 import org.wasabimount.protocol.job.ForgetJobs;
 import org.wasabimount.protocol.job.JobCommand;
 import org.wasabimount.protocol.job.JobSpec;
@@ -66,6 +67,9 @@
      */
     private static final long STATUS_MARGIN_MILLIS = 10_000;
 
+    /** Maximum number of steps of a job that an explanation covers. */
+    private static final int MAX_EXPLAINED_STEPS = 8;
+
     /** Maximum number of jobs forgotten by one command. */
     private static final int MAX_JOBS_PER_FORGET = 200;
 
@@ -444,6 +448,33 @@
         return Admission.decide(spec, queue, workAhead.before(queue, nowMillis, latestStartMillis), usableCpuMillis);
     }
 
+    /**
+     * Explains where the waiting tasks of a job would go now, and what they wait for. Changes nothing; costs as much as a
+     * pass in which the job's first steps are considered.
+     *
+     * @param job the job, which may or may not have been accepted
+     * @param wallMillis the current time of day, in milliseconds since 1970
+     * @return the first steps with waiting tasks
+     */
+    public List<ExplainedStep> explain(Job job, long wallMillis) {
+        JobPlan plan = plans.getOrDefault(job.id(), new JobPlan(job, nowMillis));
+        StepExplainer explainer = new StepExplainer(placement, advice, waits, nowMillis);
+        placement.at(nowMillis);
+        return plan.steps().stream()
+                .filter(OpenStep::hasUnplaced)
+                .limit(MAX_EXPLAINED_STEPS)
+                .map(step -> {
+                    ReadyStep ready = readyStep(plan, step);
+                    if (!plan.unblocked(step)) {
+                        return StepExplainer.notReady(ready, "earlier_steps");
+                    }
+                    return wallMillis < job.dueMillis(step.id().occurrence())
+                            ? StepExplainer.notReady(ready, "due_time")
+                            : explainer.explain(ready);
+                })
+                .toList();
+    }
+
     /**
      * Returns the actions that are due now.
      *
--- a/core/src/main/java/org/wasabimount/core/dispatch/StepPlacement.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/StepPlacement.java
@@ -552,7 +552,7 @@
         }
     }
 
-    private List<WorkerRoom> candidates(WaitingStep step) {
+    List<WorkerRoom> candidates(WaitingStep step) {
         ReadyStep ready = step.ready();
         Predicate<WorkerRoom> possible =
                 suitable(ready).and(room -> ready.size().fitsIn(room.availableTo(ready, nowMillis)));
@@ -600,7 +600,7 @@
         boolean held = reservations.contains(step);
         boolean reservable = held || mayReserve(ready);
         List<WorkerRoom> suitable = gangCandidates(step);
-        List<WorkerRoom> preferred = onPreferredRack(step, suitable);
+        List<WorkerRoom> preferred = GangRacks.preferred(step, suitable);
         boolean anyRack = step.waitedMillis(nowMillis) >= RACK_PATIENCE_MILLIS;
         boolean mayStart = !ready.isolated() || reservable;
         if (mayStart && (startInFreeRoom(step, preferred) || anyRack && startInFreeRoom(step, suitable))) {
@@ -627,8 +627,23 @@
      * others: a reservation on workers that are not ready must not keep a gang from starting.
      */
     private boolean startInFreeRoom(WaitingStep step, List<WorkerRoom> candidates) {
-        ReadyStep ready = step.ready();
         boolean held = reservations.contains(step);
+        Map<JobTask, WorkerRoom> tasks = roomForAll(step, candidates);
+        if (tasks.isEmpty()) {
+            return false;
+        }
+        Set<WorkerRoom> released = reservations.release(step);
+        place(step, tasks);
+        released.forEach(this::update);
+        if (held) {
+            considerNextGangs();
+        }
+        return true;
+    }
+
+    /** Returns a worker for each task of a gang, empty if there are not room and tickets for all of them now. */
+    private Map<JobTask, WorkerRoom> roomForAll(WaitingStep step, List<WorkerRoom> candidates) {
+        ReadyStep ready = step.ready();
         AdviceManager.StepAdvice stepAdvice = advice.of(step.id());
         List<WorkerRoom> startable = candidates.stream()
                 .filter(room -> !ready.requiresAdvice() || stepAdvice.hasTicket(room.id(), nowMillis))
@@ -636,20 +651,26 @@
                 .filter(room -> room.freeSlots(step) > 0)
                 .toList();
         if (startable.stream().mapToLong(room -> room.freeSlots(step)).sum() < ready.tasksAtOnce()) {
-            return false;
+            return Map.of();
         }
         Map<JobTask, WorkerRoom> tasks =
                 placer.choose(ready, startable, domainsInUse(ready), room -> room.freeFor(step));
-        if (tasks.size() < ready.tasksAtOnce()) {
-            return false;
-        }
-        Set<WorkerRoom> released = reservations.release(step);
-        place(step, tasks);
-        released.forEach(this::update);
-        if (held) {
-            considerNextGangs();
+        return tasks.size() < ready.tasksAtOnce() ? Map.of() : tasks;
+    }
+
+    /** Returns where the waiting tasks of a step would be placed now; of a gang all or none. Changes nothing. */
+    Map<JobTask, WorkerRoom> placeableNow(WaitingStep step) {
+        ReadyStep ready = step.ready();
+        Map<JobTask, WorkerRoom> tasks = ready.reservesRoom() && !ready.mayUseReservedRoom(nowMillis)
+                ? Map.of()
+                : placer.choose(ready, candidates(step), domainsInUse(ready), nowMillis);
+        if (!ready.reservesRoom() || !tasks.isEmpty() && tasks.size() == ready.tasksAtOnce()) {
+            return tasks;
         }
-        return true;
+        List<WorkerRoom> suitable = gangCandidates(step);
+        Map<JobTask, WorkerRoom> onRack = roomForAll(step, GangRacks.preferred(step, suitable));
+        boolean anyRack = step.waitedMillis(nowMillis) >= RACK_PATIENCE_MILLIS;
+        return onRack.isEmpty() && anyRack ? roomForAll(step, suitable) : onRack;
     }
 
     /** Starts an urgent gang at once if the free room is enough, with what is reserved for others. */
@@ -692,29 +713,6 @@
         return all.stream().filter(room -> room.usable() && suitable.test(room)).toList();
     }
 
-    /**
-     * Returns the candidates on the rack where a gang works fastest, if they can hold all of it, otherwise all candidates:
-     * the rack of its data, or for tasks that work best on one rack the one with most free room.
-     */
-    private static List<WorkerRoom> onPreferredRack(WaitingStep gang, List<WorkerRoom> candidates) {
-        ReadyStep ready = gang.ready();
-        String dataRack = ready.step().getDataRack();
-        if (dataRack.isEmpty() && !ready.step().getColocated()) {
-            return candidates;
-        }
-        Map<String, List<WorkerRoom>> byRack = candidates.stream()
-                .filter(room -> dataRack.isEmpty() || room.worker().rack().equals(dataRack))
-                .collect(Collectors.groupingBy(room -> room.worker().rack(), LinkedHashMap::new, Collectors.toList()));
-        return byRack.values().stream()
-                .filter(rack -> rack.stream()
-                                .mapToLong(room -> room.slots(ready.size()))
-                                .sum()
-                        >= ready.tasksAtOnce())
-                .max(Comparator.comparingLong(rack ->
-                        rack.stream().mapToLong(room -> room.freeSlots(gang)).sum()))
-                .orElse(candidates);
-    }
-
     /**
      * Returns whether room may be reserved for a gang. The first reservations may have any size; otherwise a large gang
      * would never start. Urgent gangs need room for a short time only, and in a pool that is mostly free a reservation
--- a/core/src/main/java/org/wasabimount/core/dispatch/WaitSampler.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/WaitSampler.java
@@ -98,7 +98,7 @@
         if (!sampling) {
             return;
         }
-        WaitReason reason = reason(step, inPool, suitable);
+        WaitReason reason = reason(step, inPool, suitable, nowMillis);
         reasons.merge(reason, 1L, Long::sum);
         Wait previous = previousWaits.get(step.id());
         waits.put(
@@ -141,7 +141,8 @@
                 advice.lastOutcome(wait.step.id()));
     }
 
-    private WaitReason reason(ReadyStep step, List<WorkerRoom> inPool, Predicate<WorkerRoom> suitable) {
+    /** Returns why a step with tasks that are not placed waits. */
+    WaitReason reason(ReadyStep step, List<WorkerRoom> inPool, Predicate<WorkerRoom> suitable, long atMillis) {
         if (inPool.isEmpty()) {
             return WaitReason.NO_USABLE_WORKER;
         }
@@ -155,7 +156,7 @@
         }
         List<WorkerRoom> ticketed = eligible.stream()
                 .filter(room -> !step.requiresAdvice()
-                        || advice.ticket(step.id(), room.id(), nowMillis).isPresent())
+                        || advice.ticket(step.id(), room.id(), atMillis).isPresent())
                 .toList();
         return hasRoom(step, eligible) && !hasRoom(step, ticketed) ? WaitReason.NO_TICKET : WaitReason.NO_ROOM;
     }
--- a/core/src/main/java/org/wasabimount/core/interference/FillerPacing.java
+++ b/core/src/main/java/org/wasabimount/core/interference/FillerPacing.java
@@ -62,6 +62,10 @@
         private Filler(int acknowledgedPercent) {
             this.acknowledgedPercent = acknowledgedPercent;
         }
+
+        private boolean orderDue(int percent, long nowMillis) {
+            return !pending && (acknowledgedPercent != percent || nowMillis < repeatUntilMillis);
+        }
     }
 
     /**
@@ -110,17 +114,14 @@
         }
         decide(serving, nowMillis);
         fillers.keySet().retainAll(filling.stream().map(Filling::run).toList());
-        return filling.stream()
-                .filter(run -> {
-                    Filler filler = fillers.computeIfAbsent(
-                            run.run(), absent -> new Filler(run.startedHere() ? FULL_PERCENT : UNKNOWN));
-                    boolean due = filler.acknowledgedPercent != percent || nowMillis < filler.repeatUntilMillis;
-                    boolean ordered = due && !filler.pending;
-                    filler.pending |= ordered;
-                    return ordered;
-                })
+        filling.forEach(run ->
+                fillers.computeIfAbsent(run.run(), absent -> new Filler(run.startedHere() ? FULL_PERCENT : UNKNOWN)));
+        List<RunId> due = filling.stream()
                 .map(Filling::run)
+                .filter(run -> fillers.get(run).orderDue(percent, nowMillis))
                 .toList();
+        due.forEach(run -> fillers.get(run).pending = true);
+        return due;
     }
 
     private void decide(Collection<Serving> serving, long nowMillis) {
--- a/core/src/main/java/org/wasabimount/core/job/Job.java
+++ b/core/src/main/java/org/wasabimount/core/job/Job.java
@@ -26,7 +26,15 @@
     private boolean begun;
     private long endedMillis;
 
-    Job(JobSpec spec, Queue queue, String organisation, long acceptedMillis) {
+    /**
+     * Creates a job of which no task was placed.
+     *
+     * @param spec the specification that the client submitted
+     * @param queue the queue to which it was submitted
+     * @param organisation the organisation that submitted it, empty if the queue requires no secret
+     * @param acceptedMillis when it was accepted, in milliseconds since 1970
+     */
+    public Job(JobSpec spec, Queue queue, String organisation, long acceptedMillis) {
         this.spec = spec;
         this.queue = queue;
         this.organisation = organisation;
--- a/daemon/src/main/java/org/wasabimount/daemon/job/JobLeader.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/job/JobLeader.java
@@ -81,6 +81,7 @@
     private final ConcurrentLinkedQueue<Runnable> deferredEvents = new ConcurrentLinkedQueue<>();
     private final SuspensionWatch suspensionWatch;
     private final DispatchMonitor monitor;
+    private final JobExplainer explainer;
     private final Set<String> excludedJobs = new HashSet<>();
     private Dispatcher dispatcher;
     private int openProposals;
@@ -114,6 +115,7 @@
         this.wallClock = dependencies.wallClock();
         this.suspensionWatch = new SuspensionWatch(clock, wallClock);
         this.monitor = new DispatchMonitor(metrics, clock);
+        this.explainer = new JobExplainer(this::table, clock, wallClock);
         group.afterEachFlush(this::work, MAX_WORK_INTERVAL_MILLIS);
     }
 
@@ -143,6 +145,12 @@
                 dispatcher.workerLeft(operation.getLeave().getWorker());
                 yield CompletableFuture.completedFuture(Reply.getDefaultInstance());
             }
+            case EXPLAIN ->
+                CompletableFuture.completedFuture(explainer
+                        .explain(operation.getRequest(), operation.getExplain(), dispatcher)
+                        .fold(
+                                JobLeader::reply,
+                                explanation -> response(JobAnswer.newBuilder().setExplanation(explanation))));
             case BODY_NOT_SET -> refuse(Refusal.of(ResultCode.UNKNOWN_KIND, "the kind of operation is unknown"));
         };
     }
--- a/daemon/src/main/java/org/wasabimount/daemon/settings/DaemonSettings.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/settings/DaemonSettings.java
@@ -229,7 +229,7 @@
         return peers;
     }
 
-    private static ByteString hash(SettingsNode node, String key) throws SettingsException {
+    static ByteString hash(SettingsNode node, String key) throws SettingsException {
         String text = node.text(key);
         if (!text.matches("[0-9a-f]{" + HASH_HEX_DIGITS + "}")) {
             throw node.exceptionAt(
--- a/daemon/src/main/java/org/wasabimount/daemon/settings/NodeSettingsFile.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/settings/NodeSettingsFile.java
@@ -16,6 +16,8 @@
 import org.wasabimount.core.interference.SharingTerms;
 import org.wasabimount.daemon.node.NodeSettings;
 
+import com.google.protobuf.ByteString;
+
 /**
  * The settings file of a node of a deployment that runs jobs.
  *
@@ -24,13 +26,15 @@
  * @param adviceAddress the address of the advice service, empty if there is none
  * @param drainMillis the maximum time for a graceful stop, in milliseconds
  * @param logging the format and level of the log
+ * @param operatorSecretHash the SHA-256 of the operator's secret, empty if nobody may ask for explanations
  */
 public record NodeSettingsFile(
         NodeSettings node,
         ListenAddresses listenAddresses,
         Optional<InetSocketAddress> adviceAddress,
         long drainMillis,
-        DaemonSettings.Logging logging) {
+        DaemonSettings.Logging logging,
+        Optional<ByteString> operatorSecretHash) {
 
     private static final int MAX_PORT = 65_535;
     private static final long MAX_MILLIS = 3_600_000;
@@ -95,6 +99,8 @@
         PACE("paceMillis", "0 to 3600000 milliseconds", "0"),
         /** Maximum time for a graceful stop of this VM. */
         DRAIN("drainSeconds", "1 to 3600 seconds", "6"),
+        /** The SHA-256 of the secret with which an operator asks for explanations. */
+        OPERATOR_SECRET("operatorSecretHash", "64 hexadecimal digits", "none: explanations are refused"),
         /** The format of log lines. */
         LOG_FORMAT("logFormat", "PLAIN or JSON", "JSON"),
         /** The lowest log level that is written. */
@@ -195,7 +201,10 @@
                 1_000 * number(root, Key.DRAIN, 6, 1, 3_600),
                 new DaemonSettings.Logging(
                         root.enumConstant(Key.LOG_FORMAT.text(), DaemonSettings.LogFormat.JSON),
-                        root.enumConstant(Key.LOG_LEVEL.text(), DaemonSettings.LogLevel.INFO)));
+                        root.enumConstant(Key.LOG_LEVEL.text(), DaemonSettings.LogLevel.INFO)),
+                root.has(Key.OPERATOR_SECRET.text())
+                        ? Optional.of(DaemonSettings.hash(root, Key.OPERATOR_SECRET.text()))
+                        : Optional.empty());
     }
 
     private static long requiredNumber(SettingsNode root, Key key, long max) throws SettingsException {
--- a/protocol/src/main/java/org/wasabimount/protocol/job/JobAnswer.java
+++ b/protocol/src/main/java/org/wasabimount/protocol/job/JobAnswer.java
@@ -17,6 +17,7 @@
   private JobAnswer() {
     document_ = com.google.protobuf.ByteString.EMPTY;
   }
+  private int bitField0_;
   public static final int PHASE_FIELD_NUMBER = 1;
   private int phase_;
   /**
@@ -113,6 +114,53 @@
     document_ = getDefaultInstance().getDocument();
   }
 
+  public static final int EXPLANATION_FIELD_NUMBER = 4;
+  private org.wasabimount.protocol.job.Explanation explanation_;
+  /**
+   * <code>.wasabimount.job.Explanation explanation = 4;</code>
+   */
+  @java.lang.Override
+  public boolean hasExplanation() {
+    return ((bitField0_ & 0x00000001) != 0);
+  }
+  /**
+   * <code>.wasabimount.job.Explanation explanation = 4;</code>
+   */
+  @java.lang.Override
+  public org.wasabimount.protocol.job.Explanation getExplanation() {
+    return explanation_ == null ? org.wasabimount.protocol.job.Explanation.getDefaultInstance() : explanation_;
+  }
+  /**
+   * <code>.wasabimount.job.Explanation explanation = 4;</code>
+   */
+  private void setExplanation(org.wasabimount.protocol.job.Explanation value) {
+    java.util.Objects.requireNonNull(value);
+    explanation_ = value;
+    bitField0_ |= 0x00000001;
+  }
+  /**
+   * <code>.wasabimount.job.Explanation explanation = 4;</code>
+   */
+  @java.lang.SuppressWarnings("ReferenceEquality")
+  private void mergeExplanation(org.wasabimount.protocol.job.Explanation value) {
+    java.util.Objects.requireNonNull(value);
+    if (explanation_ != null &&
+        explanation_ != org.wasabimount.protocol.job.Explanation.getDefaultInstance()) {
+      explanation_ =
+        org.wasabimount.protocol.job.Explanation.newBuilder(explanation_).mergeFrom(value).buildPartial();
+    } else {
+      explanation_ = value;
+    }
+    bitField0_ |= 0x00000001;
+  }
+  /**
+   * <code>.wasabimount.job.Explanation explanation = 4;</code>
+   */
+  private void clearExplanation() {
+    explanation_ = null;
+    bitField0_ = (bitField0_ & ~0x00000001);
+  }
+
   public static org.wasabimount.protocol.job.JobAnswer parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -313,6 +361,53 @@
       return this;
     }
 
+    /**
+     * <code>.wasabimount.job.Explanation explanation = 4;</code>
+     */
+    @java.lang.Override
+    public boolean hasExplanation() {
+      return instance.hasExplanation();
+    }
+    /**
+     * <code>.wasabimount.job.Explanation explanation = 4;</code>
+     */
+    @java.lang.Override
+    public org.wasabimount.protocol.job.Explanation getExplanation() {
+      return instance.getExplanation();
+    }
+    /**
+     * <code>.wasabimount.job.Explanation explanation = 4;</code>
+     */
+    public Builder setExplanation(org.wasabimount.protocol.job.Explanation value) {
+      copyOnWrite();
+      instance.setExplanation(value);
+      return this;
+      }
+    /**
+     * <code>.wasabimount.job.Explanation explanation = 4;</code>
+     */
+    public Builder setExplanation(
+        org.wasabimount.protocol.job.Explanation.Builder builderForValue) {
+      copyOnWrite();
+      instance.setExplanation(builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>.wasabimount.job.Explanation explanation = 4;</code>
+     */
+    public Builder mergeExplanation(org.wasabimount.protocol.job.Explanation value) {
+      copyOnWrite();
+      instance.mergeExplanation(value);
+      return this;
+    }
+    /**
+     * <code>.wasabimount.job.Explanation explanation = 4;</code>
+     */
+    public Builder clearExplanation() {  copyOnWrite();
+      instance.clearExplanation();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:wasabimount.job.JobAnswer)
   }
   @java.lang.Override
@@ -329,13 +424,15 @@
       }
       case BUILD_MESSAGE_INFO: {
           java.lang.Object[] objects = new java.lang.Object[] {
+            "bitField0_",
             "phase_",
             "waiting_",
             "document_",
+            "explanation_",
           };
           java.lang.String info =
-              "\u0000\u0003\u0000\u0000\u0001\u0003\u0003\u0000\u0000\u0000\u0001\f\u0002\u0002" +
-              "\u0003\n";
+              "\u0000\u0004\u0000\u0001\u0001\u0004\u0004\u0000\u0000\u0000\u0001\f\u0002\u0002" +
+              "\u0003\n\u0004\u1009\u0000";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/protocol/src/main/java/org/wasabimount/protocol/job/JobAnswerOrBuilder.java
+++ b/protocol/src/main/java/org/wasabimount/protocol/job/JobAnswerOrBuilder.java
@@ -32,4 +32,15 @@
    * @return The document.
    */
   com.google.protobuf.ByteString getDocument();
+
+  /**
+   * <code>.wasabimount.job.Explanation explanation = 4;</code>
+   * @return Whether the explanation field is set.
+   */
+  boolean hasExplanation();
+  /**
+   * <code>.wasabimount.job.Explanation explanation = 4;</code>
+   * @return The explanation.
+   */
+  org.wasabimount.protocol.job.Explanation getExplanation();
 }
--- a/protocol/src/main/java/org/wasabimount/protocol/job/JobOperation.java
+++ b/protocol/src/main/java/org/wasabimount/protocol/job/JobOperation.java
@@ -30,6 +30,7 @@
     READ_QUEUES(7),
     ANNOUNCE(8),
     LEAVE(9),
+    EXPLAIN(11),
     BODY_NOT_SET(0);
     private final int value;
     private BodyCase(int value) {
@@ -53,6 +54,7 @@
         case 7: return READ_QUEUES;
         case 8: return ANNOUNCE;
         case 9: return LEAVE;
+        case 11: return EXPLAIN;
         case 0: return BODY_NOT_SET;
         default: return null;
       }
@@ -541,6 +543,56 @@
     }
   }
 
+  public static final int EXPLAIN_FIELD_NUMBER = 11;
+  /**
+   * <code>.wasabimount.job.Explain explain = 11;</code>
+   */
+  @java.lang.Override
+  public boolean hasExplain() {
+    return bodyCase_ == 11;
+  }
+  /**
+   * <code>.wasabimount.job.Explain explain = 11;</code>
+   */
+  @java.lang.Override
+  public org.wasabimount.protocol.job.Explain getExplain() {
+    if (bodyCase_ == 11) {
+       return (org.wasabimount.protocol.job.Explain) body_;
+    }
+    return org.wasabimount.protocol.job.Explain.getDefaultInstance();
+  }
+  /**
+   * <code>.wasabimount.job.Explain explain = 11;</code>
+   */
+  private void setExplain(org.wasabimount.protocol.job.Explain value) {
+    java.util.Objects.requireNonNull(value);
+    body_ = value;
+    bodyCase_ = 11;
+  }
+  /**
+   * <code>.wasabimount.job.Explain explain = 11;</code>
+   */
+  private void mergeExplain(org.wasabimount.protocol.job.Explain value) {
+    java.util.Objects.requireNonNull(value);
+    if (bodyCase_ == 11 &&
+        body_ != org.wasabimount.protocol.job.Explain.getDefaultInstance()) {
+      body_ = org.wasabimount.protocol.job.Explain.newBuilder((org.wasabimount.protocol.job.Explain) body_)
+          .mergeFrom(value).buildPartial();
+    } else {
+      body_ = value;
+    }
+    bodyCase_ = 11;
+  }
+  /**
+   * <code>.wasabimount.job.Explain explain = 11;</code>
+   */
+  private void clearExplain() {
+    if (bodyCase_ == 11) {
+      bodyCase_ = 0;
+      body_ = null;
+    }
+  }
+
   public static final int SECRET_HASH_FIELD_NUMBER = 10;
   private com.google.protobuf.ByteString secretHash_;
   /**
@@ -1142,6 +1194,54 @@
       return this;
     }
 
+    /**
+     * <code>.wasabimount.job.Explain explain = 11;</code>
+     */
+    @java.lang.Override
+    public boolean hasExplain() {
+      return instance.hasExplain();
+    }
+    /**
+     * <code>.wasabimount.job.Explain explain = 11;</code>
+     */
+    @java.lang.Override
+    public org.wasabimount.protocol.job.Explain getExplain() {
+      return instance.getExplain();
+    }
+    /**
+     * <code>.wasabimount.job.Explain explain = 11;</code>
+     */
+    public Builder setExplain(org.wasabimount.protocol.job.Explain value) {
+      copyOnWrite();
+      instance.setExplain(value);
+      return this;
+    }
+    /**
+     * <code>.wasabimount.job.Explain explain = 11;</code>
+     */
+    public Builder setExplain(
+        org.wasabimount.protocol.job.Explain.Builder builderForValue) {
+      copyOnWrite();
+      instance.setExplain(builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>.wasabimount.job.Explain explain = 11;</code>
+     */
+    public Builder mergeExplain(org.wasabimount.protocol.job.Explain value) {
+      copyOnWrite();
+      instance.mergeExplain(value);
+      return this;
+    }
+    /**
+     * <code>.wasabimount.job.Explain explain = 11;</code>
+     */
+    public Builder clearExplain() {
+      copyOnWrite();
+      instance.clearExplain();
+      return this;
+    }
+
     /**
      * <pre>
      * SHA-256 of the caller's secret; empty if it sent none.
@@ -1210,11 +1310,12 @@
             org.wasabimount.protocol.job.Announce.class,
             org.wasabimount.protocol.job.Leave.class,
             "secretHash_",
+            org.wasabimount.protocol.job.Explain.class,
           };
           java.lang.String info =
-              "\u0000\n\u0001\u0000\u0001\n\n\u0000\u0000\u0000\u0001\u0208\u0002<\u0000\u0003<" +
-              "\u0000\u0004<\u0000\u0005<\u0000\u0006<\u0000\u0007<\u0000\b<\u0000\t<\u0000\n\n" +
-              "";
+              "\u0000\u000b\u0001\u0000\u0001\u000b\u000b\u0000\u0000\u0000\u0001\u0208\u0002<\u0000" +
+              "\u0003<\u0000\u0004<\u0000\u0005<\u0000\u0006<\u0000\u0007<\u0000\b<\u0000\t<\u0000" +
+              "\n\n\u000b<\u0000";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/protocol/src/main/java/org/wasabimount/protocol/job/JobOperationOrBuilder.java
+++ b/protocol/src/main/java/org/wasabimount/protocol/job/JobOperationOrBuilder.java
@@ -118,6 +118,17 @@
    */
   org.wasabimount.protocol.job.Leave getLeave();
 
+  /**
+   * <code>.wasabimount.job.Explain explain = 11;</code>
+   * @return Whether the explain field is set.
+   */
+  boolean hasExplain();
+  /**
+   * <code>.wasabimount.job.Explain explain = 11;</code>
+   * @return The explain.
+   */
+  org.wasabimount.protocol.job.Explain getExplain();
+
   /**
    * <pre>
    * SHA-256 of the caller's secret; empty if it sent none.
