--- a/core/src/main/java/org/wasabimount/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/Dispatcher.java
@@ -26,6 +26,7 @@
 import org.wasabimount.protocol.cell.Organisation;
 import org.wasabimount.protocol.job.Announce;
 import org.wasabimount.protocol.job.BeginJobs;
+import org.wasabimount.protocol.job.ExplainedStep;
 import org.wasabimount.protocol.job.ForgetJobs;
 import org.wasabimount.protocol.job.JobCommand;
 import org.wasabimount.protocol.job.JobSpec;
@@ -69,6 +70,9 @@
      */
     private static final long STATUS_MARGIN_MILLIS = 10_000;
 
+    /** Maximum number of steps of a job that an explanation covers. */
+    private static final int MAX_EXPLAINED_STEPS = 8;
+
     /** Maximum number of jobs forgotten by one command. */
     private static final int MAX_JOBS_PER_FORGET = 200;
 
@@ -460,6 +464,28 @@
      * @return the refusal, empty if the job is accepted
      */
     public Optional<Refusal> admit(JobSpec spec, Queue queue, String organisation) {
+        return judge(spec, queue, organisation, shares::decide);
+    }
+
+    /**
+     * Returns what {@link #admit(JobSpec, Queue, String)} would return, and changes nothing.
+     *
+     * @param spec the job
+     * @param queue the queue to which it would be submitted
+     * @param organisation the organisation that would submit it, empty if it belongs to none
+     * @return the refusal, empty if the job would be accepted
+     */
+    public Optional<Refusal> wouldRefuse(JobSpec spec, Queue queue, String organisation) {
+        return judge(spec, queue, organisation, shares::preview);
+    }
+
+    /** Decides on a job of an organisation, without effect or with it. */
+    @FunctionalInterface
+    private interface SharedDecision {
+        Optional<Refusal> of(SharedAdmission.Submission submission, SharedAdmission.Load load, long nowMillis);
+    }
+
+    private Optional<Refusal> judge(JobSpec spec, Queue queue, String organisation, SharedDecision decision) {
         readQueues();
         long usableCpuMillis = workers.cpuMillisForAdmission(queue.getPool());
         boolean shared = usableCpuMillis > 0 && shares.appliesTo(organisation);
@@ -473,7 +499,7 @@
         if (!shared) {
             return Admission.decide(spec, queue, ahead, usableCpuMillis);
         }
-        return shares.decide(
+        return decision.of(
                 new SharedAdmission.Submission(
                         spec.getId(),
                         organisation,
@@ -489,6 +515,33 @@
                 nowMillis);
     }
 
+    /**
+     * Explains where the waiting tasks of a job would go now, and what they wait for. Changes nothing; costs as much as a
+     * pass in which the job's first steps are considered.
+     *
+     * @param job the job, which may or may not have been accepted
+     * @param wallMillis the current time of day, in milliseconds since 1970
+     * @return the first steps with waiting tasks
+     */
+    public List<ExplainedStep> explain(Job job, long wallMillis) {
+        JobPlan plan = plans.getOrDefault(job.id(), new JobPlan(job, nowMillis, false));
+        StepExplainer explainer = new StepExplainer(placement, advice, waits, nowMillis);
+        placement.at(nowMillis);
+        return plan.steps().stream()
+                .filter(OpenStep::hasUnplaced)
+                .limit(MAX_EXPLAINED_STEPS)
+                .map(step -> {
+                    ReadyStep ready = readyStep(plan, step);
+                    if (!plan.unblocked(step)) {
+                        return StepExplainer.notReady(ready, "earlier_steps");
+                    }
+                    return wallMillis < job.dueMillis(step.id().occurrence())
+                            ? StepExplainer.notReady(ready, "due_time")
+                            : explainer.explain(ready);
+                })
+                .toList();
+    }
+
     /**
      * Returns the actions that are due now.
      *
--- a/core/src/main/java/org/wasabimount/core/dispatch/GangReservations.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/GangReservations.java
@@ -217,4 +217,10 @@
     private void addReservedCpuMillis(WaitingStep gang, double cpuMillis) {
         reservedCpuMillis.merge(gang.ready().queue().getPool(), cpuMillis, Double::sum);
     }
+
+    /** Returns how many tasks of a gang have no reserved room. */
+    int missingTasks(WaitingStep step) {
+        return step.ready().tasksAtOnce()
+                - targets(step).values().stream().mapToInt(Integer::intValue).sum();
+    }
 }
--- a/core/src/main/java/org/wasabimount/core/share/OwedRate.java
+++ b/core/src/main/java/org/wasabimount/core/share/OwedRate.java
@@ -33,12 +33,15 @@
 
     /** Returns whether a job that is submitted now lies within the rate, and counts it if so. */
     boolean take(long nowMillis) {
+        boolean owed = available(nowMillis);
+        available -= owed ? 1 : 0;
+        return owed;
+    }
+
+    /** Returns whether a job that is submitted now would lie within the rate. */
+    boolean available(long nowMillis) {
         available = Math.min(burst(), available + perMilli * (nowMillis - refilledMillis));
         refilledMillis = nowMillis;
-        if (available < 1) {
-            return false;
-        }
-        available--;
-        return true;
+        return available >= 1;
     }
 }
--- a/daemon/src/main/java/org/wasabimount/daemon/settings/NodeSettingsFile.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/settings/NodeSettingsFile.java
@@ -15,6 +15,8 @@
 import org.wasabimount.core.interference.SharingTerms;
 import org.wasabimount.daemon.node.NodeSettings;
 
+import com.google.protobuf.ByteString;
+
 /**
  * The settings file of a node of a deployment that runs jobs.
  *
@@ -24,6 +26,7 @@
  * @param drainMillis the maximum time for a graceful stop, in milliseconds
  * @param intake the limits of what the node accepts from clients, workers and the operator
  * @param logging the format and level of the log
+ * @param operatorSecretHash the SHA-256 of the operator's secret, empty if nobody may ask for explanations
  */
 public record NodeSettingsFile(
         NodeSettings node,
@@ -31,7 +34,8 @@
         Optional<InetSocketAddress> adviceAddress,
         long drainMillis,
         IntakeLimits intake,
-        DaemonSettings.Logging logging) {
+        DaemonSettings.Logging logging,
+        Optional<ByteString> operatorSecretHash) {
 
     private static final int MAX_PORT = 65_535;
     private static final long MAX_MILLIS = 3_600_000;
@@ -111,6 +115,8 @@
         MAX_HEADER("maxHeaderBytes", "1024 to 1048576 bytes", "20480"),
         /** How long a request line and headers may take to arrive. */
         HEADER_TIMEOUT("headerTimeoutMillis", "1000 to 3600000 milliseconds", "10000"),
+        /** The SHA-256 of the secret with which an operator asks for explanations. */
+        OPERATOR_SECRET("operatorSecretHash", "64 hexadecimal digits", "none: explanations are refused"),
         /** The format of log lines. */
         LOG_FORMAT("logFormat", "PLAIN or JSON", "JSON"),
         /** The lowest log level that is written. */
@@ -200,7 +206,10 @@
                 intake(root),
                 new DaemonSettings.Logging(
                         root.enumConstant(Key.LOG_FORMAT.text(), DaemonSettings.LogFormat.JSON),
-                        root.enumConstant(Key.LOG_LEVEL.text(), DaemonSettings.LogLevel.INFO)));
+                        root.enumConstant(Key.LOG_LEVEL.text(), DaemonSettings.LogLevel.INFO)),
+                root.has(Key.OPERATOR_SECRET.text())
+                        ? Optional.of(DaemonSettings.hash(root, Key.OPERATOR_SECRET.text()))
+                        : Optional.empty());
     }
 
     private static IntakeLimits intake(SettingsNode root) throws SettingsException {
