--- a/core/src/main/java/org/wasabimount/core/dispatch/package-info.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/package-info.java
@@ -9,7 +9,7 @@
  *
  * <ul>
  *   <li>{@link org.wasabimount.core.dispatch.Admission}: more work arrives than the workers can complete within the
- *       objectives.
+ *       objectives. {@link org.wasabimount.core.share.SharedAdmission} decides for organisations that share the workers.
  *   <li>{@link org.wasabimount.core.dispatch.SchedulingOrder}: small urgent jobs compete with long jobs that have
  *       slack.
  *   <li>{@link org.wasabimount.core.dispatch.AdviceManager}: every step requires a slow call before it may be placed.
--- a/core/src/main/java/org/wasabimount/core/share/SharedAdmission.java
+++ b/core/src/main/java/org/wasabimount/core/share/SharedAdmission.java
@@ -86,6 +86,15 @@
      */
     public record Acceptance(boolean beyondShare, long firstMillis) {}
 
+    /** What a job may claim: whether it lies within the owed rate, its first submission, and how often it was refused. */
+    private record Claim(boolean owed, long firstMillis, int refusals) {
+
+        /** Returns how long the job can wait if it has to complete within a multiple of its objective. */
+        long leftMillis(Submission submission, int objectives, long nowMillis) {
+            return firstMillis + objectives * submission.objectiveMillis - submission.criticalPathMillis - nowMillis;
+        }
+    }
+
     /**
      * Replaces the declared organisations.
      *
@@ -156,44 +165,20 @@
      * @return the refusal, empty if the job is accepted
      */
     public Optional<Refusal> decide(Submission submission, Load load, long nowMillis) {
-        PromisedReturns returns = submission.urgent() ? urgentReturns : otherReturns;
-        Optional<PromisedReturns.Promise> promise = returns.take(submission.id());
-        boolean owed = promise.map(PromisedReturns.Promise::owed)
-                .orElseGet(() -> rates.get(submission.organisation()).take(nowMillis));
-        long firstMillis = promise.map(PromisedReturns.Promise::firstMillis).orElse(nowMillis);
-        int refusals = promise.map(PromisedReturns.Promise::refusals).orElse(0);
-        double promisedMillis = load.millis(
-                urgentReturns.workInTime(nowMillis) + (submission.urgent() ? 0 : otherReturns.workInTime(nowMillis)));
-        double waitingMillis = load.millis(load.waitingWork());
-        double aheadMillis = owed
-                ? load.millis(load.aheadWork() * shares.portionAhead(submission.organisation(), submission.work()))
-                : waitingMillis;
-        double waitMillis = aheadMillis + load.gatherMillis() + (promise.isEmpty() ? promisedMillis : 0);
-        long spentMillis = nowMillis - firstMillis;
-        long slackMillis = submission.objectiveMillis() - submission.criticalPathMillis() - spentMillis;
-        long lateSlackMillis =
-                LATE_OBJECTIVES * submission.objectiveMillis() - submission.criticalPathMillis() - spentMillis;
-        boolean inTime = waitMillis <= (owed ? slackMillis : LENT_SLACK_SHARE * slackMillis);
-        boolean lastAttempt = refusals >= CLIENT_RETRIES;
-        boolean worthWaiting = refusals > 0
-                && waitingMillis + load.gatherMillis()
-                        <= (lastAttempt ? lateSlackMillis : LENT_SLACK_SHARE * lateSlackMillis);
-        if (inTime || worthWaiting) {
-            accept(submission.id(), new Acceptance(!owed, firstMillis));
+        Claim claim = returns(submission)
+                .take(submission.id())
+                .map(promise -> new Claim(promise.owed(), promise.firstMillis(), promise.refusals()))
+                .orElseGet(() -> new Claim(rates.get(submission.organisation()).take(nowMillis), nowMillis, 0));
+        double waitMillis = waitMillis(submission, claim, load, nowMillis);
+        long slackMillis = claim.leftMillis(submission, 1, nowMillis);
+        boolean inTime = waitMillis <= (claim.owed ? slackMillis : LENT_SLACK_SHARE * slackMillis);
+        if (inTime || claim.refusals > 0 && canBeLate(submission, claim, load, nowMillis)) {
+            accept(submission.id(), new Acceptance(!claim.owed, claim.firstMillis));
             return Optional.empty();
         }
-        double roomMillis = waitingMillis + load.millis(returns.work(nowMillis)) - Math.max(0, slackMillis);
-        long retryMillis = (long) Math.max(MIN_RETRY_MILLIS, Math.min(MAX_RETRY_MILLIS, roomMillis));
-        returns.add(new PromisedReturns.Promise(
-                submission.id(),
-                owed,
-                firstMillis,
-                refusals + 1,
-                nowMillis + retryMillis,
-                submission.work(),
-                slackMillis > retryMillis));
+        long retryMillis = promiseReturn(submission, claim, load, nowMillis);
         return Optional.of(
-                owed
+                claim.owed
                         ? new Refusal(
                                 ResultCode.DEADLINE_UNREACHABLE,
                                 "the work ahead takes " + (long) waitMillis + " ms, the job can wait " + slackMillis
@@ -205,6 +190,46 @@
                                 retryMillis));
     }
 
+    private PromisedReturns returns(Submission submission) {
+        return submission.urgent() ? urgentReturns : otherReturns;
+    }
+
+    /** Returns how long a job would wait, in milliseconds; a client that returns does not wait for other returns. */
+    private double waitMillis(Submission submission, Claim claim, Load load, long nowMillis) {
+        double aheadWork = claim.owed
+                ? load.aheadWork * shares.portionAhead(submission.organisation, submission.work)
+                : load.waitingWork;
+        double promisedWork = claim.refusals > 0
+                ? 0
+                : urgentReturns.workInTime(nowMillis) + (submission.urgent ? 0 : otherReturns.workInTime(nowMillis));
+        return load.millis(aheadWork + promisedWork) + load.gatherMillis;
+    }
+
+    /** Returns whether a job that can't be in time will be of use: with time to spare unless its client gives up now. */
+    private static boolean canBeLate(Submission submission, Claim claim, Load load, long nowMillis) {
+        long slackMillis = claim.leftMillis(submission, LATE_OBJECTIVES, nowMillis);
+        boolean lastAttempt = claim.refusals >= CLIENT_RETRIES;
+        return load.millis(load.waitingWork) + load.gatherMillis
+                <= (lastAttempt ? slackMillis : LENT_SLACK_SHARE * slackMillis);
+    }
+
+    /** Remembers a refused job and returns the time after which its client returns, in milliseconds. */
+    private long promiseReturn(Submission submission, Claim claim, Load load, long nowMillis) {
+        PromisedReturns returns = returns(submission);
+        long slackMillis = claim.leftMillis(submission, 1, nowMillis);
+        double roomMillis = load.millis(load.waitingWork + returns.work(nowMillis)) - Math.max(0, slackMillis);
+        long retryMillis = (long) Math.max(MIN_RETRY_MILLIS, Math.min(MAX_RETRY_MILLIS, roomMillis));
+        returns.add(new PromisedReturns.Promise(
+                submission.id,
+                claim.owed,
+                claim.firstMillis,
+                claim.refusals + 1,
+                nowMillis + retryMillis,
+                submission.work,
+                slackMillis > retryMillis));
+        return retryMillis;
+    }
+
     private void accept(String job, Acceptance acceptance) {
         if (uncommitted.size() >= MAX_UNCOMMITTED) {
             uncommitted.remove(uncommitted.keySet().iterator().next());
--- a/core/src/test/java/org/wasabimount/core/dispatch/SharedLoadTest.java
+++ b/core/src/test/java/org/wasabimount/core/dispatch/SharedLoadTest.java
@@ -14,7 +14,7 @@
     private static final int WORKERS = 60;
 
     /** Share of the usual rates at which they ask for all cores of the workers at the mean. */
-    private static final double RATES = 0.27;
+    private static final double RATES = 0.29;
 
     private SharedLoad undeclared;
     private SharedLoad declared;
