Replicas of earlier builds apply the same commands alike during a rolling upgrade

Cause: the table checked quotas and organisations in every command, also in those of an earlier build that leads while a restart in turn is half done: replicas of the two builds would have held different states. Change: placements and cancellations say that they are to be checked (within_quota, of_organisation); those of earlier builds apply as before.

--- a/core/src/main/java/org/wasabimount/core/dispatch/StepPlacement.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/StepPlacement.java
@@ -826,7 +826,8 @@
         }
         ReadyStep ready = step.ready();
         int gangRun = 1 + ready.waiting().stream().mapToInt(JobTask::run).max().orElse(0);
-        PlaceRuns.Builder command = placements.computeIfAbsent(step, absent -> PlaceRuns.newBuilder());
+        PlaceRuns.Builder command = placements.computeIfAbsent(
+                step, absent -> PlaceRuns.newBuilder().setWithinQuota(true));
         tasks.forEach((task, room) -> {
             int run = ready.gang() ? gangRun : task.run() + 1;
             command.addPlacements(Placement.newBuilder()
--- a/core/src/main/java/org/wasabimount/core/job/JobTable.java
+++ b/core/src/main/java/org/wasabimount/core/job/JobTable.java
@@ -366,7 +366,7 @@
             earlyCancellations.add(command.getJob(), command.getOrganisation(), nowMillis);
             return ResultCode.NOT_FOUND;
         }
-        if (!job.organisation().equals(command.getOrganisation())) {
+        if (command.getOfOrganisation() && !command.getOrganisation().equals(job.organisation())) {
             return ResultCode.NOT_FOUND;
         }
         endJob(job, JobPhase.CANCELLED, nowMillis);
@@ -393,7 +393,7 @@
                         jobs.get(id.job()).organisation(),
                         Organisations.size(jobs.get(id.job()), id.step()),
                         Capacity::plus));
-        if (!organisations.allow(added)) {
+        if (command.getWithinQuota() && !organisations.allow(added)) {
             return ResultCode.OVER_QUOTA;
         }
         for (Placement placement : command.getPlacementsList()) {
--- a/daemon/src/main/java/org/wasabimount/daemon/job/JobLeader.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/job/JobLeader.java
@@ -252,7 +252,10 @@
         // Also recorded for a job that is not known: its submission may arrive later, through a node that was
         // suspended.
         CompletableFuture<Reply> cancellation = propose(JobCommand.newBuilder()
-                .setCancel(CancelJob.newBuilder().setJob(query.getJob()).setOrganisation(organisation))
+                .setCancel(CancelJob.newBuilder()
+                        .setJob(query.getJob())
+                        .setOrganisation(organisation)
+                        .setOfOrganisation(true))
                 .build());
         return cancellation.thenApply(
                 reply -> reply.getResultCode() == ResultCode.NOT_FOUND.number() ? reply(noJob(query)) : reply);
--- a/protocol/src/main/java/org/wasabimount/protocol/job/CancelJob.java
+++ b/protocol/src/main/java/org/wasabimount/protocol/job/CancelJob.java
@@ -132,6 +132,44 @@
 
   }
 
+  public static final int OF_ORGANISATION_FIELD_NUMBER = 3;
+  private boolean ofOrganisation_;
+  /**
+   * <pre>
+   * Cancels only a job of that organisation. Not set in commands of earlier builds, which know none.
+   * </pre>
+   *
+   * <code>bool of_organisation = 3;</code>
+   * @return The ofOrganisation.
+   */
+  @java.lang.Override
+  public boolean getOfOrganisation() {
+    return ofOrganisation_;
+  }
+  /**
+   * <pre>
+   * Cancels only a job of that organisation. Not set in commands of earlier builds, which know none.
+   * </pre>
+   *
+   * <code>bool of_organisation = 3;</code>
+   * @param value The ofOrganisation to set.
+   */
+  private void setOfOrganisation(boolean value) {
+    
+    ofOrganisation_ = value;
+  }
+  /**
+   * <pre>
+   * Cancels only a job of that organisation. Not set in commands of earlier builds, which know none.
+   * </pre>
+   *
+   * <code>bool of_organisation = 3;</code>
+   */
+  private void clearOfOrganisation() {
+
+    ofOrganisation_ = false;
+  }
+
   public static org.wasabimount.protocol.job.CancelJob parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -347,6 +385,46 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * Cancels only a job of that organisation. Not set in commands of earlier builds, which know none.
+     * </pre>
+     *
+     * <code>bool of_organisation = 3;</code>
+     * @return The ofOrganisation.
+     */
+    @java.lang.Override
+    public boolean getOfOrganisation() {
+      return instance.getOfOrganisation();
+    }
+    /**
+     * <pre>
+     * Cancels only a job of that organisation. Not set in commands of earlier builds, which know none.
+     * </pre>
+     *
+     * <code>bool of_organisation = 3;</code>
+     * @param value The ofOrganisation to set.
+     * @return This builder for chaining.
+     */
+    public Builder setOfOrganisation(boolean value) {
+      copyOnWrite();
+      instance.setOfOrganisation(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Cancels only a job of that organisation. Not set in commands of earlier builds, which know none.
+     * </pre>
+     *
+     * <code>bool of_organisation = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearOfOrganisation() {
+      copyOnWrite();
+      instance.clearOfOrganisation();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:wasabimount.job.CancelJob)
   }
   @java.lang.Override
@@ -365,10 +443,11 @@
           java.lang.Object[] objects = new java.lang.Object[] {
             "job_",
             "organisation_",
+            "ofOrganisation_",
           };
           java.lang.String info =
-              "\u0000\u0002\u0000\u0000\u0001\u0002\u0002\u0000\u0000\u0000\u0001\u0208\u0002\u0208" +
-              "";
+              "\u0000\u0003\u0000\u0000\u0001\u0003\u0003\u0000\u0000\u0000\u0001\u0208\u0002\u0208" +
+              "\u0003\u0007";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/protocol/src/main/java/org/wasabimount/protocol/job/CancelJobOrBuilder.java
+++ b/protocol/src/main/java/org/wasabimount/protocol/job/CancelJobOrBuilder.java
@@ -41,4 +41,14 @@
    */
   com.google.protobuf.ByteString
       getOrganisationBytes();
+
+  /**
+   * <pre>
+   * Cancels only a job of that organisation. Not set in commands of earlier builds, which know none.
+   * </pre>
+   *
+   * <code>bool of_organisation = 3;</code>
+   * @return The ofOrganisation.
+   */
+  boolean getOfOrganisation();
 }
--- a/protocol/src/main/java/org/wasabimount/protocol/job/PlaceRuns.java
+++ b/protocol/src/main/java/org/wasabimount/protocol/job/PlaceRuns.java
@@ -111,6 +111,44 @@
     placements_.remove(index);
   }
 
+  public static final int WITHIN_QUOTA_FIELD_NUMBER = 2;
+  private boolean withinQuota_;
+  /**
+   * <pre>
+   * Refused if an organisation would exceed its quota. Not set in commands of earlier builds, which all replicas apply alike.
+   * </pre>
+   *
+   * <code>bool within_quota = 2;</code>
+   * @return The withinQuota.
+   */
+  @java.lang.Override
+  public boolean getWithinQuota() {
+    return withinQuota_;
+  }
+  /**
+   * <pre>
+   * Refused if an organisation would exceed its quota. Not set in commands of earlier builds, which all replicas apply alike.
+   * </pre>
+   *
+   * <code>bool within_quota = 2;</code>
+   * @param value The withinQuota to set.
+   */
+  private void setWithinQuota(boolean value) {
+    
+    withinQuota_ = value;
+  }
+  /**
+   * <pre>
+   * Refused if an organisation would exceed its quota. Not set in commands of earlier builds, which all replicas apply alike.
+   * </pre>
+   *
+   * <code>bool within_quota = 2;</code>
+   */
+  private void clearWithinQuota() {
+
+    withinQuota_ = false;
+  }
+
   public static org.wasabimount.protocol.job.PlaceRuns parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -310,6 +348,46 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * Refused if an organisation would exceed its quota. Not set in commands of earlier builds, which all replicas apply alike.
+     * </pre>
+     *
+     * <code>bool within_quota = 2;</code>
+     * @return The withinQuota.
+     */
+    @java.lang.Override
+    public boolean getWithinQuota() {
+      return instance.getWithinQuota();
+    }
+    /**
+     * <pre>
+     * Refused if an organisation would exceed its quota. Not set in commands of earlier builds, which all replicas apply alike.
+     * </pre>
+     *
+     * <code>bool within_quota = 2;</code>
+     * @param value The withinQuota to set.
+     * @return This builder for chaining.
+     */
+    public Builder setWithinQuota(boolean value) {
+      copyOnWrite();
+      instance.setWithinQuota(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Refused if an organisation would exceed its quota. Not set in commands of earlier builds, which all replicas apply alike.
+     * </pre>
+     *
+     * <code>bool within_quota = 2;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearWithinQuota() {
+      copyOnWrite();
+      instance.clearWithinQuota();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:wasabimount.job.PlaceRuns)
   }
   @java.lang.Override
@@ -328,9 +406,11 @@
           java.lang.Object[] objects = new java.lang.Object[] {
             "placements_",
             org.wasabimount.protocol.job.Placement.class,
+            "withinQuota_",
           };
           java.lang.String info =
-              "\u0000\u0001\u0000\u0000\u0001\u0001\u0001\u0000\u0001\u0000\u0001\u001b";
+              "\u0000\u0002\u0000\u0000\u0001\u0002\u0002\u0000\u0001\u0000\u0001\u001b\u0002\u0007" +
+              "";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/protocol/src/main/java/org/wasabimount/protocol/job/PlaceRunsOrBuilder.java
+++ b/protocol/src/main/java/org/wasabimount/protocol/job/PlaceRunsOrBuilder.java
@@ -23,4 +23,14 @@
    * <code>repeated .wasabimount.job.Placement placements = 1;</code>
    */
   int getPlacementsCount();
+
+  /**
+   * <pre>
+   * Refused if an organisation would exceed its quota. Not set in commands of earlier builds, which all replicas apply alike.
+   * </pre>
+   *
+   * <code>bool within_quota = 2;</code>
+   * @return The withinQuota.
+   */
+  boolean getWithinQuota();
 }
