Urgent work beyond the owed rate waits for urgent work only; what can be late is accepted

Change: shares order work of one urgency; urgent work is compared with urgent work; owed work that can be done within three times its objective, with half of that to spare, is accepted.

--- a/core/src/main/java/org/wasabimount/core/dispatch/SchedulingOrder.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/SchedulingOrder.java
@@ -14,14 +14,13 @@
     ARRIVAL(Comparator.comparingLong(step -> step.job().acceptedMillis())),
 
     /**
-     * Steps that can still meet their objective before late ones, then those within their organisations' shares before those
-     * beyond, then the most urgent priority, then by latest start
-     * time. Jobs of all other priorities are ordered by latest start time alone, because their objectives already
+     * Steps that can still meet their objective before late ones, then the most urgent priority, then those within their
+     * organisations' shares before those beyond, then by latest start time. Jobs of all other priorities are ordered by latest start time alone, because their objectives already
      * define how long they can wait.
      */
     LATEST_START(Comparator.comparing(ReadyStep::late)
-            .thenComparing(ReadyStep::beyondShare)
             .thenComparing(step -> step.queue().getPriority() > 0)
+            .thenComparing(ReadyStep::beyondShare)
             .thenComparingLong(ReadyStep::latestStartMillis));
 
     private final Comparator<ReadyStep> comparator;
--- a/core/src/main/java/org/wasabimount/core/dispatch/WorkAhead.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/WorkAhead.java
@@ -102,8 +102,9 @@
         long added = amounts.unplacedWork - previous.unplacedWork;
         waitingWork += added;
         gangCpuMillis += amounts.gangCpuMillis - previous.gangCpuMillis;
-        if (added != 0 && !plan.beyondShare()) {
-            intervals(urgent(plan.job().queue())).add(latestStartMillis(plan), added);
+        boolean urgent = urgent(plan.job().queue());
+        if (added != 0 && (urgent || !plan.beyondShare())) {
+            intervals(urgent).add(latestStartMillis(plan), added);
         }
         if (amounts.unfinishedWork != previous.unfinishedWork) {
             listener.accept(
--- a/core/src/main/java/org/wasabimount/core/share/SharedAdmission.java
+++ b/core/src/main/java/org/wasabimount/core/share/SharedAdmission.java
@@ -67,12 +67,17 @@
      * The work that waits, in thousandths of a core times milliseconds, and the cores for it.
      *
      * @param aheadWork the work that is scheduled before the job if it lies within its share
-     * @param waitingWork all work that waits, also that of late jobs
+     * @param waitingWork all work that waits, also that of late jobs; an urgent job goes before most of it
      * @param gatherMillis how long the job's gangs and those before them wait until their room has come together
      * @param usableCpuMillis the cores of the usable workers, in thousandths of a core
      */
     public record Load(double aheadWork, double waitingWork, double gatherMillis, long usableCpuMillis) {
 
+        /** Returns the work that may be placed before a job that can't claim a share. */
+        private double beforeShares(Submission submission) {
+            return submission.urgent ? aheadWork : waitingWork;
+        }
+
         private double millis(double work) {
             return work / (usableCpuMillis * REACHABLE_SHARE);
         }
@@ -196,7 +201,9 @@
         double waitMillis = waitMillis(submission, claim, load, nowMillis);
         long slackMillis = claim.leftMillis(submission, 1, nowMillis);
         boolean inTime = waitMillis <= (claim.owed ? slackMillis : LENT_SLACK_SHARE * slackMillis);
-        if (inTime || claim.refusals > 0 && canBeLate(submission, claim, load, nowMillis)) {
+        // A late result is of more use to the caller than none, unless others are owed the room.
+        boolean mayBeLate = claim.owed || claim.refusals > 0;
+        if (inTime || mayBeLate && canBeLate(submission, claim, load, nowMillis)) {
             return Optional.empty();
         }
         long retryMillis = retryMillis(submission, claim, load, nowMillis);
@@ -221,7 +228,7 @@
     private double waitMillis(Submission submission, Claim claim, Load load, long nowMillis) {
         double aheadWork = claim.owed
                 ? load.aheadWork * shares.portionAhead(submission.organisation, submission.work)
-                : load.waitingWork;
+                : load.beforeShares(submission);
         double promisedWork = claim.refusals > 0
                 ? 0
                 : urgentReturns.workInTime(nowMillis) + (submission.urgent ? 0 : otherReturns.workInTime(nowMillis));
@@ -232,7 +239,7 @@
     private static boolean canBeLate(Submission submission, Claim claim, Load load, long nowMillis) {
         long slackMillis = claim.leftMillis(submission, LATE_OBJECTIVES, nowMillis);
         boolean lastAttempt = claim.refusals >= CLIENT_RETRIES;
-        return load.millis(load.waitingWork) + load.gatherMillis
+        return load.millis(load.beforeShares(submission)) + load.gatherMillis
                 <= (lastAttempt ? slackMillis : LENT_SLACK_SHARE * slackMillis);
     }
 
@@ -240,7 +247,8 @@
     private long retryMillis(Submission submission, Claim claim, Load load, long nowMillis) {
         long slackMillis = claim.leftMillis(submission, 1, nowMillis);
         double roomMillis =
-                load.millis(load.waitingWork + returns(submission).work(nowMillis)) - Math.max(0, slackMillis);
+                load.millis(load.beforeShares(submission) + returns(submission).work(nowMillis))
+                        - Math.max(0, slackMillis);
         return (long) Math.max(MIN_RETRY_MILLIS, Math.min(MAX_RETRY_MILLIS, roomMillis));
     }
 
