--- a/core/src/main/java/org/wasabimount/core/share/SharedAdmission.java
+++ b/core/src/main/java/org/wasabimount/core/share/SharedAdmission.java
@@ -201,8 +201,8 @@
         double waitMillis = waitMillis(submission, claim, load, nowMillis);
         long slackMillis = claim.leftMillis(submission, 1, nowMillis);
         boolean inTime = waitMillis <= (claim.owed ? slackMillis : LENT_SLACK_SHARE * slackMillis);
-        // A late result is of more use to the caller than none, unless others are owed the room.
-        boolean mayBeLate = claim.owed || claim.refusals > 0;
+        // Urgent jobs are small: done late they are of use to their callers and delay few others.
+        boolean mayBeLate = claim.refusals > 0 || claim.owed && submission.urgent;
         if (inTime || mayBeLate && canBeLate(submission, claim, load, nowMillis)) {
             return Optional.empty();
         }
