--- a/core/src/main/java/org/wasabimount/core/intake/package-info.java
+++ b/core/src/main/java/org/wasabimount/core/intake/package-info.java
@@ -4,6 +4,6 @@
  *
  * <p>{@link org.wasabimount.core.intake.IntakeBudget} bounds the bytes of all open requests, and
  * {@link org.wasabimount.core.intake.ConnectionTable} the open connections. Both decide and do no input or output; the
- * HTTP listeners report what arrives, and refuse or close what is chosen.
+ * HTTP listeners report what arrives, and refuse or close the requests and connections that are returned.
  */
 package org.wasabimount.core.intake;
--- a/core/src/main/java/org/wasabimount/core/interference/InterferenceLearner.java
+++ b/core/src/main/java/org/wasabimount/core/interference/InterferenceLearner.java
@@ -57,7 +57,7 @@
     /** Change of a run's pace beside the same kinds beyond which the worker's own speed has changed. */
     private static final double MAX_STEADY_LOG_CHANGE = 0.4;
 
-    /** Interval at which pairs without new evidence are reviewed, in milliseconds: a part of their half-life. */
+    /** Interval at which pairs without new evidence are reviewed, in milliseconds: a twelfth of the half-life of one minute. */
     private static final long REVIEW_MILLIS = 5_000;
 
     private final KindNumbers numbers = new KindNumbers(this::forget);
--- a/core/src/main/java/org/wasabimount/core/quota/OrganisationSteps.java
+++ b/core/src/main/java/org/wasabimount/core/quota/OrganisationSteps.java
@@ -31,10 +31,10 @@
     /** Number of parked steps that one search examines behind those that the one before has examined. */
     private static final int FURTHER_EXAMINED = 8;
 
-    /** Number of parked steps that a review examines. */
+    /** Maximum number of parked steps examined in one review. */
     private static final int REVIEW_EXAMINED = 64;
 
-    /** Number of parked steps that a review takes out. */
+    /** Maximum number of parked steps released by one review. */
     private static final int REVIEW_TAKEN = 4;
 
     /** The steps that may be placed by each dimension of their unit, largest first. */
--- a/core/src/main/java/org/wasabimount/core/quota/QuotaGate.java
+++ b/core/src/main/java/org/wasabimount/core/quota/QuotaGate.java
@@ -266,7 +266,7 @@
         shrunk.addAll(organisations.keySet());
     }
 
-    /** Tells of a step that can't start, whatever else of its organisation ends: the quota was lowered after its submission. */
+    /** Logs a step that exceeds the whole quota, which was lowered after its submission. */
     private void logIfTooLarge(S step) {
         accounts.account(step.organisation())
                 .filter(account -> !OrganisationSteps.fits(step, account.quota()))
--- a/core/src/main/java/org/wasabimount/core/speed/WorkerSpeeds.java
+++ b/core/src/main/java/org/wasabimount/core/speed/WorkerSpeeds.java
@@ -74,7 +74,7 @@
         }
     }
 
-    /** The logarithms of the paces of a step's runs, on whatever workers. */
+    /** The sum of the logarithms of the paces of a step's runs on all workers. */
     private static final class StepPace {
         private final String firstWorker;
         private final String firstKind;
