--- a/review/stand3/Deployment.java
+++ b/review/stand3/Deployment.java
@@ -18,24 +18,51 @@
         this(recorder, controls, entries, minionCount, 0, configuration);
     }
 
+    /** As above; the last minions are of a kind of their own, b, each behind a gate. */
+    static Deployment withGatedMinions(
+            Recorder recorder, int controls, int entries, int minionCount, int gatedMinions, String configuration)
+            throws IOException {
+        return new Deployment(recorder, controls, entries, minionCount, 0, gatedMinions, configuration);
+    }
+
     /** As above; the last minions have twice the processors of the others. */
     Deployment(
             Recorder recorder, int controls, int entries, int minionCount, int largeMinions, String configuration)
             throws IOException {
+        this(recorder, controls, entries, minionCount, largeMinions, 0, configuration);
+    }
+
+    private Deployment(
+            Recorder recorder,
+            int controls,
+            int entries,
+            int minionCount,
+            int largeMinions,
+            int gatedMinions,
+            String configuration)
+            throws IOException {
         cell = new Cell(recorder, controls, entries);
         world = new World(recorder);
         cell.configure(configuration);
         cell.awaitReady();
         for (int number = 0; number < minionCount; number++) {
+            boolean gated = number >= minionCount - gatedMinions;
             Minion minion = new Minion(
-                    cell, world, number, Cell.MINION_PORT, number < minionCount - largeMinions ? 32_000 : 64_000, 131_072);
+                    cell,
+                    world,
+                    number,
+                    Cell.MINION_PORT,
+                    number < minionCount - largeMinions ? 32_000 : 64_000,
+                    131_072,
+                    gated ? "b" : "a",
+                    gated ? new Gate(cell.host(101 + number), Cell.MINION_PORT) : null);
             minions.add(minion);
             minion.start();
         }
         // Until a minion is known, jobs are refused; the probe does nothing but run.
         Cell.await(
                 20_000,
-                () -> cell.client("POST", 0, HOST, PREFIX + "00000000000000aa", job(1, 100, 100, "")).status() == 200,
+                () -> cell.client("POST", 0, HOST, PREFIX + "00000000000000aa", job(1, 100, 100, ",\"requires\":\"a\"")).status() == 200,
                 "the first job to be accepted");
         Cell.sleep(3_000);
     }
--- a/review/stand3/Minion.java
+++ b/review/stand3/Minion.java
@@ -34,12 +34,18 @@
     private final int cpuMillis;
     private final int memoryMb;
     private final ScheduledExecutorService timers = Executors.newScheduledThreadPool(2, Minion::daemon);
+    private final String label;
+    private final Gate gate;
     private Life life;
     private int lives;
+    private volatile boolean cutOff;
+    private volatile String lateTask = "";
+    private volatile long lateMillis;
+    private volatile Runnable lateReceived;
 
     /** One incarnation. */
     private final class Life {
-        final String id = "i-" + Integer.toHexString(0x1000 + number) + "-" + (++lives);
+        final String id;
         final long bornMillis = System.currentTimeMillis();
         final long startNanos = System.nanoTime();
         final Map<String, Run> running = new LinkedHashMap<>();
@@ -52,6 +58,10 @@
         long sequence;
         boolean crashed;
 
+        Life(String id) {
+            this.id = id;
+        }
+
         long clockMillis() {
             return 1_000 + (System.nanoTime() - startNanos) / 1_000_000;
         }
@@ -77,6 +87,14 @@
     }
 
     Minion(Cell cell, World world, int number, int port, int cpuMillis, int memoryMb) {
+        this(cell, world, number, port, cpuMillis, memoryMb, "a", null);
+    }
+
+    /** Creates a minion of a kind; if there is a gate, it listens at the port of the minion and passes on to its lives. */
+    Minion(
+            Cell cell, World world, int number, int port, int cpuMillis, int memoryMb, String label, Gate gate) {
+        this.label = label;
+        this.gate = gate;
         this.cell = cell;
         this.world = world;
         this.number = number;
@@ -93,16 +111,52 @@
         return thread;
     }
 
-    /** Begins a new life at the minion's address. */
-    synchronized void start() throws IOException {
-        Life next = new Life();
-        next.server = HttpServer.create(new InetSocketAddress(cell.host(101 + number), port), 64);
+    /** Begins a new life at the minion's address, with a new id. */
+    void start() throws IOException {
+        start("i-" + Integer.toHexString(0x1000 + number) + "-" + (++lives), 0);
+    }
+
+    /** Begins a new life at the minion's address, with the id that it had. */
+    void startAgain(String id, long firstHeartbeatMillis) throws IOException {
+        start(id, firstHeartbeatMillis);
+    }
+
+    private synchronized void start(String id, long firstHeartbeatMillis) throws IOException {
+        Life next = new Life(id);
+        next.server = HttpServer.create(new InetSocketAddress(cell.host(101 + number), gate == null ? port : 0), 64);
         next.server.setExecutor(Executors.newCachedThreadPool(Minion::daemon));
         next.server.createContext("/", exchange -> receive(next, exchange));
         next.server.start();
         life = next;
         cell.recorder.add("minion " + next.id + " starts at " + address);
-        timers.execute(() -> heartbeat(next));
+        if (gate != null) {
+            gate.connectTo(next.server.getAddress().getPort());
+        }
+        timers.schedule(() -> heartbeat(next), firstHeartbeatMillis, TimeUnit.MILLISECONDS);
+    }
+
+    synchronized String id() {
+        return life.id;
+    }
+
+    /** Loses power: its connections fall silent, and it can't be reached until its next life. */
+    void losePower() {
+        gate.powerOff();
+        crash();
+    }
+
+    /** Cuts the minion off from all processes, or ends the cut. */
+    void cut(boolean newCut) {
+        cell.recorder.add("minion " + id() + (newCut ? " is cut off" : " is connected again"));
+        cutOff = newCut;
+        gate.cut(newCut);
+    }
+
+    /** Leaves the next start of a task without an answer and carries it out later. */
+    void carryOutLate(String task, long millis, Runnable received) {
+        lateReceived = received;
+        lateMillis = millis;
+        lateTask = task;
     }
 
     /** Crashes: all runs are gone without a word, and connections break. */
@@ -152,10 +206,14 @@
                     .put("sequence", ++current.sequence)
                     .put("born", current.bornMillis);
             body.putObject("headroom").put("cpu", cpuMillis).put("mem-mb", memoryMb).put("gpu", 0);
-            body.putArray("labels").add("a").add("r1-" + number / 8);
+            body.putArray("labels").add(label).add("r1-" + number / 8);
         }
         boolean acknowledged = false;
         for (int attempt = 0; attempt < cell.controls() && !acknowledged && !current.crashed; attempt++) {
+            if (cutOff) {
+                Cell.sleep(1_000);
+                continue;
+            }
             int control = (number + attempt) % cell.controls();
             acknowledged = cell.call(
                                     "POST",
@@ -172,6 +230,16 @@
     private void receive(Life current, HttpExchange exchange) throws IOException {
         JsonNode body = MAPPER.readTree(exchange.getRequestBody().readAllBytes());
         String expected = exchange.getRequestHeaders().getFirst("X-Wasabimount-Expect-Instance");
+        if (!lateTask.isEmpty()
+                && exchange.getRequestURI().getPath().equals("/v1/run-start")
+                && body.path("task").asText().startsWith(lateTask)) {
+            lateTask = "";
+            cell.recorder.add("minion " + current.id + ", born " + current.bornMillis + ", leaves the start of "
+                    + body.path("task").asText() + " run " + body.path("run").asInt() + " without an answer");
+            lateReceived.run();
+            timers.schedule(() -> carryOut(current, expected, body), lateMillis, TimeUnit.MILLISECONDS);
+            return;
+        }
         ObjectNode answer = MAPPER.createObjectNode();
         int status;
         synchronized (this) {
@@ -207,6 +275,18 @@
         exchange.close();
     }
 
+    private synchronized void carryOut(Life current, String expected, JsonNode body) {
+        if (current.crashed
+                || expected != null && !expected.equals(current.id)
+                || body.path("fence").asLong(0) < current.fence) {
+            cell.recorder.add("the late start is rejected");
+            return;
+        }
+        current.fence = body.path("fence").asLong(0);
+        ObjectNode answer = MAPPER.createObjectNode();
+        cell.recorder.add("the late start is carried out: " + startRun(current, body, answer) + " " + answer);
+    }
+
     private int startRun(Life current, JsonNode body, ObjectNode answer) {
         String task = body.path("task").asText();
         int number = body.path("run").asInt();
--- a/review/stand3/World.java
+++ b/review/stand3/World.java
@@ -34,6 +34,7 @@
     private final Map<String, Kind> kinds = new ConcurrentHashMap<>();
     private final List<Seen> runs = new ArrayList<>();
     private final Map<Minion.Run, Seen> open = new HashMap<>();
+    private final List<String> twice = new ArrayList<>();
     private final Map<String, String> orderedEnds = new ConcurrentHashMap<>();
 
     World(Recorder recorder) {
@@ -57,6 +58,10 @@
 
     synchronized void started(Minion.Run run, String minion, String spec) {
         Seen seen = new Seen(run.task, run.number, minion, recorder.millis());
+        open.values().stream()
+                .filter(other -> other.task.equals(run.task))
+                .forEach(other -> twice.add(run.task + " runs " + other.number + " on " + other.minion + " and "
+                        + run.number + " on " + minion));
         runs.add(seen);
         open.put(run, seen);
         recorder.add("start " + run.task + " run " + run.number + " on " + minion
@@ -126,6 +131,11 @@
         return List.copyOf(runs);
     }
 
+    /** Returns the runs of one task that were at work at the same time. */
+    synchronized List<String> twice() {
+        return List.copyOf(twice);
+    }
+
     synchronized List<Minion.Run> open() {
         return List.copyOf(open.keySet());
     }
