--- a/review/stand3/WideJobCase.java
+++ b/review/stand3/WideJobCase.java
@@ -1,17 +1,22 @@
 import java.nio.file.Path;
 import java.util.List;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
 
-/** A client hands in a job with many steps, within the limit of a body, and asks again after no response. */
+/** Three clients hand in a job of many steps each, within the limit of a body, and ask again after no response. */
 public final class WideJobCase {
 
     private static final String LASTING = "acae7a21d94b36f8";
-    private static final String WIDE = "bcae7a21d94b36f8";
+    private static final String WIDE = "bcae7a21d94b36f";
     private static final int MINIONS = 33;
     private static final int TASKS = 8;
     private static final int MAY_MISS = 1;
     private static final int STEPS = 20_000;
     private static final int CALM_STEPS = 200;
 
+    private static final int CLIENTS = 3;
+
     /** A client's first attempt and its retries. */
     private static final int ATTEMPTS = 5;
 
@@ -48,15 +53,14 @@
         Cell.sleep(4_000);
         String body = "{\"spec\":\"x\",\"steps\":[" + "{\"count\":1},".repeat(steps - 1) + "{\"count\":1}]}";
         recorder.add("the body has " + body.length() + " bytes");
-        for (int attempt = 0; attempt < ATTEMPTS; attempt++) {
-            int status = deployment.cell
-                    .client("POST", attempt % 2, Deployment.HOST, Deployment.PREFIX + WIDE, body)
-                    .status();
-            if (status != 0 && status != 502 && status != 504) {
-                break;
-            }
-            Cell.sleep(300);
+        ExecutorService clients = Executors.newFixedThreadPool(CLIENTS);
+        for (int client = 0; client < CLIENTS; client++) {
+            String path = Deployment.PREFIX + WIDE + client;
+            clients.execute(() -> handIn(deployment, path, body));
+            Cell.sleep(500);
         }
+        clients.shutdown();
+        clients.awaitTermination(40, TimeUnit.SECONDS);
         Cell.sleep(15_000);
         List<World.Seen> lapsed = world.runs().stream()
                 .filter(run -> run.task.startsWith(LASTING) && run.how.equals("lapsed"))
@@ -69,6 +73,18 @@
                         + " may miss, ended as their leases lapsed; " + atWork(world) + " are at work now");
     }
 
+    private static void handIn(Deployment deployment, String path, String body) {
+        for (int attempt = 0; attempt < ATTEMPTS; attempt++) {
+            int status = deployment.cell
+                    .client("POST", attempt % 2, Deployment.HOST, path, body)
+                    .status();
+            if (status != 0 && status != 502 && status != 504) {
+                return;
+            }
+            Cell.sleep(300);
+        }
+    }
+
     private static long atWork(World world) {
         return world.open().stream().filter(run -> run.task.startsWith(LASTING)).count();
     }
