--- a/review/stand3/LastingCase.java
+++ b/review/stand3/LastingCase.java
@@ -33,7 +33,7 @@
         Cell.Answer accepted = deployment.cell.submit(
                 Deployment.HOST,
                 Deployment.PREFIX + JOB,
-                Deployment.job(TASKS, 2_000, 1_000, ",\"long-running\":true"));
+                Deployment.job(TASKS, 2_000, 1_000, ",\"long-running\":true,\"allow-duplicates\":true"));
         if (accepted.status() != 200) {
             throw new IllegalStateException("the job was not accepted: " + accepted);
         }
