--- a/review/stand3/Cell.java
+++ b/review/stand3/Cell.java
@@ -1,6 +1,7 @@
 import java.io.File;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.URI;
@@ -67,7 +68,7 @@
         this.recorder = recorder;
         this.controls = controls;
         this.entries = entries;
-        Runtime.getRuntime().addShutdownHook(new Thread(this::killAll));
+        Runtime.getRuntime().addShutdownHook(new Thread(this::close));
         for (int number = 0; number < controls; number++) {
             start("control" + number, true);
         }
@@ -82,12 +83,12 @@
         return "127." + random.nextInt(10, 250) + "." + random.nextInt(1, 250);
     }
 
-    /** Returns a port that nothing listens at on any address: the preferred one, or one drawn by lot. */
+    /** Returns a port that nothing listens at on the loopback address: the preferred one, or one drawn by lot. */
     private static int freePort(int preferred) {
         int port = preferred;
         for (int attempt = 0; attempt < 50; attempt++) {
             try (ServerSocket probe = new ServerSocket()) {
-                probe.bind(new InetSocketAddress(port));
+                probe.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
                 return port;
             } catch (IOException e) {
                 port = ThreadLocalRandom.current().nextInt(20_000, 30_000);
@@ -148,6 +149,9 @@
                 .redirectOutput(ProcessBuilder.Redirect.appendTo(new File(folder.toFile(), name + ".log")));
         Process process = builder.start();
         processes.put(name, process);
+        if (closing) {
+            process.destroyForcibly();
+        }
         recorder.add("platform starts " + name + " pid=" + process.pid());
         process.onExit().thenAccept(ended -> restart(name, ended));
     }
@@ -335,7 +339,7 @@
                 Thread.currentThread().interrupt();
             }
         }
-        if (System.getenv("KEEP") != null) {
+        if (System.getenv("KEEP") != null || !Files.exists(folder)) {
             return;
         }
         try (var files = Files.walk(folder)) {
--- a/review/stand3/LaterLifeCase.java
+++ b/review/stand3/LaterLifeCase.java
@@ -14,6 +14,9 @@
     private static final int MINIONS = 33;
     private static final int CPU_MILLIS = 30_000;
 
+    /** Number of other jobs, whose starts are answered: one order of more than forty is not. */
+    private static final int OTHER_JOBS = 40;
+
     /** How long the minion is down. */
     private static final long OFF_MILLIS = 150;
 
@@ -48,8 +51,12 @@
         World world = deployment.world;
         world.declare(FIRST_JOB, 0, new World.Kind(1, 1_300, false, false, false));
         world.declare(JOB, 0, new World.Kind(1, 9_000, false, false, false));
+        for (int number = 0; number < OTHER_JOBS; number++) {
+            submit(deployment, "6c0e7a21d94b%04x".formatted(number), "a", 1_000, 200);
+            Cell.sleep(100);
+        }
         // One of the two minions of kind b is at work, so that the next job of this kind goes to the other one.
-        submit(deployment, FIRST_JOB, 1_300);
+        submit(deployment, FIRST_JOB, "b", CPU_MILLIS, 1_300);
         List<Minion> gated = deployment.minions.subList(MINIONS - 2, MINIONS);
         Cell.await(5_000, () -> gated.stream().anyMatch(minion -> !minion.runs().isEmpty()), "the first job to run");
         Minion free = gated.stream().filter(minion -> minion.runs().isEmpty()).findFirst().orElseThrow();
@@ -61,7 +68,7 @@
             free.carryOutLate(JOB, LATE_MILLIS, received::countDown);
             free.startAgain(id, FIRST_HEARTBEAT_MILLIS);
         }
-        submit(deployment, JOB, 9_000);
+        submit(deployment, JOB, "b", CPU_MILLIS, 9_000);
         if (!received.await(3_000, TimeUnit.MILLISECONDS)) {
             throw new IllegalStateException("the next life was given no start");
         }
@@ -85,11 +92,12 @@
                 broken ? "two runs at the same time: " + world.twice() : "the job is " + state + ", no task ran twice at a time");
     }
 
-    private static void submit(Deployment deployment, String id, long estimateMillis) {
+    private static void submit(
+            Deployment deployment, String id, String label, int cpuMillis, long estimateMillis) {
         Cell.Answer answer = deployment.cell.submit(
                 Deployment.HOST,
                 Deployment.PREFIX + id,
-                Deployment.job(1, CPU_MILLIS, estimateMillis, ",\"requires\":\"b\""));
+                Deployment.job(1, cpuMillis, estimateMillis, ",\"requires\":\"" + label + "\""));
         if (answer.status() != 200) {
             throw new IllegalStateException("the job was not accepted: " + answer);
         }
