--- a/core/src/main/java/org/wasabimount/core/dispatch/SilenceLog.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/SilenceLog.java
@@ -17,6 +17,8 @@
  */
 final class SilenceLog {
 
+    private static final System.Logger LOG = System.getLogger("wasabimount.worker");
+
     /** Longest time between noticing two crashes of one moment, in milliseconds: a list takes 1.3 s, a call before it as long. */
     private static final long TOGETHER_MILLIS = 2_000;
 
@@ -27,7 +29,20 @@
 
     private record Silence(WorkerLife life, long atMillis, Set<String> jobs, boolean isolated) {}
 
-    void record(TrackedWorker worker, long nowMillis) {
+    /** Records that a worker has fallen silent, unless an earlier call to it is unanswered, too. */
+    void callUnanswered(TrackedWorker worker, String call, OrderOutcome result, long nowMillis) {
+        if (worker.unansweredCalls() == 0) {
+            record(worker, nowMillis);
+            LOG.log(
+                    System.Logger.Level.INFO,
+                    "WORKER lost worker={0} call={1} answer={2}",
+                    worker.entry().id(),
+                    call,
+                    result);
+        }
+    }
+
+    private void record(TrackedWorker worker, long nowMillis) {
         silences.values().removeIf(silence -> nowMillis - silence.atMillis > REMEMBERED_MILLIS);
         Set<String> jobs =
                 worker.runs().stream().map(run -> run.id().task().job()).collect(Collectors.toCollection(HashSet::new));
--- a/core/src/main/java/org/wasabimount/core/dispatch/WorkerManager.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/WorkerManager.java
@@ -569,7 +569,7 @@
                 begun.accept(run.task());
             }
             case NO_ANSWER, NOT_SENT -> {
-                recordFirstUnansweredCall(trackedWorker, "start", result, nowMillis);
+                silences.callUnanswered(trackedWorker, "start", result, nowMillis);
                 trackedWorker.recordUnansweredCall();
                 trackedRun.startAt(nowMillis + RETRY_MILLIS);
                 if (trackedWorker.replaced()) {
@@ -663,7 +663,7 @@
             return;
         }
         if (result.outcome() != OrderOutcome.DONE) {
-            recordFirstUnansweredCall(trackedWorker, "hold", result.outcome(), nowMillis);
+            silences.callUnanswered(trackedWorker, "hold", result.outcome(), nowMillis);
             trackedWorker.leaseRenewalCompleted(false, nowMillis + RETRY_MILLIS, nowMillis);
             endIfLeft(trackedWorker);
             return;
@@ -707,20 +707,6 @@
         }
     }
 
-    /** Records the first unanswered call: nothing is placed on the worker until it lists its runs again. */
-    private void recordFirstUnansweredCall(
-            TrackedWorker trackedWorker, String call, OrderOutcome result, long nowMillis) {
-        if (trackedWorker.unansweredCalls() == 0) {
-            silences.record(trackedWorker, nowMillis);
-            LOG.log(
-                    System.Logger.Level.INFO,
-                    "WORKER lost worker={0} call={1} answer={2}",
-                    trackedWorker.entry().id(),
-                    call,
-                    result);
-        }
-    }
-
     /**
      * Ends an incarnation whose id a later one has taken over, once the later one certainly has none of its runs and will not
      * start any: it may have received a start without answering it, and carry it out late.
