Send a start only to the life of a worker that it is meant for

Cause: an order names a worker by an id that the next life has, too. The start reached the next life over a connection that was opened for it; that life left it unanswered, was cut off, and carried it out 5 s later, within a deadline that was made for the older clock. All that the leader knew was the older clock, by which every lease had expired. The leader's log shows it ("WORKER lost call=start answer=NO_ANSWER", no "WORKER replaced") but not which life had the order.

Change: a connection ends with the process that accepted it, so a start now leaves only on a connection on which its life has responded: HttpClient sends a ConnectionCheck (a list that neither extends nor acknowledges anything) on a connection that has passed none, and the start after it. If a later life responds, the start is not sent (OrderOutcome.LATER_LIFE), and the earlier life ends at once unless one of its starts has no response. Every leader keeps to this, so a new one needs no knowledge of its predecessor's orders: the lease on the known life's clock bounds whatever was sent.

The other tests keep connections without checks.

Price: a task of a worker that is lost for good after the order runs elsewhere when its lease is over, as before, alone and under a new leader (taskOfWorkerLostForGoodRunsElsewhereOnceItsLeaseIsOver, at most 6.5 s).

--- a/client/src/main/java/org/wasabimount/client/HttpClient.java
+++ b/client/src/main/java/org/wasabimount/client/HttpClient.java
@@ -7,6 +7,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
@@ -28,12 +29,15 @@
     private static final long IDLE_TIMEOUT_MILLIS = 4_000;
     private static final OptionMap OPTIONS = OptionMap.create(Options.TCP_NODELAY, true);
 
+    /** The process of a connection that has passed no check. */
+    static final String UNCHECKED = "";
+
     private final List<ConnectionOpener> openers;
     private final int maxResponseBytes;
     private final DefaultByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER_BYTES, -1, 4);
     private final Map<String, Deque<IdleConnection>> idleConnections = new HashMap<>();
 
-    private record IdleConnection(ClientConnection connection, long sinceMillis) {}
+    private record IdleConnection(ClientConnection connection, String process, long sinceMillis) {}
 
     /**
      * Creates a client.
@@ -60,17 +64,40 @@
      */
     public CompletableFuture<HttpResult> send(
             String address, HttpRequest request, long timeoutMillis, boolean reuseConnection) {
+        return send(address, request, timeoutMillis, reuseConnection, Optional.empty());
+    }
+
+    /**
+     * Sends a request over a connection that has passed a check: an idle one that has passed it before, or another one after
+     * the exchange of the check.
+     *
+     * @param address the server's host and port
+     * @param request the request
+     * @param timeoutMillis after how many milliseconds both exchanges are ended
+     * @param check the check, which names the process that the request is meant for
+     * @return completed with the result, never exceptionally
+     */
+    public CompletableFuture<HttpResult> send(
+            String address, HttpRequest request, long timeoutMillis, ConnectionCheck check) {
+        return send(address, request, timeoutMillis, true, Optional.of(check));
+    }
+
+    private CompletableFuture<HttpResult> send(
+            String address,
+            HttpRequest request,
+            long timeoutMillis,
+            boolean reuseConnection,
+            Optional<ConnectionCheck> check) {
         ConnectionOpener opener = openers.get(Math.floorMod(address.hashCode(), openers.size()));
         XnioIoThread thread = opener.thread();
-        HttpExchange exchange = new HttpExchange(this, address, request, maxResponseBytes);
+        HttpExchange exchange = new HttpExchange(this, address, request, check, maxResponseBytes);
         thread.execute(() -> {
             exchange.setTimeout(thread.executeAfter(exchange::timedOut, timeoutMillis, TimeUnit.MILLISECONDS));
-            ClientConnection available = reuseConnection ? takeIdle(address) : null;
-            if (available != null) {
-                exchange.connected(available);
-            } else {
-                connect(address, opener, exchange);
-            }
+            Optional<IdleConnection> available =
+                    reuseConnection ? takeIdle(address, check.map(ConnectionCheck::process)) : Optional.empty();
+            available.ifPresentOrElse(
+                    idle -> exchange.connected(idle.connection(), idle.process()),
+                    () -> connect(address, opener, exchange));
         });
         return exchange.result();
     }
@@ -97,7 +124,7 @@
                     new IoFuture.HandlingNotifier<ClientConnection, Void>() {
                         @Override
                         public void handleDone(ClientConnection done, Void attachment) {
-                            thread.execute(() -> exchange.connected(done));
+                            thread.execute(() -> exchange.connected(done, UNCHECKED));
                         }
 
                         @Override
@@ -117,37 +144,48 @@
     }
 
     /** Keeps a connection for reuse; its last response has been read completely. */
-    void addIdle(String address, ClientConnection connection) {
+    void addIdle(String address, ClientConnection connection, String process) {
         synchronized (idleConnections) {
             idleConnections
                     .computeIfAbsent(address, absent -> new ArrayDeque<>())
-                    .addFirst(new IdleConnection(connection, nowMillis()));
+                    .addFirst(new IdleConnection(connection, process, nowMillis()));
         }
     }
 
-    private ClientConnection takeIdle(String address) {
+    /**
+     * Takes the connection that was used last, of those that have passed the check of a process if one is named; otherwise
+     * one that has passed none.
+     */
+    private Optional<IdleConnection> takeIdle(String address, Optional<String> process) {
         synchronized (idleConnections) {
-            Deque<IdleConnection> available = idleConnections.getOrDefault(address, new ArrayDeque<>());
-            while (!available.isEmpty()) {
-                IdleConnection next = available.pollFirst();
-                if (next.connection().isOpen() && nowMillis() - next.sinceMillis() < IDLE_TIMEOUT_MILLIS) {
-                    return next.connection();
-                }
+            Deque<IdleConnection> idle = idleConnections.getOrDefault(address, new ArrayDeque<>());
+            closeUnusable(idle);
+            Optional<IdleConnection> taken = idle.stream()
+                    .filter(next -> process.map(next.process()::equals).orElse(true))
+                    .findFirst()
+                    .or(() -> idle.stream()
+                            .filter(next -> next.process().equals(UNCHECKED))
+                            .findFirst());
+            taken.ifPresent(idle::remove);
+            return taken;
+        }
+    }
+
+    private static void closeUnusable(Deque<IdleConnection> idle) {
+        long oldest = nowMillis() - IDLE_TIMEOUT_MILLIS;
+        idle.removeIf(next -> {
+            boolean unusable = !next.connection().isOpen() || next.sinceMillis() <= oldest;
+            if (unusable) {
                 HttpExchange.close(next.connection());
             }
-            return null;
-        }
+            return unusable;
+        });
     }
 
     /** Closes the connections that have been idle longer than the idle timeout. */
     public void closeIdleConnections() {
-        long oldest = nowMillis() - IDLE_TIMEOUT_MILLIS;
         synchronized (idleConnections) {
-            idleConnections.values().forEach(available -> {
-                while (!available.isEmpty() && available.peekLast().sinceMillis() < oldest) {
-                    HttpExchange.close(available.pollLast().connection());
-                }
-            });
+            idleConnections.values().forEach(HttpClient::closeUnusable);
             idleConnections.values().removeIf(Deque::isEmpty);
         }
     }
--- a/client/src/main/java/org/wasabimount/client/HttpExchange.java
+++ b/client/src/main/java/org/wasabimount/client/HttpExchange.java
@@ -5,8 +5,10 @@
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
 
 import org.xnio.IoFuture;
 import org.xnio.IoUtils;
@@ -23,7 +25,7 @@
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
 
-/** One request and its response. Runs on one I/O thread. */
+/** One request and its response, after the check of the connection if there is one. Runs on one I/O thread. */
 final class HttpExchange {
 
     private static final int READ_BUFFER_BYTES = 8 << 10;
@@ -40,19 +42,28 @@
     private final HttpClient client;
     private final String address;
     private final HttpRequest request;
+    private final Optional<ConnectionCheck> check;
     private final CompletableFuture<HttpResult> result = new CompletableFuture<>();
     private final int maxResponseBytes;
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
     private IoFuture<StreamConnection> attempt;
     private ClientConnection connection;
+    private String process = HttpClient.UNCHECKED;
+    private boolean keepAlive;
     private XnioExecutor.Key timeout;
     private boolean sent;
     private boolean ended;
 
-    HttpExchange(HttpClient client, String address, HttpRequest request, int maxResponseBytes) {
+    HttpExchange(
+            HttpClient client,
+            String address,
+            HttpRequest request,
+            Optional<ConnectionCheck> check,
+            int maxResponseBytes) {
         this.client = client;
         this.address = address;
         this.request = request;
+        this.check = check;
         this.maxResponseBytes = maxResponseBytes;
     }
 
@@ -72,28 +83,57 @@
         attempt = started;
     }
 
-    void connected(ClientConnection opened) {
+    /** Sends the request over a connection that has passed the check of a process, or of none. */
+    void connected(ClientConnection opened, String checkedProcess) {
         if (ended) {
             close(opened);
             return;
         }
         connection = opened;
-        sent = true;
-        ClientRequest message = new ClientRequest().setMethod(request.method()).setPath(request.path());
+        process = checkedProcess;
+        check.filter(required -> !required.process().equals(process))
+                .ifPresentOrElse(
+                        required -> transmit(required.request(), response -> checked(required, response)),
+                        this::sendRequest);
+    }
+
+    private void checked(ConnectionCheck required, HttpResponse response) {
+        if (!required.passes().test(response)) {
+            end(HttpOutcome.CHECK_FAILED, response);
+        } else if (!keepAlive) {
+            end(HttpOutcome.NOT_SENT, null);
+        } else {
+            process = required.process();
+            // The connection takes another request once the listener that has read the response returns.
+            connection.getIoThread().execute(this::sendRequest);
+        }
+    }
+
+    private void sendRequest() {
+        if (!ended) {
+            sent = true;
+            transmit(request, response -> end(HttpOutcome.ANSWERED, response));
+        }
+    }
+
+    private void transmit(HttpRequest transmitted, Consumer<HttpResponse> receiver) {
+        body.reset();
+        ClientRequest message =
+                new ClientRequest().setMethod(transmitted.method()).setPath(transmitted.path());
         boolean hasHostHeader =
-                request.headers().stream().anyMatch(header -> header.name().equals(Headers.HOST));
+                transmitted.headers().stream().anyMatch(header -> header.name().equals(Headers.HOST));
         if (!hasHostHeader) {
             message.getRequestHeaders().put(Headers.HOST, address);
         }
-        message.getRequestHeaders().put(Headers.CONTENT_LENGTH, Integer.toString(request.body().length));
-        request.headers().forEach(header -> message.getRequestHeaders().add(header.name(), header.value()));
-        connection.sendRequest(message, callback(this::writeBody));
+        message.getRequestHeaders().put(Headers.CONTENT_LENGTH, Integer.toString(transmitted.body().length));
+        transmitted.headers().forEach(header -> message.getRequestHeaders().add(header.name(), header.value()));
+        connection.sendRequest(
+                message, callback(exchange -> writeBody(exchange, ByteBuffer.wrap(transmitted.body()), receiver)));
     }
 
-    private void writeBody(ClientExchange exchange) {
-        exchange.setResponseListener(callback(this::readHeaders));
+    private void writeBody(ClientExchange exchange, ByteBuffer remaining, Consumer<HttpResponse> receiver) {
+        exchange.setResponseListener(callback(answered -> readHeaders(answered, receiver)));
         StreamSinkChannel sink = exchange.getRequestChannel();
-        ByteBuffer remaining = ByteBuffer.wrap(request.body());
         sink.getWriteSetter().set(channel -> write(sink, remaining));
         write(sink, remaining);
     }
@@ -112,7 +152,7 @@
                 sink.resumeWrites();
             }
         } catch (IOException e) {
-            end(HttpOutcome.CUT_SHORT, null);
+            cutShort();
         }
     }
 
@@ -122,17 +162,17 @@
                 sink.suspendWrites();
             }
         } catch (IOException e) {
-            end(HttpOutcome.CUT_SHORT, null);
+            cutShort();
         }
     }
 
-    private void readHeaders(ClientExchange exchange) {
+    private void readHeaders(ClientExchange exchange, Consumer<HttpResponse> receiver) {
         StreamSourceChannel source = exchange.getResponseChannel();
-        source.getReadSetter().set(channel -> read(exchange, source));
-        read(exchange, source);
+        source.getReadSetter().set(channel -> read(exchange, source, receiver));
+        read(exchange, source, receiver);
     }
 
-    private void read(ClientExchange exchange, StreamSourceChannel source) {
+    private void read(ClientExchange exchange, StreamSourceChannel source, Consumer<HttpResponse> receiver) {
         if (ended) {
             return;
         }
@@ -146,38 +186,38 @@
                     return;
                 }
                 if (count < 0) {
-                    responseReceived(exchange);
+                    receiver.accept(response(exchange));
                     return;
                 }
                 body.write(buffer.array(), 0, count);
                 if (body.size() > maxResponseBytes) {
-                    end(HttpOutcome.CUT_SHORT, null);
+                    cutShort();
                     return;
                 }
             }
         } catch (IOException e) {
-            end(HttpOutcome.CUT_SHORT, null);
+            cutShort();
         }
     }
 
-    private void responseReceived(ClientExchange exchange) {
-        int status = exchange.getResponse().getResponseCode();
+    /** Returns the response that has been read, and notes whether the server keeps the connection open. */
+    private HttpResponse response(ClientExchange exchange) {
         List<HttpHeader> headers = new ArrayList<>();
         for (HeaderValues values : exchange.getResponse().getResponseHeaders()) {
             if (!HOP_BY_HOP.contains(values.getHeaderName())) {
                 values.forEach(value -> headers.add(new HttpHeader(values.getHeaderName(), value)));
             }
         }
-        boolean keepAlive = !"close"
+        keepAlive = !"close"
                 .equalsIgnoreCase(exchange.getResponse().getResponseHeaders().getFirst(Headers.CONNECTION));
-        if (keepAlive && !ended) {
-            client.addIdle(address, connection);
-            connection = null;
-        }
-        end(HttpOutcome.ANSWERED, new HttpResponse(status, headers, body.toByteArray()));
+        return new HttpResponse(exchange.getResponse().getResponseCode(), headers, body.toByteArray());
+    }
+
+    private void cutShort() {
+        end(sent ? HttpOutcome.CUT_SHORT : HttpOutcome.NOT_SENT, null);
     }
 
-    /** Ends the exchange once. Closes the connection unless it is kept for reuse, so that no late response is read. */
+    /** Ends the exchange once. Closes the connection unless it can be reused, so that no late response is read. */
     void end(HttpOutcome outcome, HttpResponse response) {
         if (ended) {
             return;
@@ -188,7 +228,9 @@
             // The system gives up an attempt without a response only after minutes.
             attempt.cancel();
         }
-        if (connection != null) {
+        if (response != null && keepAlive) {
+            client.addIdle(address, connection, process);
+        } else if (connection != null) {
             close(connection);
         }
         result.complete(new HttpResult(outcome, response));
@@ -211,7 +253,7 @@
 
             @Override
             public void failed(IOException e) {
-                end(HttpOutcome.CUT_SHORT, null);
+                cutShort();
             }
         };
     }
--- a/client/src/main/java/org/wasabimount/client/HttpResult.java
+++ b/client/src/main/java/org/wasabimount/client/HttpResult.java
@@ -4,7 +4,8 @@
  * The result of an exchange.
  *
  * @param outcome how the exchange ended
- * @param response the response if the outcome is {@link HttpOutcome#ANSWERED}, else null
+ * @param response the response if the outcome is {@link HttpOutcome#ANSWERED}, that to the check if it is
+ *     {@link HttpOutcome#CHECK_FAILED}, else null
  */
 public record HttpResult(HttpOutcome outcome, HttpResponse response) {
 
--- a/core/src/main/java/org/wasabimount/core/dispatch/OrderOutcome.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/OrderOutcome.java
@@ -20,6 +20,8 @@
     MALFORMED(true),
     /** Another incarnation responds at the worker's address. */
     OTHER_LIFE(true),
+    /** A later incarnation with the worker's id responds at its address; the order was not sent. */
+    LATER_LIFE(true),
     /** The order was not sent. */
     NOT_SENT(true),
     /** No response arrived: the worker may have carried out the order, or may still do so later. */
--- a/core/src/main/java/org/wasabimount/core/dispatch/TrackedRun.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/TrackedRun.java
@@ -232,6 +232,11 @@
         return unanswered && startAttempts > 0;
     }
 
+    /** Returns whether a start that this leader has sent has no response, yet or for good. */
+    boolean startOpen() {
+        return state == State.STARTING || mayStartLate();
+    }
+
     /**
      * Returns whether a list of a later incarnation that does not contain the run proves that it will never be there: the
      * list was requested after the start was answered, or after a stop by which a late start is rejected.
--- a/core/src/main/java/org/wasabimount/core/dispatch/WorkerManager.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/WorkerManager.java
@@ -578,6 +578,10 @@
             }
             case SUPERSEDED -> trackedRun.awaitList(nowMillis);
             case FENCED -> trackedRun.startAt(nowMillis + RETRY_MILLIS);
+            case LATER_LIFE -> {
+                handleStartRefusal(trackedWorker, trackedRun, result, nowMillis);
+                laterIncarnationFound(trackedWorker, nowMillis);
+            }
             default -> handleStartRefusal(trackedWorker, trackedRun, result, nowMillis);
         }
     }
@@ -735,6 +739,16 @@
         trackedWorker.leaseRenewalCompleted(false, nowMillis + RETRY_MILLIS, nowMillis);
     }
 
+    /** Ends an incarnation in whose place a later one was found; if a start of it has no response, once that is settled. */
+    private void laterIncarnationFound(TrackedWorker trackedWorker, long nowMillis) {
+        closeToStarts(trackedWorker, nowMillis);
+        if (trackedWorker.runs().stream().noneMatch(TrackedRun::startOpen)) {
+            endIncarnation(trackedWorker, WorkerEndCause.REPLACED, "a later incarnation responds at its address");
+        } else {
+            trackedWorker.requestListNow();
+        }
+    }
+
     /** Has no more runs started in an earlier incarnation, and stops those whose unanswered starts may reach the later one. */
     private void closeToStarts(TrackedWorker trackedWorker, long nowMillis) {
         if (!trackedWorker.replaced()) {
--- a/core/src/test/java/org/wasabimount/core/dispatch/LaterLifeTest.java
+++ b/core/src/test/java/org/wasabimount/core/dispatch/LaterLifeTest.java
@@ -4,7 +4,11 @@
 import static org.testng.Assert.assertTrue;
 
 import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
 import java.util.stream.LongStream;
 
 import org.testng.annotations.BeforeMethod;
@@ -32,6 +36,12 @@
     /** Time after which the leader has no answer to the renewal that the earlier life took with it. */
     private static final long NOTICED_MILLIS = 1_300;
 
+    /** Time in which a task is placed and started while a worker is free. */
+    private static final long AT_ONCE_MILLIS = 100;
+
+    /** Time after an order in which the lease that it carries is over, on a clock that may be 2% slow, with a call. */
+    private static final long LONGEST_LEASE_MILLIS = 6_500;
+
     /** Number of workers that must have crashed under a task before its job may be given up, from the contract. */
     private static final int CRASHES_OF_LIMITED_TASK = 3;
 
@@ -136,15 +146,70 @@
      * Guards against a task that runs twice: the later life is cut off before the leader has heard of it, so that only the
      * expiry of the earlier life's leases is known.
      */
-    @Test(groups = "known-red")
+    @Test
     public void lateStartIsAwaitedInLifeThatIsCutOff() {
+        cell.checksConnections = true;
         SimulatedWorker later = cell.startAgain(free, 10_000);
         cell.lateStartMillis.put(free.address, LATE_MILLIS + 5_000);
         cell.workMillis(WORK_MILLIS);
         cell.submit(cell.job("job", 1, LARGE, false));
         cell.run(100);
         cell.disconnectedAddresses.add(later.address);
-        assertCompletedWithoutSecondRun();
+        cell.run(END_MILLIS);
+        assertEquals(cell.violations, List.of());
+        assertEquals(cell.phase("job"), JobPhase.COMPLETED);
+        assertTrue(cell.startsWithheldFromLaterLife > 0, "no start was meant for the earlier life");
+    }
+
+    /** Guards against a wait for the lease of a life that is known to be over: its task may run elsewhere at once. */
+    @Test
+    public void startWithheldFromLaterLifeIsPlacedElsewhereAtOnce() {
+        cell.checksConnections = true;
+        cell.worker("third", "10.0.1.0:80", WORKER);
+        cell.run(300);
+        cell.startAgain(free, 10_000);
+        int jobs = 0;
+        while (cell.startsWithheldFromLaterLife == 0 && jobs < 50) {
+            cell.submit(cell.job("job" + ++jobs, 1, SMALL, false));
+            cell.run(20);
+        }
+        assertTrue(cell.startsWithheldFromLaterLife > 0, "no start was meant for the earlier life");
+        assertTrue(millisUntilStarts("job" + jobs, 1) <= AT_ONCE_MILLIS);
+        cell.run(END_MILLIS);
+        assertEquals(cell.violations, List.of());
+        assertEquals(cell.phase("job" + jobs), JobPhase.COMPLETED);
+    }
+
+    @DataProvider
+    public Object[][] leaders() {
+        return new Object[][] {{false}, {true}};
+    }
+
+    /** Guards against a start elsewhere that is late because a worker that is lost for good is taken for a later life. */
+    @Test(dataProvider = "leaders")
+    public void taskOfWorkerLostForGoodRunsElsewhereOnceItsLeaseIsOver(boolean leaderChanges) {
+        cell.checksConnections = true;
+        cell.lateStartMillis.put(free.address, LATE_MILLIS);
+        cell.submit(cell.job("job", 1, LARGE, false));
+        cell.run(100);
+        free.kill();
+        long leaderMillis = 0;
+        if (leaderChanges) {
+            cell.run(300);
+            leaderMillis = 400;
+            cell.changeLeader();
+        }
+        long elsewhereMillis = 100 + leaderMillis + millisUntilStarts("job", 1);
+        assertTrue(elsewhereMillis <= leaderMillis + LONGEST_LEASE_MILLIS, "elsewhere after " + elsewhereMillis);
+        assertEquals(cell.violations, List.of());
+    }
+
+    private long millisUntilStarts(String job, int count) {
+        long fromMillis = cell.nowMillis();
+        while (cell.starts.getOrDefault(job, 0) < count && cell.nowMillis() < fromMillis + END_MILLIS) {
+            cell.run(cell.stepMillis);
+        }
+        return cell.nowMillis() - fromMillis;
     }
 
     /** Guards against a start that is sent to the later life between the decision to record it and the commit of that. */
@@ -221,6 +286,57 @@
                 "seed " + seed + ", " + job + ": " + cell.phase(job)));
     }
 
+    /**
+     * Draws workers that start again under their ids and are cut off soon afterwards, for longer than their leases, beside
+     * late orders, lost responses, gangs, cancelled jobs and changes of leader.
+     */
+    @Test(dataProvider = "seeds")
+    public void noTaskRunsTwiceWhileLaterLivesAreCutOff(long seed) {
+        cell = new SimulatedCell(seed);
+        cell.checksConnections = true;
+        List<String> addresses = cell.addresses(8);
+        addresses.forEach(address -> cell.worker("w" + address, address, WORKER));
+        cell.run(300);
+        Map<String, Long> cutUntilMillis = new HashMap<>();
+        Set<String> jobs = new LinkedHashSet<>();
+        for (int round = 0; round < 200; round++) {
+            cell.delayedOrderShare = 0.2;
+            cell.lostResponseShare = 0.03;
+            cell.workMillis(300 + cell.random.nextInt(10_000));
+            String address = addresses.get(cell.random.nextInt(addresses.size()));
+            boolean cut =
+                    cutUntilMillis.size() < 3 && !cutUntilMillis.containsKey(address) && cell.random.nextInt(4) == 0;
+            if (cut) {
+                cell.startAgain(cell.byAddress.get(address), 300 + cell.random.nextInt(1_200));
+            }
+            String job = "job" + round;
+            cell.submit(cell.job(job, 1 + cell.random.nextInt(6), SMALL, cell.random.nextInt(4) == 0));
+            cell.run(cell.random.nextInt(300));
+            if (cut) {
+                cell.disconnectedAddresses.add(address);
+                cutUntilMillis.put(address, cell.nowMillis() + 6_000 + cell.random.nextInt(6_000));
+            }
+            if (cell.random.nextInt(20) == 0) {
+                cell.cancel(job);
+            } else {
+                jobs.add(job);
+            }
+            if (cell.random.nextInt(40) == 0) {
+                cell.changeLeader();
+            }
+            cutUntilMillis.values().removeIf(untilMillis -> untilMillis <= cell.nowMillis());
+            cell.disconnectedAddresses.retainAll(cutUntilMillis.keySet());
+        }
+        cell.disconnectedAddresses.clear();
+        cell.delayedOrderShare = 0;
+        cell.lostResponseShare = 0;
+        cell.run(60_000);
+        assertEquals(String.join("; ", cell.violations), "", "seed " + seed);
+        jobs.forEach(job -> assertTrue(
+                cell.phase(job) == JobPhase.COMPLETED || mostCrashes(job) >= CRASHES_OF_LIMITED_TASK,
+                "seed " + seed + ", " + job + ": " + cell.phase(job)));
+    }
+
     private int mostCrashes(String job) {
         return cell.table
                 .job(job)
--- a/core/src/test/java/org/wasabimount/core/dispatch/SimulatedCell.java
+++ b/core/src/test/java/org/wasabimount/core/dispatch/SimulatedCell.java
@@ -27,6 +27,7 @@
 import org.wasabimount.core.job.JobTable;
 import org.wasabimount.core.job.RunId;
 import org.wasabimount.core.job.TaskId;
+import org.wasabimount.core.job.WorkerEntry;
 import org.wasabimount.protocol.cell.Organisation;
 import org.wasabimount.protocol.job.AcceptJob;
 import org.wasabimount.protocol.job.AdviceCost;
@@ -123,6 +124,15 @@
     /** Number of starts that were carried out or rejected late. */
     int lateStarts;
 
+    /**
+     * Whether starts are sent only over connections on which the incarnation that they are meant for has responded, so that
+     * they reach that one or none; otherwise they reach whichever has the worker's id.
+     */
+    boolean checksConnections;
+
+    /** Number of starts that were not sent because a later incarnation responded. */
+    int startsWithheldFromLaterLife;
+
     /** Number of runs that ended because the other tasks of their gang did not come. */
     int aloneEnds;
 
@@ -512,8 +522,8 @@
             });
         } else if (action instanceof DispatchAction.Start start) {
             order(
-                    start.worker().incarnation().getAddress(),
-                    start.worker().incarnation().getWorker(),
+                    start.worker(),
+                    checksConnections,
                     worker -> worker.start(start),
                     (result, clock) ->
                             sender.startCompleted(start.run(), start.worker().id(), result, clock),
@@ -522,8 +532,8 @@
                             lateStartMillis.get(start.worker().incarnation().getAddress())));
         } else if (action instanceof DispatchAction.Stop stop) {
             order(
-                    stop.worker().incarnation().getAddress(),
-                    stop.worker().incarnation().getWorker(),
+                    stop.worker(),
+                    false,
                     worker -> worker.stop(stop),
                     (result, clock) -> {
                         boolean lost = lostStopResponses.contains(
@@ -535,8 +545,8 @@
                     Optional.empty());
         } else if (action instanceof DispatchAction.Pace pace) {
             order(
-                    pace.worker().incarnation().getAddress(),
-                    pace.worker().incarnation().getWorker(),
+                    pace.worker(),
+                    false,
                     worker -> worker.pace(pace),
                     (result, clock) -> sender.paceCompleted(pace, result, clock),
                     sender,
@@ -561,16 +571,28 @@
     }
 
     private void order(
-            String address,
-            String expected,
+            WorkerEntry addressed,
+            boolean checked,
             Order order,
             ResultHandler resultHandler,
             Dispatcher sender,
             Optional<Long> lateMillis) {
+        String address = addressed.incarnation().getAddress();
+        String expected = addressed.incarnation().getWorker();
+        SimulatedWorker initialWorker = byAddress.get(address);
+        boolean otherLife = initialWorker != null
+                && initialWorker.bornMillis != addressed.id().bornMillis();
+        if (checked && otherLife && !initialWorker.crashed && !disconnectedAddresses.contains(address)) {
+            startsWithheldFromLaterLife++;
+            OrderOutcome result = initialWorker.id.equals(expected) ? OrderOutcome.LATER_LIFE : OrderOutcome.OTHER_LIFE;
+            after(
+                    2 * NETWORK_DELAY_MILLIS,
+                    () -> deliver(sender, () -> resultHandler.accept(result, OptionalLong.empty())));
+            return;
+        }
         boolean delayed = random.nextDouble() < delayedOrderShare || lateMillis.isPresent();
         boolean unanswered =
                 delayed || random.nextDouble() < lostResponseShare || disconnectedAddresses.contains(address);
-        SimulatedWorker initialWorker = byAddress.get(address);
         long sentMillis = nowMillis;
         if (delayed && !disconnectedAddresses.contains(address)) {
             // A worker keeps an unanswered order until it carries it out, and loses it when it crashes.
@@ -584,7 +606,7 @@
         } else if (!disconnectedAddresses.contains(address)) {
             after(NETWORK_DELAY_MILLIS, () -> {
                 SimulatedWorker worker = byAddress.get(address);
-                if (worker == null || worker.crashed) {
+                if (worker == null || worker.crashed || checked && worker != initialWorker) {
                     return;
                 }
                 orderSentMillis = sentMillis;
--- a/daemon/src/main/java/org/wasabimount/daemon/job/WorkerCalls.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/job/WorkerCalls.java
@@ -11,6 +11,9 @@
     /**
      * Orders a worker to start a run.
      *
+     * <p>The order must reach the incarnation that it names or none: a later one has the same id, and would hold the run to a
+     * lease that was granted on another clock. It may be sent only over a connection on which that incarnation has responded.
+     *
      * @param order the order
      * @return the outcome of the call
      */
--- a/daemon/src/main/java/org/wasabimount/daemon/routing/RoutingThread.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/routing/RoutingThread.java
@@ -259,7 +259,7 @@
                 httpResult.response().status() >= StatusCodes.INTERNAL_SERVER_ERROR
                         ? AttemptResult.SERVER_ERROR
                         : AttemptResult.ANSWERED;
-            case NOT_SENT -> AttemptResult.NOT_SENT;
+            case NOT_SENT, CHECK_FAILED -> AttemptResult.NOT_SENT;
             case CUT_SHORT -> AttemptResult.CUT_SHORT;
             case TIMED_OUT -> AttemptResult.TIMED_OUT;
         };
