Renew a lease and acknowledge ends only in the life that they are meant for

Callers: a task could run twice at the same time.

A renewal names the worker's id, too, and its deadline is made for the clock of the life that the leader knows. Carried out late by a younger life, it extended that life's lease past what the leader had granted it, so the expiry that the leader reckons proved nothing; and it acknowledged ends by the older life's numbers, so that an end of the younger one could be forgotten before it was listed.

Change: a renewal that grants or acknowledges something goes over a checked connection, as starts do. The response to the check is a list; that of a later life is handled as before. Calls that only request a list (DispatchAction.RenewLease.listsOnly) are sent to whichever life responds.

--- a/core/src/main/java/org/wasabimount/core/dispatch/DispatchAction.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/DispatchAction.java
@@ -68,7 +68,17 @@
      * @param waitMillis how long the worker may wait for a run to end before it responds, in milliseconds
      */
     record RenewLease(WorkerEntry worker, long leaseUntilMillis, long fence, long offset, long waitMillis)
-            implements DispatchAction {}
+            implements DispatchAction {
+
+        /**
+         * Returns whether the call only requests a list, so that any incarnation with the worker's id may receive it.
+         *
+         * @return true if it neither grants a lease nor acknowledges a run end
+         */
+        public boolean listsOnly() {
+            return leaseUntilMillis == 0 && offset == 0;
+        }
+    }
 
     /**
      * Requests a call to the advice service from a VM.
--- a/core/src/test/java/org/wasabimount/core/dispatch/LaterLifeTest.java
+++ b/core/src/test/java/org/wasabimount/core/dispatch/LaterLifeTest.java
@@ -180,6 +180,30 @@
         assertEquals(cell.phase("job" + jobs), JobPhase.COMPLETED);
     }
 
+    /**
+     * Guards against a task that runs twice: a renewal that was meant for the earlier life extends the lease of the later one,
+     * which is cut off, beyond what the leader has granted it.
+     */
+    @Test
+    public void leaseOfLaterLifeIsNotExtendedByLateRenewal() {
+        cell.checksConnections = true;
+        cell.startAgain(free, NOTICED_MILLIS + 400);
+        cell.lateRenewalMillis.put(free.address, 2 * LATE_MILLIS);
+        cell.run(NOTICED_MILLIS);
+        cell.lateRenewalMillis.clear();
+        cell.run(FIRST_WORK_MILLIS);
+        cell.workMillis(2 * WORK_MILLIS);
+        cell.submit(cell.job("first", 1, LARGE, false));
+        cell.submit(cell.job("second", 1, LARGE, false));
+        cell.run(LATE_MILLIS);
+        assertEquals(cell.starts.getOrDefault("first", 0) + cell.starts.getOrDefault("second", 0), 2);
+        cell.disconnectedAddresses.add(free.address);
+        cell.worker("third", "10.0.1.0:80", WORKER);
+        cell.run(END_MILLIS);
+        assertEquals(String.join("; ", cell.violations), "");
+        assertTrue(cell.renewalsWithheldFromLaterLife > 0, "no renewal was meant for the earlier life");
+    }
+
     @DataProvider
     public Object[][] leaders() {
         return new Object[][] {{false}, {true}};
--- a/core/src/test/java/org/wasabimount/core/dispatch/SimulatedCell.java
+++ b/core/src/test/java/org/wasabimount/core/dispatch/SimulatedCell.java
@@ -125,14 +125,24 @@
     int lateStarts;
 
     /**
-     * Whether starts are sent only over connections on which the incarnation that they are meant for has responded, so that
-     * they reach that one or none; otherwise they reach whichever has the worker's id.
+     * Workers, by address, that leave the next renewals of a lease unanswered, with the time after which they carry them out,
+     * in milliseconds.
+     */
+    final Map<String, Long> lateRenewalMillis = new HashMap<>();
+
+    /**
+     * Whether starts, and renewals that grant or acknowledge something, are sent only over connections on which the
+     * incarnation that they are meant for has responded, so that they reach that one or none; otherwise they reach whichever
+     * has the worker's id.
      */
     boolean checksConnections;
 
     /** Number of starts that were not sent because a later incarnation responded. */
     int startsWithheldFromLaterLife;
 
+    /** Number of renewals that were not sent because a later incarnation responded. */
+    int renewalsWithheldFromLaterLife;
+
     /** Number of runs that ended because the other tasks of their gang did not come. */
     int aloneEnds;
 
@@ -659,12 +669,40 @@
                                 LeaseRenewalResult.withoutList(OrderOutcome.OTHER_LIFE), requestedMillis));
                 return;
             }
+            boolean laterLife = worker.bornMillis != renewLease.worker().id().bornMillis();
+            if (checksConnections && laterLife && !renewLease.listsOnly()) {
+                renewalsWithheldFromLaterLife++;
+                deliver(sender, () -> resultHandler.accept(worker.listRuns(), requestedMillis));
+                return;
+            }
+            if (leftUnanswered(worker, renewLease)) {
+                after(
+                        CALL_TIMEOUT_MILLIS,
+                        () -> deliver(
+                                sender,
+                                () -> resultHandler.accept(
+                                        LeaseRenewalResult.withoutList(OrderOutcome.NO_ANSWER), requestedMillis)));
+                return;
+            }
             LeaseRenewalResult initialResult = worker.renewLease(renewLease);
             completeRenewal(
                     resultHandler, sender, worker, initialResult, requestedMillis, nowMillis + renewLease.waitMillis());
         });
     }
 
+    /** Returns whether a worker leaves a renewal of its lease without a response, and has it carried out later. */
+    private boolean leftUnanswered(SimulatedWorker worker, DispatchAction.RenewLease renewLease) {
+        Long lateMillis = renewLease.leaseUntilMillis() > 0 ? lateRenewalMillis.get(worker.address) : null;
+        if (lateMillis != null) {
+            after(lateMillis, () -> {
+                if (!worker.crashed) {
+                    worker.renewLease(renewLease);
+                }
+            });
+        }
+        return lateMillis != null;
+    }
+
     private void completeRenewal(
             RenewalHandler resultHandler,
             Dispatcher sender,
