Plan a job in time that grows with its dependencies, not with the square of its steps

Cause: JobPlan looked for the successors of each step among all later ones, and a new leader plans every open job before its first heartbeats; it had lost its lease of 400 ms by then, and so had each next one. Submissions pay the same on the leader's thread.

Change: the paths are computed from the last step to the first, and each dependency is examined once.

--- a/core/src/main/java/org/wasabimount/core/dispatch/JobPlan.java
+++ b/core/src/main/java/org/wasabimount/core/dispatch/JobPlan.java
@@ -146,16 +146,16 @@
 
     private static long[] criticalPathsMillis(JobSpec spec, Queue queue) {
         long[] criticalPathsMillis = new long[spec.getStepsCount()];
+        long[] successorsMillis = new long[spec.getStepsCount()];
         long adviceCallMillis = queue.hasAdvice() ? (long) adviceCallMillis(queue, ADVISED_WORKERS) : 0;
+        // A step depends on earlier ones only, so from the last to the first each dependency is examined once.
         for (int step = criticalPathsMillis.length - 1; step >= 0; step--) {
-            int current = step;
-            long successorsMillis = IntStream.range(step + 1, criticalPathsMillis.length)
-                    .filter(later -> spec.getSteps(later).getAfterList().contains(current))
-                    .mapToLong(later -> criticalPathsMillis[later])
-                    .max()
-                    .orElse(0);
             Step currentStep = spec.getSteps(step);
-            criticalPathsMillis[step] = currentStep.getEstimateMillis() + adviceCallMillis + successorsMillis;
+            long pathMillis = currentStep.getEstimateMillis() + adviceCallMillis + successorsMillis[step];
+            criticalPathsMillis[step] = pathMillis;
+            currentStep
+                    .getAfterList()
+                    .forEach(earlier -> successorsMillis[earlier] = Math.max(successorsMillis[earlier], pathMillis));
         }
         return criticalPathsMillis;
     }
