--- a/client/src/main/java/org/wasabimount/client/HttpClient.java
+++ b/client/src/main/java/org/wasabimount/client/HttpClient.java
@@ -153,8 +153,8 @@
     }
 
     /**
-     * Takes the connection that was used last, of those that have passed the check of a process if one is named; otherwise
-     * one that has passed none.
+     * Takes the idle connection that was used last: any if no process is named, otherwise one that has passed the check of
+     * that process, or else one that has passed no check.
      */
     private Optional<IdleConnection> takeIdle(String address, Optional<String> process) {
         synchronized (idleConnections) {
--- a/core/src/test/java/org/wasabimount/core/dispatch/SimulatedCell.java
+++ b/core/src/test/java/org/wasabimount/core/dispatch/SimulatedCell.java
@@ -654,12 +654,7 @@
         after(NETWORK_DELAY_MILLIS, () -> {
             SimulatedWorker worker = byAddress.get(address);
             if (disconnectedAddresses.contains(address) || worker == null || worker.crashed) {
-                after(
-                        CALL_TIMEOUT_MILLIS,
-                        () -> deliver(
-                                sender,
-                                () -> resultHandler.accept(
-                                        LeaseRenewalResult.withoutList(OrderOutcome.NO_ANSWER), requestedMillis)));
+                leaveUnanswered(resultHandler, sender, requestedMillis);
                 return;
             }
             if (!worker.id.equals(renewLease.worker().incarnation().getWorker())) {
@@ -676,12 +671,7 @@
                 return;
             }
             if (leftUnanswered(worker, renewLease)) {
-                after(
-                        CALL_TIMEOUT_MILLIS,
-                        () -> deliver(
-                                sender,
-                                () -> resultHandler.accept(
-                                        LeaseRenewalResult.withoutList(OrderOutcome.NO_ANSWER), requestedMillis)));
+                leaveUnanswered(resultHandler, sender, requestedMillis);
                 return;
             }
             LeaseRenewalResult initialResult = worker.renewLease(renewLease);
@@ -690,6 +680,15 @@
         });
     }
 
+    private void leaveUnanswered(RenewalHandler resultHandler, Dispatcher sender, long requestedMillis) {
+        after(
+                CALL_TIMEOUT_MILLIS,
+                () -> deliver(
+                        sender,
+                        () -> resultHandler.accept(
+                                LeaseRenewalResult.withoutList(OrderOutcome.NO_ANSWER), requestedMillis)));
+    }
+
     /** Returns whether a worker leaves a renewal of its lease without a response, and has it carried out later. */
     private boolean leftUnanswered(SimulatedWorker worker, DispatchAction.RenewLease renewLease) {
         Long lateMillis = renewLease.leaseUntilMillis() > 0 ? lateRenewalMillis.get(worker.address) : null;
@@ -714,12 +713,7 @@
                 || !currentResult.ended().isEmpty()
                 || nowMillis >= untilMillis;
         if (worker.crashed || disconnectedAddresses.contains(worker.address)) {
-            after(
-                    CALL_TIMEOUT_MILLIS,
-                    () -> deliver(
-                            sender,
-                            () -> resultHandler.accept(
-                                    LeaseRenewalResult.withoutList(OrderOutcome.NO_ANSWER), requestedMillis)));
+            leaveUnanswered(resultHandler, sender, requestedMillis);
         } else if (responseDue) {
             after(
                     NETWORK_DELAY_MILLIS,
--- a/daemon/src/main/java/org/wasabimount/daemon/job/WorkerCalls.java
+++ b/daemon/src/main/java/org/wasabimount/daemon/job/WorkerCalls.java
@@ -38,6 +38,9 @@
     /**
      * Renews a worker's lease and requests the list of its runs.
      *
+     * <p>As a start, a call that grants a lease or acknowledges run ends must reach the incarnation that it names or none. If a
+     * later one responds instead, the result is that one's list.
+     *
      * @param order the order
      * @return the worker's active runs and run ends, or the reason why there are none
      */
